--- /dev/null
+++ b/crates/yarrowspoke/src/rules.rs
@@ -0,0 +1,943 @@
+//! THE decision module. Its interface (settings, events, actions) stands in `src/interface.rs`.
+//!
+//! Reading order: values, state, entry point, the five guards, the list, routing, attempts, overload,
+//! the judge, the votes. The mechanism is `docs/design.md`'s; "departure" marks what goes beyond it.
+
+use crate::books::{load_value, lower_bound, median, position, Tally};
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// ---- Values (time in microseconds) ---------------------------------------------------------------
+const MS: Micros = 1_000;
+const TICK: Micros = 50 * MS; // housekeeping period
+const WINDOW: Micros = 3_000 * MS; // waiting window after the newest start seen; the design's own value
+const CLOCK_LAG: Micros = 1_000 * MS; // a stage's clock starts about this long after its last start
+const PATIENCE: Micros = 2_050 * MS; // least stage clock time before an 'on'
+const BOOT_LIMIT: Micros = 9_000 * MS; // a stage whose machines are not all seen by then is taken as up
+const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
+const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
+const ENOUGH: usize = 20; // outcomes of a class that the judge wants
+const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
+const SURE: f64 = 2.0; // standard deviations by which a failure share must clear the margin
+const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
+const RING: usize = 600; // outcomes kept for each build
+const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
+const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
+const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
+const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
+const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
+const EJECT_FOR: Micros = 1_500 * MS; // first ejection; doubles up to eight times this
+const FAIL_WEIGHT: f64 = 0.15; // weight of the newest answer in a machine's failing share
+const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
+const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
+const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
+const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
+const FIT: f64 = 0.7; // part of its aim that a request may be predicted to wait for its answer
+const FIT_OVER: f64 = 0.3; // the same for tenants over their share
+const FREE_SLOTS: f64 = 2.0; // requests a machine always admitted
+const RETRY_SHARE: f64 = 0.2; // retry budget earned by each request
+const RETRY_BURST: f64 = 20.0; // most retries saved up
+const PARK_PART: f64 = 0.5; // part of its aim that a request waits for a machine to appear
+const BACKOFF: Micros = 400 * MS; // time to come back, with up to as much again for spread
+const EDGE: Micros = 60 * MS; // margin on counted spans
+const ASK_AGAIN: Micros = 1_000 * MS; // pause before asking for the list again; doubles up to four times
+
+// ---- State ---------------------------------------------------------------------------------------
+struct Machine {
+    e: Entry,
+    inflight: u32,
+    quiet_from: Micros, // last answer, or the send that ended its idleness
+    fail: f64,
+    ejected_until: Micros,
+    ejections: u32,
+    sent: Tally, // work sent, for the cold budget
+}
+
+struct Attempt {
+    machine: MachineId,
+    build: Build,
+    zone: u16,
+    cell: u16,
+    sent: Micros,
+    out: bool,
+    maybe_ran: bool,
+}
+
+struct Request {
+    class: usize,
+    arrived: Micros,
+    deadline: Micros,
+    key: u64,
+    pos: f64,
+    work: f64,
+    over: bool,
+    attempts: Vec<Attempt>,
+    parked: bool,
+}
+
+struct Out {
+    machine: MachineId,
+    build: Build,
+    class: usize,
+    sent: Micros,
+    work: f64,
+}
+
+struct Sample {
+    at: Micros,
+    machine: MachineId,
+    kind: u8,
+    class: usize,
+    ok: bool,
+    pace: f64, // answer time over expected work
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Finding {
+    Thin,
+    Clear,
+    Doubt,
+    Fault,
+}
+
+/// One front: its whole knowledge, fed by [`Front::handle`].
+pub struct Front {
+    s: Settings,
+    rng: Pcg64Mcg,
+    machines: BTreeMap<MachineId, Machine>,
+    requests: BTreeMap<RequestId, Request>,
+    outs: BTreeMap<(RequestId, u16), Out>,
+    inflight: u32,
+    news: Option<News>,
+    stage_from: Micros, // when the present stage began, as told
+    places: usize,
+    accepted: Vec<Tally>,
+    exposed: BTreeMap<(Build, usize), Tally>,
+    samples: BTreeMap<Build, VecDeque<Sample>>,
+    tallies: BTreeMap<(Build, usize), Vec<(Micros, f64, f64)>>,
+    tied: BTreeMap<u64, Build>,
+    served: Tally,
+    answer_time: f64,
+    retry_tokens: f64,
+    tenants: Vec<(f64, Micros)>,
+    vote: Option<(Build, u8, Verdict)>,
+    vote_sent: Micros,
+    vote_ok: Option<Micros>,
+    vote_waits: bool,
+    ask_at: Micros,
+    ask_failures: u32,
+    ask_waits: bool,
+    /// Events that named something unknown or made no sense.
+    pub ignored: u64,
+}
+
+impl Front {
+    /// A front that knows only its settings.
+    pub fn new(seed: u64, s: Settings, now: Micros, out: &mut Vec<Action>) -> Self {
+        let classes = s.classes.len();
+        let tenants = s.tenants.iter().map(|t| (t.quota_rps / s.fronts.max(1) as f64, now)).collect();
+        let mut front = Self {
+            s,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            machines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            outs: BTreeMap::new(),
+            inflight: 0,
+            news: None,
+            stage_from: now,
+            places: 0,
+            accepted: vec![Tally::default(); classes],
+            exposed: BTreeMap::new(),
+            samples: BTreeMap::new(),
+            tallies: BTreeMap::new(),
+            tied: BTreeMap::new(),
+            served: Tally::default(),
+            answer_time: 0.0,
+            retry_tokens: RETRY_BURST,
+            tenants,
+            vote: None,
+            vote_sent: 0,
+            vote_ok: None,
+            vote_waits: false,
+            ask_at: now,
+            ask_failures: 0,
+            ask_waits: false,
+            ignored: 0,
+        };
+        front.follow_list(now, out);
+        out.push(Action::Timer { name: 0, after: TICK });
+        front
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        match *event {
+            Event::List { kind, entries } => self.on_list(now, kind, entries, out),
+            Event::Request { id, class, remaining, key, tenant, hint, .. } => {
+                self.on_request(now, id, class, remaining, key, tenant, hint, out)
+            }
+            Event::Timer { .. } => self.on_tick(now, out),
+            Event::Outcome { id, attempt, machine, ending, settled, took, load } => {
+                self.on_load(machine, load);
+                self.on_outcome(now, id, attempt, ending, settled, took, out);
+            }
+            Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
+            Event::News(news) => self.on_news(now, news),
+            Event::Tally { build, class, count, bad, age, .. } => {
+                let at = now.saturating_sub(age);
+                let kept = self.tallies.entry((build, class.into())).or_default();
+                kept.retain(|t| t.0 + JUDGE_SPAN > now);
+                kept.push((at, count.into(), bad.min(count).into()));
+            }
+            Event::Withdrawn { id } => {
+                self.requests.remove(&id);
+            }
+            Event::FirstByte { .. } | Event::Probed { .. } => {}
+            Event::Message { .. } => self.ignored += 1,
+        }
+    }
+
+    fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::Timer { name: 0, after: TICK });
+        self.follow_list(now, out);
+        self.eject_silent(now);
+        self.rescue(now, out);
+        let parked: Vec<_> = self.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
+        for id in parked {
+            self.dispatch(now, id, out);
+        }
+        self.vote(now, out);
+    }
+
+    fn jitter(&mut self, span: Micros) -> Micros {
+        self.rng.next_u64() % span.max(1)
+    }
+
+    // ---- The five guards -------------------------------------------------------------------------
+    // Every send passes `may_send`; every refusal passes `may_refuse`. Whatever else decides, these hold.
+
+    /// Rules 2 to 5 for one send; rule 1 is `finish` and the ledger of open requests.
+    fn may_send(&self, now: Micros, r: &Request, m: &Machine) -> bool {
+        let drains = m.e.state == MachineState::Ready;
+        now < r.deadline
+            && r.attempts.len() < self.s.max_attempts as usize
+            && drains
+            && self.may_repeat(now, r, m)
+            && self.cold_allows(now, r, m)
+            && self.exposure_allows(now, r.class, m.e.build)
+    }
+
+    /// Rule 2: no effect twice, and one attempt at a time where copies are barred.
+    fn may_repeat(&self, now: Micros, r: &Request, m: &Machine) -> bool {
+        let c = &self.s.classes[r.class];
+        r.attempts.iter().all(|a| {
+            if a.out && !self.s.second_copies {
+                return false;
+            }
+            match c.effect {
+                _ if !a.maybe_ran => true,
+                Effect::Repeatable => true,
+                Effect::Once => false,
+                Effect::ByKey => {
+                    let same = match c.scope {
+                        DedupScope::All => true,
+                        DedupScope::Zone => a.zone == m.e.zone,
+                        DedupScope::Cell => a.cell == m.e.cell,
+                    };
+                    same && now + EDGE < a.sent + c.dedup_window
+                }
+            }
+        })
+    }
+
+    /// Rule 2: a refusal promises that trying again is harmless.
+    fn may_refuse(&self, now: Micros, r: &Request) -> bool {
+        let c = &self.s.classes[r.class];
+        r.attempts.iter().filter(|a| a.maybe_ran).all(|a| match c.effect {
+            Effect::Repeatable => true,
+            Effect::Once => false,
+            Effect::ByKey => c.scope == DedupScope::All && now + EDGE < a.sent + c.dedup_window,
+        })
+    }
+
+    /// Part of its full capacity that a machine surely has.
+    fn warmth(&self, now: Micros, m: &Machine) -> f64 {
+        let age = now.saturating_sub(m.e.started);
+        if m.e.started == 0 || age >= self.s.warm_after {
+            return 1.0;
+        }
+        self.s.cold_from + (1.0 - self.s.cold_from) * age as f64 / self.s.warm_after as f64
+    }
+
+    /// Rule 4: work sent to a cold machine stays under a part of what it can bear, taking what warm
+    /// machines of its size are sent as their capacity. A front without history sends next to nothing.
+    fn cold_allows(&self, now: Micros, r: &Request, m: &Machine) -> bool {
+        let warmth = self.warmth(now, m);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let span = self.s.fall;
+        let (mut work, mut size) = (0.0, 0.0);
+        for o in self.machines.values().filter(|o| o.e.state == MachineState::Ready) {
+            if self.warmth(now, o) >= 1.0 {
+                work += o.sent.sum(now, span);
+                size += o.e.weight;
+            }
+        }
+        let usual = if size > 0.0 { work / size * m.e.weight } else { 0.0 };
+        let sent = m.sent.sum(now, span + EDGE);
+        sent == 0.0 || sent + r.work <= COLD_PART * self.s.tip_multiple * warmth * usual
+    }
+
+    /// The cap that binds `build`, or `None` if it is not on trial. A build not named yet is stage 0.
+    fn cap(&self, build: Build) -> Option<f64> {
+        let first = self.s.release.caps.first().copied().unwrap_or(0.0);
+        let news = match self.news {
+            Some(n) => n,
+            None => return (self.base_build()? < build).then_some(first),
+        };
+        match build.cmp(&news.build) {
+            std::cmp::Ordering::Less => None,
+            std::cmp::Ordering::Greater => Some(first),
+            std::cmp::Ordering::Equal if news.phase == Phase::Released => None,
+            std::cmp::Ordering::Equal => Some(news.cap),
+        }
+    }
+
+    fn stage(&self, build: Build) -> u8 {
+        self.news.filter(|n| n.build == build).map_or(0, |n| n.stage)
+    }
+
+    /// Rule 5: attempts at a build on trial, over a span widened for safety, stay within free attempts plus
+    /// cap times requests taken over a span narrowed for safety. A lower cap binds at once.
+    fn exposure_allows(&self, now: Micros, class: usize, build: Build) -> bool {
+        let Some(cap) = self.cap(build) else { return true };
+        let rel = &self.s.release;
+        let guarded = self.stage(build) < rel.guarded_stages;
+        if cap <= 0.0 || guarded && self.s.classes[class].effect != Effect::Repeatable {
+            return false;
+        }
+        let mut taken = 0.0;
+        let mut sent = 0.0;
+        for c in (0..self.s.classes.len()).filter(|c| !rel.by_class || *c == class) {
+            taken += self.accepted[c].sum(now, rel.window.saturating_sub(EDGE));
+            sent += self.exposed.get(&(build, c)).map_or(0.0, |t| t.sum(now, rel.window + EDGE));
+        }
+        sent + 1.0 <= rel.free + cap * taken
+    }
+
+    /// Rule 1: the one place that gives a final answer, at once.
+    fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        if self.may_refuse(now, &r) {
+            let backoff = (BACKOFF + self.jitter(BACKOFF)).min(self.s.max_retry_after);
+            out.push(Action::Refuse { id, backoff: if self.s.retry_after { backoff } else { 0 } });
+        } else {
+            out.push(Action::Fail { id });
+        }
+        self.cancel_rest(id, &r, out);
+    }
+
+    fn cancel_rest(&self, id: RequestId, r: &Request, out: &mut Vec<Action>) {
+        for (k, a) in r.attempts.iter().enumerate().filter(|a| a.1.out && self.s.may_cancel) {
+            let _ = a;
+            out.push(Action::Cancel { id, attempt: k as u16 });
+        }
+    }
+
+    // ---- Following the list ----------------------------------------------------------------------
+    fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if !self.s.ask_list || now < self.ask_at {
+            return;
+        }
+        // Asked again after a failure or no answer, spread out so that fronts do not stampede.
+        out.push(Action::Watch(true));
+        self.ask_waits = true;
+        let pause = ASK_AGAIN * (1 << self.ask_failures.min(2));
+        self.ask_at = now + 4 * pause + self.jitter(pause);
+    }
+
+    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.ask_failures += 1;
+            let pause = ASK_AGAIN * (1 << self.ask_failures.min(2));
+            self.ask_at = now + pause / 2 + self.jitter(pause);
+            return;
+        }
+        if kind != ListKind::Cached {
+            self.ask_failures = 0;
+            self.ask_waits = false;
+            self.ask_at = Micros::MAX;
+        }
+        if kind != ListKind::Delta {
+            let listed: BTreeSet<_> = entries.iter().map(|e| e.machine).collect();
+            for (_, m) in self.machines.iter_mut().filter(|m| !listed.contains(m.0)) {
+                m.e.state = MachineState::Gone;
+            }
+        }
+        for e in entries {
+            self.learn(now, e);
+        }
+        let _ = out;
+    }
+
+    fn learn(&mut self, now: Micros, e: &Entry) {
+        let m = self.machines.entry(e.machine).or_insert_with(|| Machine {
+            e: e.clone(),
+            inflight: 0,
+            quiet_from: now,
+            fail: 0.0,
+            ejected_until: 0,
+            ejections: 0,
+            sent: Tally::default(),
+        });
+        if m.e.started != e.started || m.e.build != e.build {
+            // A new process: what the old one did says nothing about it.
+            m.fail = 0.0;
+            m.ejected_until = 0;
+            m.ejections = 0;
+            m.quiet_from = now;
+        }
+        m.e = e.clone();
+        if !(m.e.weight > 0.0 && m.e.weight.is_finite()) {
+            m.e.weight = 1.0;
+        }
+    }
+
+    fn base_build(&self) -> Option<Build> {
+        let ready = self.machines.values().filter(|m| m.e.state != MachineState::Gone);
+        ready.map(|m| m.e.build).min()
+    }
+
+    // ---- Routing: window, in-flight ceiling, hash positions, two random choices -------------------
+    #[allow(clippy::too_many_arguments)]
+    fn on_request(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        class: u8,
+        remaining: Micros,
+        key: u64,
+        tenant: u32,
+        hint: Option<Micros>,
+        out: &mut Vec<Action>,
+    ) {
+        let class = usize::from(class);
+        if class >= self.s.classes.len() {
+            // Unknown class: nothing is known of its effect, so it is refused unsent.
+            self.ignored += 1;
+            out.push(Action::Refuse { id, backoff: 0 });
+            return;
+        }
+        let keep = self.s.release.window + EDGE;
+        self.accepted[class].add(now, 1.0, keep);
+        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        let over = self.over_share(now, tenant as usize);
+        let work = hint.filter(|h| *h > 0).map_or(100_000.0, |h| h as f64);
+        let pos = position(if key == 0 { id } else { key });
+        let deadline = now + remaining;
+        let attempts = Vec::new();
+        let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
+        let admitted = self.admits(now, &r);
+        self.requests.insert(id, r);
+        if admitted {
+            self.dispatch(now, id, out);
+        } else {
+            self.finish(now, id, out);
+        }
+    }
+
+    /// Sends a request to the machine that the mechanism picks; else parks it or gives it up at once.
+    fn dispatch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(mut r) = self.requests.remove(&id) else { return };
+        let picked = self.route(now, &r);
+        if let Some(machine) = picked {
+            r.parked = false;
+            self.send(now, id, &mut r, machine, out);
+            self.requests.insert(id, r);
+            return;
+        }
+        let c = &self.s.classes[r.class];
+        let patience = r.arrived + (c.aim as f64 * PARK_PART) as Micros;
+        let until = patience.min(r.deadline.saturating_sub(TICK));
+        let idle = !r.attempts.iter().any(|a| a.out);
+        r.parked = idle && now < until;
+        let give_up = idle && !r.parked;
+        self.requests.insert(id, r);
+        if give_up {
+            self.finish(now, id, out);
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, r: &mut Request, to: MachineId, out: &mut Vec<Action>) {
+        let keep = self.s.release.window + EDGE;
+        let fall = self.s.fall + EDGE;
+        let Some(m) = self.machines.get_mut(&to) else { return };
+        if m.inflight == 0 {
+            m.quiet_from = now;
+        }
+        m.inflight += 1;
+        m.sent.add(now, r.work, fall.max(RATE_SPAN));
+        let (build, zone, cell) = (m.e.build, m.e.zone, m.e.cell);
+        self.inflight += 1;
+        self.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
+        let attempt = r.attempts.len() as u16;
+        r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
+        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work };
+        self.outs.insert((id, attempt), o);
+        out.push(Action::Send { id, machine: to, timeout: 0 });
+    }
+
+    /// The ordinary path of the design, with its departures marked.
+    fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
+        let tied = self.tied.get(&r.key).copied().filter(|_| r.key != 0 && self.s.release.forward_only);
+        let least = tied.unwrap_or(0);
+        let earlier = self.draw(now, r, |f, m| m.e.build >= least && f.cap(m.e.build).is_none());
+        let trial = self.draw(now, r, |f, m| m.e.build >= least && f.turn(r, m.e.build));
+        match (earlier, trial) {
+            (Some(e), Some(t)) => {
+                let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
+                // Departure: while the window is open the new machines take a turn only when the earlier
+                // ones carry clearly more; after it, a turn goes back when the new ones carry clearly more.
+                let waits = now < self.window_end(self.machines[&t].e.build);
+                let take = if waits { le > lt + SPILL } else { lt <= le + SPILL };
+                Some(if take { t } else { e })
+            }
+            (Some(e), None) => Some(e),
+            (None, Some(t)) => Some(t),
+            // Departure: with no earlier machine left, position, ceiling and effect turns yield; the rule stays.
+            (None, None) => self.draw(now, r, |f, m| m.e.build >= least && f.cap(m.e.build).is_some()),
+        }
+    }
+
+    /// A request's turn on the build on trial: position, effect and in-flight ceiling.
+    fn turn(&self, r: &Request, build: Build) -> bool {
+        let Some(cap) = self.cap(build) else { return false };
+        let effect = self.s.classes[r.class].effect != Effect::Repeatable;
+        let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(2);
+        let on_trial = self.machines.values().filter(|m| m.e.build == build);
+        let held: u32 = on_trial.map(|m| m.inflight).sum();
+        let ceiling = (cap * f64::from(self.inflight + 1)).ceil();
+        let failed_there = r.attempts.iter().any(|a| a.build == build);
+        open && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
+    }
+
+    /// Two random choices by fewest in flight for its size, among machines that the guards allow. Ejected
+    /// machines stand aside while others are left.
+    fn draw(
+        &mut self,
+        now: Micros,
+        r: &Request,
+        wanted: impl Fn(&Self, &Machine) -> bool,
+    ) -> Option<MachineId> {
+        let allowed = |m: &&Machine| wanted(self, m) && self.may_send(now, r, m);
+        let all: Vec<&Machine> = self.machines.values().filter(allowed).collect();
+        let untried = |m: &&&Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
+        let sound: Vec<_> = all.iter().filter(untried).filter(|m| self.sound(now, m, r)).collect();
+        let ids: Vec<MachineId> = if sound.is_empty() {
+            all.iter().map(|m| m.e.machine).collect()
+        } else {
+            sound.iter().map(|m| m.e.machine).collect()
+        };
+        if ids.is_empty() {
+            return None;
+        }
+        let a = ids[self.jitter(ids.len() as u64) as usize];
+        let b = ids[self.jitter(ids.len() as u64) as usize];
+        let (la, lb) = (self.load_of(now, a), self.load_of(now, b));
+        Some(if lb < la { b } else { a })
+    }
+
+    fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
+        let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
+        m.ejections == 0 || now >= m.ejected_until && m.inflight == 0 && repeatable
+    }
+
+    fn load_of(&self, now: Micros, id: MachineId) -> f64 {
+        let m = &self.machines[&id];
+        f64::from(m.inflight) / (m.e.weight * self.warmth(now, m))
+    }
+
+    // ---- Attempts: outcomes, ejection, further attempts --------------------------------------------
+    fn on_load(&mut self, machine: MachineId, load: &[f32]) {
+        let _ = load_value(&self.s.report_fields, load, LoadField::MeanMs).filter(|_| machine > 0);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_outcome(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u16,
+        ending: Ending,
+        settled: bool,
+        took: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.outs.remove(&(id, attempt)) else {
+            self.ignored += 1;
+            return;
+        };
+        self.inflight = self.inflight.saturating_sub(1);
+        self.note_machine(now, &o, ending, took);
+        if ending == Ending::Ok {
+            self.served.add(now, 1.0, RATE_SPAN);
+            self.answer_time += 0.05 * (took as f64 - self.answer_time);
+        }
+        if settled {
+            if let Some(r) = self.requests.remove(&id) {
+                if ending == Ending::Ok && r.key != 0 && self.s.release.forward_only {
+                    self.tied.insert(r.key, o.build);
+                }
+                self.cancel_others(id, attempt, &r, out);
+            }
+            return;
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if let Some(a) = r.attempts.get_mut(usize::from(attempt)) {
+            a.out = false;
+            a.maybe_ran = !matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::Moot);
+        }
+        if r.attempts.iter().any(|a| a.out) {
+            return;
+        }
+        if now >= r.deadline || !self.afford_retry(id) {
+            return self.finish(now, id, out);
+        }
+        self.dispatch(now, id, out);
+    }
+
+    fn cancel_others(&self, id: RequestId, done: u16, r: &Request, out: &mut Vec<Action>) {
+        if !self.s.may_cancel {
+            return;
+        }
+        for k in (0..r.attempts.len()).filter(|k| *k != usize::from(done) && r.attempts[*k].out) {
+            out.push(Action::Cancel { id, attempt: k as u16 });
+        }
+    }
+
+    fn afford_retry(&mut self, id: RequestId) -> bool {
+        let left =
+            self.requests.get(&id).map_or(0, |r| self.s.max_attempts as usize - r.attempts.len().min(9));
+        let can = left > 0 && self.retry_tokens >= 1.0;
+        if can {
+            self.retry_tokens -= 1.0;
+        }
+        can
+    }
+
+    fn note_machine(&mut self, now: Micros, o: &Out, ending: Ending, took: Micros) {
+        let Some(m) = self.machines.get_mut(&o.machine) else { return };
+        m.inflight = m.inflight.saturating_sub(1);
+        if matches!(ending, Ending::Cancelled | Ending::Moot) || m.e.build != o.build {
+            return;
+        }
+        let answered = matches!(ending, Ending::Ok | Ending::Error | Ending::Full);
+        if answered {
+            m.quiet_from = now;
+        }
+        let bad = !matches!(ending, Ending::Ok | Ending::Full);
+        m.fail += FAIL_WEIGHT * (f64::from(u8::from(bad)) - m.fail);
+        if ending == Ending::ConnectFailed {
+            m.fail = m.fail.max(EJECT_SHARE) + FAIL_WEIGHT;
+        }
+        if ending == Ending::Ok && m.ejections > 0 && now >= m.ejected_until {
+            m.fail *= 0.5;
+            if m.fail < EJECT_SHARE {
+                m.ejections = 0;
+            }
+        }
+        let (kind, started) = (m.e.kind, m.e.started);
+        // Judged on warm machines only; a silent, dead or unreachable machine is no fault of its build.
+        let warm = started == 0 || o.sent >= started + WINDOW.min(self.s.warm_after);
+        if warm && matches!(ending, Ending::Ok | Ending::Error) {
+            let (class, ok, pace) = (o.class, ending == Ending::Ok, took as f64 / o.work);
+            self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace });
+        }
+        self.eject_failing(now, o.machine);
+    }
+
+    fn note_sample(&mut self, build: Build, sample: Sample) {
+        let ring = self.samples.entry(build).or_default();
+        ring.push_back(sample);
+        if ring.len() > RING {
+            ring.pop_front();
+        }
+    }
+
+    fn on_complaint(&mut self, now: Micros, machine: MachineId, class: u8) {
+        let class = usize::from(class);
+        let Some(m) = self.machines.get(&machine).filter(|_| class < self.s.classes.len()) else {
+            self.ignored += 1;
+            return;
+        };
+        let (build, kind) = (m.e.build, m.e.kind);
+        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: 0.0 });
+    }
+
+    /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
+    /// fault of the build, and a fault of the build is not cured by ejecting all its machines.
+    fn eject_failing(&mut self, now: Micros, id: MachineId) {
+        let m = &self.machines[&id];
+        if m.fail < EJECT_SHARE || now < m.ejected_until {
+            return;
+        }
+        let build = m.e.build;
+        let peers = self.machines.values().filter(|o| o.e.build == build && o.e.state == MachineState::Ready);
+        let middle = median(&mut peers.map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
+        if m.fail > EJECT_TIMES * middle {
+            self.eject(now, id);
+        }
+    }
+
+    fn eject(&mut self, now: Micros, id: MachineId) {
+        let spread = self.jitter(EJECT_FOR / 4);
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.ejected_until = now + EJECT_FOR * (1 << m.ejections.min(3)) + spread;
+        m.ejections += 1;
+    }
+
+    /// Ejects machines that hold work and have answered nothing for long: hung, dead, cut off or paused.
+    fn eject_silent(&mut self, now: Micros) {
+        let limit = SILENT_FLOOR + (SILENT_TIMES * self.answer_time) as Micros;
+        let silent = |m: &&Machine| m.inflight > 0 && now > m.quiet_from + limit && now >= m.ejected_until;
+        let ids: Vec<_> = self.machines.values().filter(silent).map(|m| m.e.machine).collect();
+        for id in ids {
+            self.eject(now, id);
+        }
+    }
+
+    /// Requests held by an ejected or gone machine go elsewhere where their class allows.
+    fn rescue(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let stuck = |a: &Attempt| {
+            let m = &self.machines[&a.machine];
+            a.out && (m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR)
+        };
+        let ids: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| {
+                let effect = self.s.classes[r.class].effect;
+                effect != Effect::Once
+                    && r.attempts.last().is_some_and(stuck)
+                    && r.attempts.iter().filter(|a| a.out).count() == 1
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            if self.s.second_copies {
+                if self.afford_retry(id) {
+                    self.dispatch(now, id, out);
+                }
+            } else if self.s.may_cancel && self.requests[&id].attempts.len() < self.s.max_attempts as usize {
+                let attempt = self.requests[&id].attempts.len() as u16 - 1;
+                out.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
+    // ---- Overload: shed what cannot meet its aim ---------------------------------------------------
+    fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
+        let (Some(t), Some(set)) = (self.tenants.get_mut(tenant), self.s.tenants.get(tenant)) else {
+            return false;
+        };
+        let rate = set.quota_rps / f64::from(self.s.fronts.max(1));
+        t.0 = (t.0 + rate * (now - t.1) as f64 / 1e6).min(rate.max(1.0));
+        t.1 = now;
+        let over = t.0 < 1.0;
+        if !over {
+            t.0 -= 1.0;
+        }
+        over
+    }
+
+    /// By Little's law the work in flight over the completion rate predicts the answer time.
+    fn admits(&self, now: Micros, r: &Request) -> bool {
+        let live = |m: &&Machine| m.e.state == MachineState::Ready && m.ejections == 0;
+        let (mut held, mut slots) = (0.0, 0.0);
+        for m in self.machines.values().filter(live) {
+            held += f64::from(m.inflight);
+            slots += FREE_SLOTS;
+        }
+        if held < slots / f64::from(self.s.fronts.max(1)) {
+            return true;
+        }
+        let rate = self.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
+        let fit = if r.over { FIT_OVER } else { FIT };
+        (held + 1.0) <= fit * self.s.classes[r.class].aim as f64 * rate
+    }
+
+    // ---- The judge -----------------------------------------------------------------------------------
+    fn judge(&self, now: Micros, build: Build) -> Finding {
+        let empty = VecDeque::new();
+        let trial = self.samples.get(&build).unwrap_or(&empty);
+        let earlier = self.samples.range(..build).next_back().map_or(&empty, |s| s.1);
+        let fresh: Vec<&Sample> = trial.iter().filter(|s| s.at + JUDGE_SPAN > now).collect();
+        let old: Vec<&Sample> = earlier.iter().collect();
+        let mut worst = Finding::Clear;
+        for class in 0..self.s.classes.len() {
+            let of = |s: &&&Sample| s.class == class;
+            let t: Vec<&Sample> = fresh.iter().filter(of).copied().collect();
+            let e: Vec<&Sample> = old.iter().filter(of).copied().collect();
+            let found = self.compare(now, &t, &e);
+            let thin = found == Finding::Thin && worst == Finding::Clear;
+            if found == Finding::Fault || found == Finding::Doubt && worst != Finding::Fault || thin {
+                worst = found;
+            }
+        }
+        worst
+    }
+
+    fn compare(&self, now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> Finding {
+        let base = share(&trimmed(earlier));
+        let all = share(trial);
+        let kept = share(&trimmed(trial));
+        let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
+        if kept.1 >= LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > margin {
+            return Finding::Fault;
+        }
+        let slow = self.slowness(now, trial, earlier);
+        if trial.len() >= ENOUGH && slow > SLOW_RATIO {
+            return Finding::Fault;
+        }
+        if all.1 >= LEAST_BAD && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
+            return Finding::Doubt;
+        }
+        if trial.len() >= ENOUGH / 2 && slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 {
+            return Finding::Doubt;
+        }
+        if trial.len() < ENOUGH {
+            return Finding::Thin;
+        }
+        Finding::Clear
+    }
+
+    /// Median pace of the trial machines over that of earlier machines of the same kind, lately.
+    fn slowness(&self, now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> f64 {
+        let lately = |s: &&&Sample| s.ok && s.at + JUDGE_SPAN > now;
+        let base: Vec<&Sample> = earlier.iter().filter(lately).copied().collect();
+        if base.len() < ENOUGH {
+            return 1.0;
+        }
+        let mut kinds: BTreeMap<u8, Vec<f64>> = BTreeMap::new();
+        for s in &base {
+            kinds.entry(s.kind).or_default().push(s.pace);
+        }
+        let whole = median(&mut base.iter().map(|s| s.pace).collect::<Vec<_>>()).unwrap_or(1.0);
+        let usual: BTreeMap<u8, f64> = kinds
+            .into_iter()
+            .filter(|k| k.1.len() >= ENOUGH / 2)
+            .filter_map(|(k, mut v)| Some((k, median(&mut v)?)))
+            .collect();
+        let ratio = |s: &&&Sample| s.pace / usual.get(&s.kind).unwrap_or(&whole).max(1e-9);
+        let mut paces: Vec<f64> = trial.iter().filter(|s| s.ok).map(|s| ratio(&s)).collect();
+        median(&mut paces).unwrap_or(1.0)
+    }
+
+    // ---- Votes ---------------------------------------------------------------------------------------
+    fn on_news(&mut self, now: Micros, n: News) {
+        if n.answer {
+            self.vote_waits = false;
+            match n.ending {
+                Ending::Ok => self.vote_ok = Some(self.vote_sent),
+                _ => self.vote_ok = None,
+            }
+        }
+        if n.ending != Ending::Ok {
+            return;
+        }
+        let fresh = self.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
+        if fresh {
+            self.stage_from = now.saturating_sub(n.age);
+            self.vote = None;
+            self.vote_ok = None;
+            if n.stage == 0 || self.places == 0 {
+                let held = |m: &&Machine| m.e.state == MachineState::Ready && m.e.build != n.build;
+                let all = self.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
+                let base = self.machines.values().filter(held).count();
+                self.places = if self.s.release.parallel || n.stage == 0 { base } else { all };
+            }
+        }
+        if n.phase != Phase::Trial && n.phase != Phase::Released {
+            self.tied.clear();
+        }
+        self.news = Some(n);
+    }
+
+    /// End of the stage's waiting window: after the newest start seen, once all machines that the stage
+    /// should have are seen, or after the platform's own limit on their boot.
+    fn window_end(&self, build: Build) -> Micros {
+        let Some(n) = self.news.filter(|n| n.build == build) else { return Micros::MAX };
+        let mine = || self.machines.values().filter(|m| m.e.build == build);
+        let newest = mine().map(|m| m.e.started).max().unwrap_or(0).max(self.stage_from);
+        let wanted = self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.places as f64;
+        let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
+        let wait = WINDOW.max(CLOCK_LAG + PATIENCE);
+        if (up as f64) < wanted.round().max(1.0) {
+            return (self.stage_from + BOOT_LIMIT + CLOCK_LAG + PATIENCE).max(newest + wait);
+        }
+        newest + wait
+    }
+
+    fn verdict(&self, now: Micros, n: &News) -> Option<Verdict> {
+        let finding = self.judge(now, n.build);
+        if finding == Finding::Fault {
+            return Some(Verdict::Back);
+        }
+        if n.phase != Phase::Trial {
+            return None;
+        }
+        if self.s.release.mode == VoteMode::Automatic {
+            let holds = finding == Finding::Doubt;
+            let held = self.vote.is_some_and(|v| v.2 == Verdict::Hold);
+            return if holds { Some(Verdict::Hold) } else { held.then_some(Verdict::None) };
+        }
+        let end = self.window_end(n.build);
+        match finding {
+            Finding::Clear if now >= end => Some(Verdict::On),
+            Finding::Thin if now >= end.saturating_add(WINDOW) => Some(Verdict::On),
+            _ => None,
+        }
+    }
+
+    /// Casts, renews or changes this front's vote, paced and matched to the present stage.
+    fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(n) = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else { return };
+        let pause = if self.vote_waits { self.s.release.call_timeout + VOTE_GAP } else { VOTE_GAP };
+        if now < self.vote_sent + pause {
+            return;
+        }
+        let standing = self.vote.filter(|v| v.2 != Verdict::None);
+        let Some(verdict) = self.verdict(now, &n).or(standing.map(|_| Verdict::None)) else { return };
+        let wish = (n.build, n.stage, verdict);
+        let renew = (self.s.release.vote_stands as f64 * RENEW_PART) as Micros;
+        let stands = self.vote_ok.is_some_and(|t| now < t + renew);
+        if self.vote == Some(wish) && stands {
+            return;
+        }
+        self.vote = Some(wish);
+        self.vote_ok = None;
+        self.vote_waits = true;
+        self.vote_sent = now + self.jitter(VOTE_GAP / 4);
+        out.push(Action::Vote { build: n.build, stage: n.stage, verdict });
+    }
+}
+
+fn share(samples: &[&Sample]) -> (f64, f64) {
+    (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
+}
+
+/// Leaves out the worst machine in four (none if there is but one): a sick machine is no build fault.
+fn trimmed<'a>(samples: &[&'a Sample]) -> Vec<&'a Sample> {
+    let mut by: BTreeMap<MachineId, f64> = BTreeMap::new();
+    for s in samples {
+        *by.entry(s.machine).or_default() += f64::from(u8::from(!s.ok));
+    }
+    let drop = if by.len() < 2 { 0 } else { by.len().div_ceil(4) };
+    let mut worst: Vec<_> = by.into_iter().collect();
+    worst.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+    let left_out: BTreeSet<_> = worst.iter().take(drop).map(|w| w.0).collect();
+    samples.iter().filter(|s| !left_out.contains(&s.machine)).copied().collect()
+}
