--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -836,6 +836,28 @@
         median(&mut paces).unwrap_or(1.0)
     }
 
+    /// One line for the operators: outcomes and failures by class, and the pace against earlier machines.
+    fn evidence(&self, now: Micros, build: Build) -> String {
+        let mut text = String::new();
+        for class in 0..self.s.classes.len() {
+            let pick = |b: &VecDeque<Sample>| -> Vec<usize> {
+                (0..b.len()).filter(|i| b[*i].class == class).collect()
+            };
+            let trial = self.samples.get(&build).map_or(Vec::new(), |b| {
+                pick(b).into_iter().map(|i| &b[i]).filter(|s| s.at + JUDGE_SPAN > now).collect()
+            });
+            let earlier = self
+                .samples
+                .range(..build)
+                .next_back()
+                .map_or(Vec::new(), |(_, b)| pick(b).into_iter().map(|i| &b[i]).collect());
+            let (t, e) = (share(&trial), share(&earlier));
+            let slow = self.slowness(now, &trial, &earlier);
+            text += &format!("[{} of {} bad, {} of {} earlier, pace {slow:.2}] ", t.1, t.0, e.1, e.0);
+        }
+        text
+    }
+
     // ---- Votes ---------------------------------------------------------------------------------------
     fn on_news(&mut self, now: Micros, n: News) {
         if n.answer {
@@ -922,6 +944,12 @@
         self.vote_waits = true;
         self.vote_sent = now + self.jitter(VOTE_GAP / 4);
         out.push(Action::Vote { build: n.build, stage: n.stage, verdict });
+        out.push(Action::Log(format!(
+            "{verdict:?} {} stage {}: {}",
+            n.build,
+            n.stage,
+            self.evidence(now, n.build)
+        )));
     }
 }
 
