Judge slowness by the median's lower bound, window of 1.6 s per machine, fading best rate

Cause: medians of 20 scattered answers differ by half by chance, so good builds went back. May hurt: slow builds are seen later, as more outcomes are needed.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -12,12 +12,15 @@
 // ---- Values (time in microseconds) ---------------------------------------------------------------
 const MS: Micros = 1_000;
 const TICK: Micros = 50 * MS; // housekeeping period
-const WINDOW: Micros = 3_000 * MS; // waiting window after the newest start seen; the design's own value
+const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
 const CLOCK_LAG: Micros = 1_000 * MS; // a stage's clock starts about this long after its last start
 const PATIENCE: Micros = 2_050 * MS; // least stage clock time before an 'on'
-const BOOT_LIMIT: Micros = 9_000 * MS; // a stage whose machines are not all seen by then is taken as up
+const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
+const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
+const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
+const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
 const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
 const SURE: f64 = 2.0; // standard deviations by which a failure share must clear the margin
@@ -34,6 +37,7 @@
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
+const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
 const FIT: f64 = 0.7; // part of its aim that a request may be predicted to wait for its answer
 const FIT_OVER: f64 = 0.3; // the same for tenants over their share
 const FREE_SLOTS: f64 = 2.0; // requests a machine always admitted
@@ -94,10 +98,10 @@
     pace: f64, // answer time over expected work
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
 enum Finding {
-    Thin,
     Clear,
+    Thin,
     Doubt,
     Fault,
 }
@@ -119,6 +123,7 @@
     tallies: BTreeMap<(Build, usize), Vec<(Micros, f64, f64)>>,
     tied: BTreeMap<u64, Build>,
     served: Tally,
+    best_rate: f64, // completions a microsecond
     answer_time: f64,
     retry_tokens: f64,
     tenants: Vec<(f64, Micros)>,
@@ -154,6 +159,7 @@
             tallies: BTreeMap::new(),
             tied: BTreeMap::new(),
             served: Tally::default(),
+            best_rate: 0.0,
             answer_time: 0.0,
             retry_tokens: RETRY_BURST,
             tenants,
@@ -201,6 +207,8 @@
 
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::Timer { name: 0, after: TICK });
+        let rate = self.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
+        self.best_rate = rate.max(self.best_rate * RATE_FADE);
         self.follow_list(now, out);
         self.eject_silent(now);
         self.rescue(now, out);
@@ -499,9 +507,9 @@
         match (earlier, trial) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
-                // Departure: while the window is open the new machines take a turn only when the earlier
-                // ones carry clearly more; after it, a turn goes back when the new ones carry clearly more.
-                let waits = now < self.window_end(self.machines[&t].e.build);
+                // Departure: a machine inside its own window takes a turn only when the earlier ones carry
+                // clearly more; after it, a turn goes back when the new machines carry clearly more.
+                let waits = now < self.machines[&t].e.started + WINDOW;
                 let take = if waits { le > lt + SPILL } else { lt <= le + SPILL };
                 Some(if take { t } else { e })
             }
@@ -764,98 +772,43 @@
         if held < slots / f64::from(self.s.fronts.max(1)) {
             return true;
         }
-        let rate = self.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
+        // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
+        let rate = self.best_rate;
         let fit = if r.over { FIT_OVER } else { FIT };
         (held + 1.0) <= fit * self.s.classes[r.class].aim as f64 * rate
     }
 
     // ---- The judge -----------------------------------------------------------------------------------
-    fn judge(&self, now: Micros, build: Build) -> Finding {
-        let empty = VecDeque::new();
-        let trial = self.samples.get(&build).unwrap_or(&empty);
-        let earlier = self.samples.range(..build).next_back().map_or(&empty, |s| s.1);
-        let fresh: Vec<&Sample> = trial.iter().filter(|s| s.at + JUDGE_SPAN > now).collect();
-        let old: Vec<&Sample> = earlier.iter().collect();
-        let mut worst = Finding::Clear;
-        for class in 0..self.s.classes.len() {
-            let of = |s: &&&Sample| s.class == class;
-            let t: Vec<&Sample> = fresh.iter().filter(of).copied().collect();
-            let e: Vec<&Sample> = old.iter().filter(of).copied().collect();
-            let found = self.compare(now, &t, &e);
-            let thin = found == Finding::Thin && worst == Finding::Clear;
-            if found == Finding::Fault || found == Finding::Doubt && worst != Finding::Fault || thin {
-                worst = found;
+    /// The earlier build that `build` is held against: the newest below it with enough outcomes.
+    fn earlier(&self, build: Build) -> Vec<&Sample> {
+        let below = || self.samples.range(..build).rev().map(|s| s.1);
+        let ring = below().find(|r| r.len() >= ENOUGH).or_else(|| below().max_by_key(|r| r.len()));
+        ring.into_iter().flatten().collect()
+    }
+
+    /// Compares each class, and all together, with the earlier build; the worst finding stands.
+    fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
+        let trial: Vec<&Sample> =
+            self.samples.get(&build).into_iter().flatten().filter(|s| s.at + JUDGE_SPAN > now).collect();
+        let earlier = self.earlier(build);
+        let (mut worst, mut thin, mut text) = (Finding::Clear, true, String::new());
+        for class in (0..self.s.classes.len()).map(Some).chain([None]) {
+            let of = |s: &&&Sample| class.is_none_or(|c| s.class == c);
+            let t: Vec<&Sample> = trial.iter().filter(of).copied().collect();
+            let e: Vec<&Sample> = earlier.iter().filter(of).copied().collect();
+            let mut found = failing(&t, &e);
+            let (slow, sure) = if class.is_none() { slowness(now, &t, &e) } else { (1.0, 1.0) };
+            if t.len() >= ENOUGH && slow > SLOW_RATIO && sure > SLOW_SURE {
+                found = Finding::Fault;
+            } else if t.len() >= ENOUGH && slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && sure > SLOW_DOUBT {
+                found = found.max(Finding::Doubt);
             }
+            thin &= t.len() < ENOUGH;
+            worst = worst.max(found);
+            text += &format!("[{}/{} of {}/{}, pace {slow:.2}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
-        worst
-    }
-
-    fn compare(&self, now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> Finding {
-        let base = share(&trimmed(earlier));
-        let all = share(trial);
-        let kept = share(&trimmed(trial));
-        let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
-        if kept.1 >= LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > margin {
-            return Finding::Fault;
-        }
-        let slow = self.slowness(now, trial, earlier);
-        if trial.len() >= ENOUGH && slow > SLOW_RATIO {
-            return Finding::Fault;
-        }
-        if all.1 >= LEAST_BAD && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
-            return Finding::Doubt;
-        }
-        if trial.len() >= ENOUGH / 2 && slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 {
-            return Finding::Doubt;
-        }
-        if trial.len() < ENOUGH {
-            return Finding::Thin;
-        }
-        Finding::Clear
-    }
-
-    /// Median pace of the trial machines over that of earlier machines of the same kind, lately.
-    fn slowness(&self, now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> f64 {
-        let lately = |s: &&&Sample| s.ok && s.at + JUDGE_SPAN > now;
-        let base: Vec<&Sample> = earlier.iter().filter(lately).copied().collect();
-        if base.len() < ENOUGH {
-            return 1.0;
-        }
-        let mut kinds: BTreeMap<u8, Vec<f64>> = BTreeMap::new();
-        for s in &base {
-            kinds.entry(s.kind).or_default().push(s.pace);
-        }
-        let whole = median(&mut base.iter().map(|s| s.pace).collect::<Vec<_>>()).unwrap_or(1.0);
-        let usual: BTreeMap<u8, f64> = kinds
-            .into_iter()
-            .filter(|k| k.1.len() >= ENOUGH / 2)
-            .filter_map(|(k, mut v)| Some((k, median(&mut v)?)))
-            .collect();
-        let ratio = |s: &&&Sample| s.pace / usual.get(&s.kind).unwrap_or(&whole).max(1e-9);
-        let mut paces: Vec<f64> = trial.iter().filter(|s| s.ok).map(|s| ratio(&s)).collect();
-        median(&mut paces).unwrap_or(1.0)
-    }
-
-    /// One line for the operators: outcomes and failures by class, and the pace against earlier machines.
-    fn evidence(&self, now: Micros, build: Build) -> String {
-        let mut text = String::new();
-        for class in 0..self.s.classes.len() {
-            let pick = |b: &VecDeque<Sample>| -> Vec<usize> {
-                (0..b.len()).filter(|i| b[*i].class == class).collect()
-            };
-            let trial = self.samples.get(&build).map_or(Vec::new(), |b| {
-                pick(b).into_iter().map(|i| &b[i]).filter(|s| s.at + JUDGE_SPAN > now).collect()
-            });
-            let earlier = self
-                .samples
-                .range(..build)
-                .next_back()
-                .map_or(Vec::new(), |(_, b)| pick(b).into_iter().map(|i| &b[i]).collect());
-            let (t, e) = (share(&trial), share(&earlier));
-            let slow = self.slowness(now, &trial, &earlier);
-            text += &format!("[{} of {} bad, {} of {} earlier, pace {slow:.2}] ", t.1, t.0, e.1, e.0);
-        }
-        text
+        let finding = if worst == Finding::Clear && thin { Finding::Thin } else { worst };
+        (finding, text)
     }
 
     // ---- Votes ---------------------------------------------------------------------------------------
@@ -888,23 +841,29 @@
         self.news = Some(n);
     }
 
+    fn newest_start(&self, build: Build) -> Micros {
+        let starts = self.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
+        starts.max().unwrap_or(0).max(self.stage_from)
+    }
+
     /// End of the stage's waiting window: after the newest start seen, once all machines that the stage
     /// should have are seen, or after the platform's own limit on their boot.
     fn window_end(&self, build: Build) -> Micros {
         let Some(n) = self.news.filter(|n| n.build == build) else { return Micros::MAX };
         let mine = || self.machines.values().filter(|m| m.e.build == build);
-        let newest = mine().map(|m| m.e.started).max().unwrap_or(0).max(self.stage_from);
+        let newest = self.newest_start(build);
         let wanted = self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.places as f64;
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
-        let wait = WINDOW.max(CLOCK_LAG + PATIENCE);
-        if (up as f64) < wanted.round().max(1.0) {
-            return (self.stage_from + BOOT_LIMIT + CLOCK_LAG + PATIENCE).max(newest + wait);
+        let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
+        let wait = WINDOW.max(CLOCK_LAG + bake);
+        if (up as f64) < wanted.floor().max(1.0) {
+            return (self.stage_from + BOOT_LIMIT + CLOCK_LAG + bake).max(newest + wait);
         }
         newest + wait
     }
 
     fn verdict(&self, now: Micros, n: &News) -> Option<Verdict> {
-        let finding = self.judge(now, n.build);
+        let finding = self.judge(now, n.build).0;
         if finding == Finding::Fault {
             return Some(Verdict::Back);
         }
@@ -919,7 +878,7 @@
         let end = self.window_end(n.build);
         match finding {
             Finding::Clear if now >= end => Some(Verdict::On),
-            Finding::Thin if now >= end.saturating_add(WINDOW) => Some(Verdict::On),
+            Finding::Thin if now >= end.max(self.newest_start(n.build) + 2 * WINDOW) => Some(Verdict::On),
             _ => None,
         }
     }
@@ -948,11 +907,45 @@
             "{verdict:?} {} stage {}: {}",
             n.build,
             n.stage,
-            self.evidence(now, n.build)
+            self.judge(now, n.build).1
         )));
     }
 }
 
+/// The failure share of a class against the earlier build's.
+fn failing(trial: &[&Sample], earlier: &[&Sample]) -> Finding {
+    let base = share(&trimmed(earlier));
+    let (all, kept) = (share(trial), share(&trimmed(trial)));
+    let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
+    if kept.1 >= LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > margin {
+        return Finding::Fault;
+    }
+    let doubt = all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0;
+    if doubt {
+        Finding::Doubt
+    } else {
+        Finding::Clear
+    }
+}
+
+/// Median pace of the trial machines over that of earlier machines of the same kind and class, lately, and
+/// that median's lower bound: medians of 20 scattered answers alone differ by half too often.
+fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64) {
+    let mut usual: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
+    for s in earlier.iter().filter(|s| s.ok && s.at + JUDGE_SPAN > now) {
+        usual.entry((s.kind, s.class)).or_default().push(s.pace);
+    }
+    usual.retain(|_, v| v.len() >= ENOUGH / 2);
+    let usual: BTreeMap<_, f64> =
+        usual.into_iter().filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect();
+    let ratio = |s: &&&Sample| usual.get(&(s.kind, s.class)).map(|u| s.pace / u.max(1e-9));
+    let mut paces: Vec<f64> = trial.iter().filter(|s| s.ok).filter_map(|s| ratio(&s)).collect();
+    let middle = median(&mut paces).unwrap_or(1.0);
+    let rank = paces.len() as f64 / 2.0 - SURE * (paces.len() as f64).sqrt() / 2.0;
+    let bound = if rank < 1.0 { 0.0 } else { paces[rank as usize] };
+    (middle, bound)
+}
+
 fn share(samples: &[&Sample]) -> (f64, f64) {
     (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
 }
