--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -20,6 +20,7 @@
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
+const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
 const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
@@ -95,7 +96,7 @@
     kind: u8,
     class: usize,
     ok: bool,
-    pace: f64, // answer time over expected work
+    pace: Option<f64>, // answer time over expected work, of a served answer from a fully warm machine
 }
 
 #[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
@@ -103,6 +104,7 @@
     Clear,
     Thin,
     Doubt,
+    Slow,
     Fault,
 }
 
@@ -127,6 +129,8 @@
     answer_time: f64,
     retry_tokens: f64,
     tenants: Vec<(f64, Micros)>,
+    slow_from: Option<Micros>,
+    condemned: Option<Build>,
     vote: Option<(Build, u8, Verdict)>,
     vote_sent: Micros,
     vote_ok: Option<Micros>,
@@ -163,6 +167,8 @@
             answer_time: 0.0,
             retry_tokens: RETRY_BURST,
             tenants,
+            slow_from: None,
+            condemned: None,
             vote: None,
             vote_sent: 0,
             vote_ok: None,
@@ -448,7 +454,7 @@
         let deadline = now + remaining;
         let attempts = Vec::new();
         let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
-        let admitted = self.admits(now, &r);
+        let admitted = self.admits(&r);
         self.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
@@ -661,7 +667,9 @@
         // Judged on warm machines only; a silent, dead or unreachable machine is no fault of its build.
         let warm = started == 0 || o.sent >= started + WINDOW.min(self.s.warm_after);
         if warm && matches!(ending, Ending::Ok | Ending::Error) {
-            let (class, ok, pace) = (o.class, ending == Ending::Ok, took as f64 / o.work);
+            let (class, ok) = (o.class, ending == Ending::Ok);
+            let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
+            let pace = timed.then_some(took as f64 / o.work);
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace });
         }
         self.eject_failing(now, o.machine);
@@ -682,7 +690,7 @@
             return;
         };
         let (build, kind) = (m.e.build, m.e.kind);
-        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: 0.0 });
+        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: None });
     }
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
@@ -762,7 +770,7 @@
     }
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
-    fn admits(&self, now: Micros, r: &Request) -> bool {
+    fn admits(&self, r: &Request) -> bool {
         let live = |m: &&Machine| m.e.state == MachineState::Ready && m.ejections == 0;
         let (mut held, mut slots) = (0.0, 0.0);
         for m in self.machines.values().filter(live) {
@@ -797,10 +805,11 @@
             let t: Vec<&Sample> = trial.iter().filter(of).copied().collect();
             let e: Vec<&Sample> = earlier.iter().filter(of).copied().collect();
             let mut found = failing(&t, &e);
+            // Danger: slowness flickers, and 'back' cannot be undone: it must last before it counts.
             let (slow, sure) = if class.is_none() { slowness(now, &t, &e) } else { (1.0, 1.0) };
-            if t.len() >= ENOUGH && slow > SLOW_RATIO && sure > SLOW_SURE {
-                found = Finding::Fault;
-            } else if t.len() >= ENOUGH && slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && sure > SLOW_DOUBT {
+            if slow > SLOW_RATIO && sure > SLOW_SURE {
+                found = found.max(Finding::Slow);
+            } else if slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && sure > SLOW_DOUBT {
                 found = found.max(Finding::Doubt);
             }
             thin &= t.len() < ENOUGH;
@@ -862,21 +871,29 @@
         newest + wait
     }
 
-    fn verdict(&self, now: Micros, n: &News) -> Option<Verdict> {
+    fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
         let finding = self.judge(now, n.build).0;
-        if finding == Finding::Fault {
+        self.slow_from = if finding == Finding::Slow { self.slow_from.or(Some(now)) } else { None };
+        let lasting = self.slow_from.is_some_and(|t| now >= t + SLOW_LASTS && n.phase == Phase::Trial);
+        if finding == Finding::Fault || lasting {
+            self.condemned = Some(n.build);
+        }
+        if self.condemned == Some(n.build) {
             return Some(Verdict::Back);
         }
         if n.phase != Phase::Trial {
             return None;
         }
         if self.s.release.mode == VoteMode::Automatic {
-            let holds = finding == Finding::Doubt;
+            let holds = finding >= Finding::Doubt;
             let held = self.vote.is_some_and(|v| v.2 == Verdict::Hold);
             return if holds { Some(Verdict::Hold) } else { held.then_some(Verdict::None) };
         }
         let end = self.window_end(n.build);
+        // Once cast, 'on' stands while nothing speaks against it: the next stage's machines may show first.
+        let cast = self.vote == Some((n.build, n.stage, Verdict::On));
         match finding {
+            Finding::Clear | Finding::Thin if cast => Some(Verdict::On),
             Finding::Clear if now >= end => Some(Verdict::On),
             Finding::Thin if now >= end.max(self.newest_start(n.build) + 2 * WINDOW) => Some(Verdict::On),
             _ => None,
@@ -932,14 +949,17 @@
 /// that median's lower bound: medians of 20 scattered answers alone differ by half too often.
 fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64) {
     let mut usual: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-    for s in earlier.iter().filter(|s| s.ok && s.at + JUDGE_SPAN > now) {
-        usual.entry((s.kind, s.class)).or_default().push(s.pace);
+    for s in earlier.iter().filter(|s| s.at + JUDGE_SPAN > now) {
+        usual.entry((s.kind, s.class)).or_default().extend(s.pace);
     }
     usual.retain(|_, v| v.len() >= ENOUGH / 2);
     let usual: BTreeMap<_, f64> =
         usual.into_iter().filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect();
-    let ratio = |s: &&&Sample| usual.get(&(s.kind, s.class)).map(|u| s.pace / u.max(1e-9));
-    let mut paces: Vec<f64> = trial.iter().filter(|s| s.ok).filter_map(|s| ratio(&s)).collect();
+    let ratio = |s: &&Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
+    let mut paces: Vec<f64> = trial.iter().filter_map(ratio).collect();
+    if paces.len() < ENOUGH {
+        return (1.0, 1.0);
+    }
     let middle = median(&mut paces).unwrap_or(1.0);
     let rank = paces.len() as f64 / 2.0 - SURE * (paces.len() as f64).sqrt() / 2.0;
     let bound = if rank < 1.0 { 0.0 } else { paces[rank as usize] };
