Give the turn back once trial machines carry more, judge pace by reported service time

Cause: the one warm machine of a new build drew the whole cap and looked slow from its queue, so good builds went back on every deployment. Told from a slow build: reported service time was normal. Covers any uneven load between builds. May hurt: builds that are bad only when busy are pushed less hard and show later.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -191,9 +191,9 @@
                 self.on_request(now, id, class, remaining, key, tenant, hint, out)
             }
             Event::Timer { .. } => self.on_tick(now, out),
-            Event::Outcome { id, attempt, machine, ending, settled, took, load } => {
-                self.on_load(machine, load);
-                self.on_outcome(now, id, attempt, ending, settled, took, out);
+            Event::Outcome { id, attempt, ending, settled, took, load, .. } => {
+                let service = load_value(&self.s.report_fields, load, LoadField::MeanMs);
+                self.on_outcome(now, id, attempt, ending, settled, took, service, out);
             }
             Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
             Event::News(news) => self.on_news(now, news),
@@ -516,7 +516,7 @@
                 // Departure: a machine inside its own window takes a turn only when the earlier ones carry
                 // clearly more; after it, a turn goes back when the new machines carry clearly more.
                 let waits = now < self.machines[&t].e.started + WINDOW;
-                let take = if waits { le > lt + SPILL } else { lt <= le + SPILL };
+                let take = if waits { le > lt + SPILL } else { lt <= le };
                 Some(if take { t } else { e })
             }
             (Some(e), None) => Some(e),
@@ -575,10 +575,6 @@
     }
 
     // ---- Attempts: outcomes, ejection, further attempts --------------------------------------------
-    fn on_load(&mut self, machine: MachineId, load: &[f32]) {
-        let _ = load_value(&self.s.report_fields, load, LoadField::MeanMs).filter(|_| machine > 0);
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn on_outcome(
         &mut self,
@@ -588,6 +584,7 @@
         ending: Ending,
         settled: bool,
         took: Micros,
+        service: Option<f64>,
         out: &mut Vec<Action>,
     ) {
         let Some(o) = self.outs.remove(&(id, attempt)) else {
@@ -595,7 +592,7 @@
             return;
         };
         self.inflight = self.inflight.saturating_sub(1);
-        self.note_machine(now, &o, ending, took);
+        self.note_machine(now, &o, ending, took, service);
         if ending == Ending::Ok {
             self.served.add(now, 1.0, RATE_SPAN);
             self.answer_time += 0.05 * (took as f64 - self.answer_time);
@@ -642,7 +639,7 @@
         can
     }
 
-    fn note_machine(&mut self, now: Micros, o: &Out, ending: Ending, took: Micros) {
+    fn note_machine(&mut self, now: Micros, o: &Out, ending: Ending, took: Micros, service: Option<f64>) {
         let Some(m) = self.machines.get_mut(&o.machine) else { return };
         m.inflight = m.inflight.saturating_sub(1);
         if matches!(ending, Ending::Cancelled | Ending::Moot) || m.e.build != o.build {
@@ -669,7 +666,8 @@
         if warm && matches!(ending, Ending::Ok | Ending::Error) {
             let (class, ok) = (o.class, ending == Ending::Ok);
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
-            let pace = timed.then_some(took as f64 / o.work);
+            // A reported service time holds no waiting and tells slow work from a long queue.
+            let pace = timed.then_some(service.unwrap_or(took as f64 / o.work));
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace });
         }
         self.eject_failing(now, o.machine);
