Shed by the tightest aim for all classes; hold and later send back a build while the fleet is slow

Cause: in overload the class with the longest aim filled the queue and the others starved (derby incident: only apply-topup was served); a build that slows all alike was never seen.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -19,6 +19,10 @@
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
+const FLEET_SLOW: f64 = 1.4; // pace of all machines over the figures before the build, that holds 'on' back
+const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
+const FLEET_LASTS: Micros = 11_000 * MS; // ...and that sends the build back once it has lasted this long
+const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
@@ -26,7 +30,7 @@
 const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
 const SURE: f64 = 2.0; // standard deviations by which a failure share must clear the margin
 const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
-const RING: usize = 600; // outcomes kept for each build
+const RING: usize = 3_000; // outcomes kept for each build
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
@@ -39,8 +43,9 @@
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
-const FIT: f64 = 0.7; // part of its aim that a request may be predicted to wait for its answer
-const FIT_OVER: f64 = 0.3; // the same for tenants over their share
+const FIT: f64 = 0.55; // part of the tightest aim that answers may be predicted to take
+const FIT_OVER: f64 = 0.25; // the same for tenants over their share
+const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
 const FREE_SLOTS: f64 = 2.0; // requests a machine always admitted
 const RETRY_SHARE: f64 = 0.2; // retry budget earned by each request
 const RETRY_BURST: f64 = 20.0; // most retries saved up
@@ -88,6 +93,7 @@
     class: usize,
     sent: Micros,
     work: f64,
+    queue: f64, // requests of this front that the machine then held, this one included
 }
 
 struct Sample {
@@ -99,11 +105,15 @@
     pace: Option<f64>, // answer time over expected work, of a served answer from a fully warm machine
 }
 
+/// Usual pace by kind and class.
+type Figures = BTreeMap<(u8, usize), f64>;
+
 #[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
 enum Finding {
     Clear,
     Thin,
     Doubt,
+    FleetSlow,
     Slow,
     Fault,
 }
@@ -129,6 +139,8 @@
     answer_time: f64,
     retry_tokens: f64,
     tenants: Vec<(f64, Micros)>,
+    figures: Figures,
+    fleet_from: Option<Micros>,
     slow_from: Option<Micros>,
     condemned: Option<Build>,
     vote: Option<(Build, u8, Verdict)>,
@@ -167,6 +179,8 @@
             answer_time: 0.0,
             retry_tokens: RETRY_BURST,
             tenants,
+            figures: Figures::new(),
+            fleet_from: None,
             slow_from: None,
             condemned: None,
             vote: None,
@@ -494,12 +508,12 @@
         }
         m.inflight += 1;
         m.sent.add(now, r.work, fall.max(RATE_SPAN));
-        let (build, zone, cell) = (m.e.build, m.e.zone, m.e.cell);
+        let (build, zone, cell, queue) = (m.e.build, m.e.zone, m.e.cell, f64::from(m.inflight));
         self.inflight += 1;
         self.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
         let attempt = r.attempts.len() as u16;
         r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
-        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work };
+        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
         self.outs.insert((id, attempt), o);
         out.push(Action::Send { id, machine: to, timeout: 0 });
     }
@@ -666,8 +680,9 @@
         if warm && matches!(ending, Ending::Ok | Ending::Error) {
             let (class, ok) = (o.class, ending == Ending::Ok);
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
-            // A reported service time holds no waiting and tells slow work from a long queue.
-            let pace = timed.then_some(service.unwrap_or(took as f64 / o.work));
+            // A reported service time holds no waiting; without one the queue met is taken out roughly.
+            let pace =
+                timed.then_some(service.unwrap_or(took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0)));
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace });
         }
         self.eject_failing(now, o.machine);
@@ -780,8 +795,12 @@
         }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
         let rate = self.best_rate;
-        let fit = if r.over { FIT_OVER } else { FIT };
-        (held + 1.0) <= fit * self.s.classes[r.class].aim as f64 * rate
+        // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
+        let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
+        let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
+        let fit = if r.over { FIT_OVER } else { FIT * rank };
+        (held + 1.0) <= fit * tightest * rate
     }
 
     // ---- The judge -----------------------------------------------------------------------------------
@@ -792,6 +811,27 @@
         ring.into_iter().flatten().collect()
     }
 
+    /// Median pace now against the figures taken when `build` was named; earlier machines first.
+    fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
+        let ratio = |s: &Sample| Some(s.pace? / self.figures.get(&(s.kind, s.class))?.max(1e-9));
+        let late = |s: &&Sample| s.at + FLEET_SPAN > now;
+        let before = self.samples.range(..build).flat_map(|b| b.1);
+        let mut paces: Vec<f64> = before.filter(late).filter_map(ratio).collect();
+        if paces.len() < ENOUGH {
+            paces = self.samples.values().flatten().filter(late).filter_map(ratio).collect();
+        }
+        median(&mut paces).filter(|_| paces.len() >= ENOUGH).unwrap_or(1.0)
+    }
+
+    /// Takes the figures against which the build just named will be held.
+    fn take_figures(&mut self, now: Micros, build: Build) {
+        let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
+        for s in self.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
+            groups.entry((s.kind, s.class)).or_default().extend(s.pace);
+        }
+        self.figures = middles(groups);
+    }
+
     /// Compares each class, and all together, with the earlier build; the worst finding stands.
     fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
         let trial: Vec<&Sample> =
@@ -814,6 +854,12 @@
             worst = worst.max(found);
             text += &format!("[{}/{} of {}/{}, pace {slow:.2}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
+        // Danger: a build that slows old and new alike shows only against figures from before it came.
+        let fleet = self.fleet_pace(now, build);
+        text += &format!("fleet pace {fleet:.2}");
+        if fleet > FLEET_SLOW {
+            worst = worst.max(Finding::FleetSlow);
+        }
         let finding = if worst == Finding::Clear && thin { Finding::Thin } else { worst };
         (finding, text)
     }
@@ -830,6 +876,9 @@
         if n.ending != Ending::Ok {
             return;
         }
+        if self.news.is_none_or(|o| o.build < n.build) {
+            self.take_figures(now, n.build);
+        }
         let fresh = self.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
         if fresh {
             self.stage_from = now.saturating_sub(n.age);
@@ -872,7 +921,11 @@
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
         let finding = self.judge(now, n.build).0;
         self.slow_from = if finding == Finding::Slow { self.slow_from.or(Some(now)) } else { None };
-        let lasting = self.slow_from.is_some_and(|t| now >= t + SLOW_LASTS && n.phase == Phase::Trial);
+        let fleet = finding == Finding::FleetSlow;
+        self.fleet_from = if fleet { self.fleet_from.or(Some(now)) } else { None };
+        let fleet_lasting = self.fleet_from.is_some_and(|t| now >= t + FLEET_LASTS);
+        let lasting =
+            fleet_lasting || self.slow_from.is_some_and(|t| now >= t + SLOW_LASTS && n.phase == Phase::Trial);
         if finding == Finding::Fault || lasting {
             self.condemned = Some(n.build);
         }
@@ -950,9 +1003,7 @@
     for s in earlier.iter().filter(|s| s.at + JUDGE_SPAN > now) {
         usual.entry((s.kind, s.class)).or_default().extend(s.pace);
     }
-    usual.retain(|_, v| v.len() >= ENOUGH / 2);
-    let usual: BTreeMap<_, f64> =
-        usual.into_iter().filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect();
+    let usual = middles(usual);
     let ratio = |s: &&Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
     let mut paces: Vec<f64> = trial.iter().filter_map(ratio).collect();
     if paces.len() < ENOUGH {
@@ -964,6 +1015,12 @@
     (middle, bound)
 }
 
+/// The middle of each group that has enough to show one.
+fn middles(groups: BTreeMap<(u8, usize), Vec<f64>>) -> Figures {
+    let enough = groups.into_iter().filter(|g| g.1.len() >= ENOUGH / 2);
+    enough.filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect()
+}
+
 fn share(samples: &[&Sample]) -> (f64, f64) {
     (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
 }
