--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -14,12 +14,12 @@
 const TICK: Micros = 50 * MS; // housekeeping period
 const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
 const CLOCK_LAG: Micros = 1_000 * MS; // a stage's clock starts about this long after its last start
-const PATIENCE: Micros = 2_050 * MS; // least stage clock time before an 'on'
+const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
-const FLEET_SLOW: f64 = 1.4; // pace of all machines over the figures before the build, that holds 'on' back
+const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 11_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
@@ -102,7 +102,8 @@
     kind: u8,
     class: usize,
     ok: bool,
-    pace: Option<f64>, // answer time over expected work, of a served answer from a fully warm machine
+    pace: Option<f64>, // reported service time, else `own`
+    own: Option<f64>,  // answer time over expected work, of a served answer from a fully warm machine
 }
 
 /// Usual pace by kind and class.
@@ -680,10 +681,10 @@
         if warm && matches!(ending, Ending::Ok | Ending::Error) {
             let (class, ok) = (o.class, ending == Ending::Ok);
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
-            // A reported service time holds no waiting; without one the queue met is taken out roughly.
-            let pace =
-                timed.then_some(service.unwrap_or(took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0)));
-            self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace });
+            // A reported service time holds no waiting; in our own answers the queue met is taken out roughly.
+            let own = timed.then_some(took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
+            let pace = if timed { service.or(own) } else { None };
+            self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
         }
         self.eject_failing(now, o.machine);
     }
@@ -703,7 +704,7 @@
             return;
         };
         let (build, kind) = (m.e.build, m.e.kind);
-        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: None });
+        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: None, own: None });
     }
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
@@ -813,7 +814,7 @@
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
-        let ratio = |s: &Sample| Some(s.pace? / self.figures.get(&(s.kind, s.class))?.max(1e-9));
+        let ratio = |s: &Sample| Some(s.own? / self.figures.get(&(s.kind, s.class))?.max(1e-9));
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
         let before = self.samples.range(..build).flat_map(|b| b.1);
         let mut paces: Vec<f64> = before.filter(late).filter_map(ratio).collect();
@@ -827,7 +828,7 @@
     fn take_figures(&mut self, now: Micros, build: Build) {
         let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
         for s in self.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
-            groups.entry((s.kind, s.class)).or_default().extend(s.pace);
+            groups.entry((s.kind, s.class)).or_default().extend(s.own);
         }
         self.figures = middles(groups);
     }
