--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -42,15 +42,16 @@
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
+const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
 const FIT: f64 = 0.55; // part of the tightest aim that answers may be predicted to take
 const FIT_OVER: f64 = 0.25; // the same for tenants over their share
 const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
-const FREE_SLOTS: f64 = 2.0; // requests a machine always admitted
+const FREE_SLOTS: f64 = 3.0; // requests a machine always admitted
 const RETRY_SHARE: f64 = 0.2; // retry budget earned by each request
 const RETRY_BURST: f64 = 20.0; // most retries saved up
 const PARK_PART: f64 = 0.5; // part of its aim that a request waits for a machine to appear
-const BACKOFF: Micros = 400 * MS; // time to come back, with up to as much again for spread
+const BACK_PART: f64 = 0.15; // part of the aim after which to come back, with up to as much again for spread
 const EDGE: Micros = 60 * MS; // margin on counted spans
 const ASK_AGAIN: Micros = 1_000 * MS; // pause before asking for the list again; doubles up to four times
 
@@ -361,7 +362,8 @@
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.remove(&id) else { return };
         if self.may_refuse(now, &r) {
-            let backoff = (BACKOFF + self.jitter(BACKOFF)).min(self.s.max_retry_after);
+            let part = (self.s.classes[r.class].aim as f64 * BACK_PART) as Micros;
+            let backoff = (part + self.jitter(part)).min(self.s.max_retry_after);
             out.push(Action::Refuse { id, backoff: if self.s.retry_after { backoff } else { 0 } });
         } else {
             out.push(Action::Fail { id });
@@ -794,10 +796,13 @@
         if held < slots / f64::from(self.s.fronts.max(1)) {
             return true;
         }
+        let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        if self.answer_time < EASY * tightest {
+            return true;
+        }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
         let rate = self.best_rate;
         // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
-        let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
         let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
         let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
         let fit = if r.over { FIT_OVER } else { FIT * rank };
@@ -859,7 +864,8 @@
         let fleet = self.fleet_pace(now, build);
         text += &format!("fleet pace {fleet:.2}");
         if fleet > FLEET_SLOW {
-            worst = worst.max(Finding::FleetSlow);
+            // Failures on too few machines to blame the build, and slowness at once, are blame enough.
+            worst = if worst == Finding::Doubt { Finding::Fault } else { worst.max(Finding::FleetSlow) };
         }
         let finding = if worst == Finding::Clear && thin { Finding::Thin } else { worst };
         (finding, text)
