Hold apart one machine's fault from its build's: it must last 6 s, or pick a class

Cause: with one warm machine of the new build, a sick or slow machine looked like a bad build and good builds went back. Told apart: a sick machine fails all classes alike and recovers. Also covers one unlucky cold or overfull machine. May hurt: a build bad in all classes is kept 6 s longer at the first stage.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -1,8 +1,8 @@
 //! Mechanical bookkeeping: counts over time, sorted middles, fixed mixing. Every limit, span and
 //! threshold is the caller's; nothing here decides.
 
-use crate::interface::{LoadField, Micros};
-use std::collections::VecDeque;
+use crate::interface::{Build, Entry, LoadField, MachineId, Micros};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Amounts noted over time, summed over a span that the caller names.
 #[derive(Clone, Debug, Default)]
@@ -56,3 +56,127 @@
     let at = fields.iter().position(|f| *f == wanted)?;
     load.get(at).copied().map(f64::from).filter(|v| v.is_finite())
 }
+
+/// A machine as listed, with what this front holds and saw there.
+pub struct Machine {
+    /// Its line in the list.
+    pub e: Entry,
+    /// Attempts out.
+    pub inflight: u32,
+    /// Last answer, or the send that ended its idleness.
+    pub quiet_from: Micros,
+    /// Smoothed failing share.
+    pub fail: f64,
+    /// End of its ejection.
+    pub ejected_until: Micros,
+    /// Ejections in a row.
+    pub ejections: u32,
+    /// Work sent, for the cold budget.
+    pub sent: Tally,
+}
+
+/// One attempt of a request.
+pub struct Attempt {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its build.
+    pub build: Build,
+    /// Its zone.
+    pub zone: u16,
+    /// Its cell.
+    pub cell: u16,
+    /// When it was sent.
+    pub sent: Micros,
+    /// Its outcome is still to come.
+    pub out: bool,
+    /// It may have had its effect.
+    pub maybe_ran: bool,
+}
+
+/// A request that this front owes a final answer.
+pub struct Request {
+    /// The class.
+    pub class: usize,
+    /// When it came.
+    pub arrived: Micros,
+    /// When its client stops waiting.
+    pub deadline: Micros,
+    /// Its subject.
+    pub key: u64,
+    /// Its hash position.
+    pub pos: f64,
+    /// Expected work.
+    pub work: f64,
+    /// Its tenant is over its share.
+    pub over: bool,
+    /// Attempts so far.
+    pub attempts: Vec<Attempt>,
+    /// It waits for a machine.
+    pub parked: bool,
+}
+
+/// An attempt whose outcome is still to come.
+pub struct Out {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its build.
+    pub build: Build,
+    /// The class.
+    pub class: usize,
+    /// When it was sent.
+    pub sent: Micros,
+    /// Expected work.
+    pub work: f64,
+    /// Requests of this front that the machine then held, this one included.
+    pub queue: f64,
+}
+
+/// One outcome as evidence.
+pub struct Sample {
+    /// When it came.
+    pub at: Micros,
+    /// The machine.
+    pub machine: MachineId,
+    /// The machine's kind.
+    pub kind: u8,
+    /// The class.
+    pub class: usize,
+    /// It was served.
+    pub ok: bool,
+    /// Reported service time, else `own`.
+    pub pace: Option<f64>,
+    /// Answer time over expected work, of a served answer from a fully warm machine.
+    pub own: Option<f64>,
+}
+
+/// Middles by machine kind and class.
+pub type Figures = BTreeMap<(u8, usize), f64>;
+
+/// The middle of each group that holds at least `least` values.
+pub fn middles(groups: BTreeMap<(u8, usize), Vec<f64>>, least: usize) -> Figures {
+    let enough = groups.into_iter().filter(|g| g.1.len() >= least);
+    enough.filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect()
+}
+
+/// How many samples there are, and how many of them failed.
+pub fn share(samples: &[&Sample]) -> (f64, f64) {
+    (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
+}
+
+/// The machines in the samples, highest mean of `score` first.
+pub fn ranked(samples: &[&Sample], score: impl Fn(&Sample) -> f64) -> Vec<MachineId> {
+    let mut by: BTreeMap<MachineId, (f64, f64)> = BTreeMap::new();
+    for s in samples {
+        let sum = by.entry(s.machine).or_default();
+        *sum = (sum.0 + score(s), sum.1 + 1.0);
+    }
+    let mut order: Vec<_> = by.into_iter().map(|(m, (sum, n))| (m, sum / n)).collect();
+    order.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+    order.into_iter().map(|o| o.0).collect()
+}
+
+/// The samples without those of the named machines.
+pub fn without<'a>(samples: &[&'a Sample], machines: &[MachineId]) -> Vec<&'a Sample> {
+    let out: BTreeSet<_> = machines.iter().collect();
+    samples.iter().filter(|s| !out.contains(&s.machine)).copied().collect()
+}
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -3,7 +3,7 @@
 //! Reading order: values, state, entry point, the five guards, the list, routing, attempts, overload,
 //! the judge, the votes. The mechanism is `docs/design.md`'s; "departure" marks what goes beyond it.
 
-use crate::books::{load_value, lower_bound, median, position, Tally};
+use crate::books::*;
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -24,6 +24,9 @@
 const FLEET_LASTS: Micros = 11_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
+const SICK_PART: usize = 4; // one machine in so many may be sick by itself
+const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
+const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
@@ -56,66 +59,14 @@
 const ASK_AGAIN: Micros = 1_000 * MS; // pause before asking for the list again; doubles up to four times
 
 // ---- State ---------------------------------------------------------------------------------------
-struct Machine {
-    e: Entry,
-    inflight: u32,
-    quiet_from: Micros, // last answer, or the send that ended its idleness
-    fail: f64,
-    ejected_until: Micros,
-    ejections: u32,
-    sent: Tally, // work sent, for the cold budget
-}
-
-struct Attempt {
-    machine: MachineId,
-    build: Build,
-    zone: u16,
-    cell: u16,
-    sent: Micros,
-    out: bool,
-    maybe_ran: bool,
-}
-
-struct Request {
-    class: usize,
-    arrived: Micros,
-    deadline: Micros,
-    key: u64,
-    pos: f64,
-    work: f64,
-    over: bool,
-    attempts: Vec<Attempt>,
-    parked: bool,
-}
-
-struct Out {
-    machine: MachineId,
-    build: Build,
-    class: usize,
-    sent: Micros,
-    work: f64,
-    queue: f64, // requests of this front that the machine then held, this one included
-}
-
-struct Sample {
-    at: Micros,
-    machine: MachineId,
-    kind: u8,
-    class: usize,
-    ok: bool,
-    pace: Option<f64>, // reported service time, else `own`
-    own: Option<f64>,  // answer time over expected work, of a served answer from a fully warm machine
-}
-
-/// Usual pace by kind and class.
-type Figures = BTreeMap<(u8, usize), f64>;
-
 #[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
 enum Finding {
     Clear,
     Thin,
     Doubt,
+    Few,
     FleetSlow,
+    Sole,
     Slow,
     Fault,
 }
@@ -142,8 +93,7 @@
     retry_tokens: f64,
     tenants: Vec<(f64, Micros)>,
     figures: Figures,
-    fleet_from: Option<Micros>,
-    slow_from: Option<Micros>,
+    suspect_from: Option<Micros>,
     condemned: Option<Build>,
     vote: Option<(Build, u8, Verdict)>,
     vote_sent: Micros,
@@ -182,8 +132,7 @@
             retry_tokens: RETRY_BURST,
             tenants,
             figures: Figures::new(),
-            fleet_from: None,
-            slow_from: None,
+            suspect_from: None,
             condemned: None,
             vote: None,
             vote_sent: 0,
@@ -835,40 +784,40 @@
         for s in self.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
             groups.entry((s.kind, s.class)).or_default().extend(s.own);
         }
-        self.figures = middles(groups);
+        self.figures = middles(groups, ENOUGH / 2);
     }
 
     /// Compares each class, and all together, with the earlier build; the worst finding stands.
     fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
-        let trial: Vec<&Sample> =
-            self.samples.get(&build).into_iter().flatten().filter(|s| s.at + JUDGE_SPAN > now).collect();
+        let lately = |s: &&Sample| s.at + JUDGE_SPAN > now;
+        let trial: Vec<&Sample> = self.samples.get(&build).into_iter().flatten().filter(lately).collect();
         let earlier = self.earlier(build);
-        let (mut worst, mut thin, mut text) = (Finding::Clear, true, String::new());
-        for class in (0..self.s.classes.len()).map(Some).chain([None]) {
-            let of = |s: &&&Sample| class.is_none_or(|c| s.class == c);
-            let t: Vec<&Sample> = trial.iter().filter(of).copied().collect();
-            let e: Vec<&Sample> = earlier.iter().filter(of).copied().collect();
-            let mut found = failing(&t, &e);
-            // Danger: slowness flickers, and 'back' cannot be undone: it must last before it counts.
-            let (slow, sure) = if class.is_none() { slowness(now, &t, &e) } else { (1.0, 1.0) };
-            if slow > SLOW_RATIO && sure > SLOW_SURE {
-                found = found.max(Finding::Slow);
-            } else if slow > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && sure > SLOW_DOUBT {
-                found = found.max(Finding::Doubt);
-            }
+        let (mut worst, mut thin, mut text) = (failing(&trial, &earlier), true, String::new());
+        for class in 0..self.s.classes.len() {
+            let (t, rest): (Vec<_>, Vec<_>) = trial.iter().partition(|s| s.class == class);
+            let e: Vec<_> = earlier.iter().filter(|s| s.class == class).copied().collect();
+            let found = failing(&t, &e);
+            let (n, bad) = share(&rest);
+            // One machine may be sick, but a sick machine does not pick a class: then it is the build.
+            let picked = found == Finding::Sole && n >= CLASS_REST && bad < n * BACK_MARGIN;
+            worst = worst.max(if picked { Finding::Fault } else { found });
             thin &= t.len() < ENOUGH;
-            worst = worst.max(found);
-            text += &format!("[{}/{} of {}/{}, pace {slow:.2}] ", share(&t).1, t.len(), share(&e).1, e.len());
+            text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
+        let pace = slowness(now, &trial, &earlier);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         let fleet = self.fleet_pace(now, build);
-        text += &format!("fleet pace {fleet:.2}");
+        text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
+        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE {
+            worst = worst.max(if pace.2 > 1 { Finding::Slow } else { Finding::Sole });
+        } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
+            worst = worst.max(Finding::Doubt);
+        }
         if fleet > FLEET_SLOW {
             // Failures on too few machines to blame the build, and slowness at once, are blame enough.
-            worst = if worst == Finding::Doubt { Finding::Fault } else { worst.max(Finding::FleetSlow) };
+            worst = if worst == Finding::Few { Finding::Fault } else { worst.max(Finding::FleetSlow) };
         }
-        let finding = if worst == Finding::Clear && thin { Finding::Thin } else { worst };
-        (finding, text)
+        (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
     }
 
     // ---- Votes ---------------------------------------------------------------------------------------
@@ -927,13 +876,16 @@
 
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
         let finding = self.judge(now, n.build).0;
-        self.slow_from = if finding == Finding::Slow { self.slow_from.or(Some(now)) } else { None };
-        let fleet = finding == Finding::FleetSlow;
-        self.fleet_from = if fleet { self.fleet_from.or(Some(now)) } else { None };
-        let fleet_lasting = self.fleet_from.is_some_and(|t| now >= t + FLEET_LASTS);
-        let lasting =
-            fleet_lasting || self.slow_from.is_some_and(|t| now >= t + SLOW_LASTS && n.phase == Phase::Trial);
-        if finding == Finding::Fault || lasting {
+        let lasts = match finding {
+            Finding::Fault => 0,
+            Finding::Slow => SLOW_LASTS,
+            Finding::Sole => SOLE_LASTS,
+            Finding::FleetSlow => FLEET_LASTS,
+            _ => Micros::MAX,
+        };
+        // 'Back' cannot be undone: what may pass by itself must last before it counts.
+        self.suspect_from = if lasts < Micros::MAX { self.suspect_from.or(Some(now)) } else { None };
+        if self.suspect_from.is_some_and(|t| now >= t.saturating_add(lasts)) {
             self.condemned = Some(n.build);
         }
         if self.condemned == Some(n.build) {
@@ -987,60 +939,51 @@
     }
 }
 
-/// The failure share of a class against the earlier build's.
+/// A failure share against the earlier build's. The worst machines are left out where there are several:
+/// a sick machine is no build fault.
 fn failing(trial: &[&Sample], earlier: &[&Sample]) -> Finding {
-    let base = share(&trimmed(earlier));
-    let (all, kept) = (share(trial), share(&trimmed(trial)));
+    let failed = |s: &Sample| f64::from(u8::from(!s.ok));
+    let trim = |v: &[&Sample]| -> (f64, f64) {
+        let order = ranked(v, failed);
+        let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
+        share(&without(v, &order[..drop]))
+    };
+    let base = trim(earlier);
     let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
-    if kept.1 >= LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > margin {
-        return Finding::Fault;
-    }
-    let doubt = all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0;
-    if doubt {
+    let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, SURE) > margin;
+    let all = share(trial);
+    if sure(all) && ranked(trial, failed).len() < 2 {
+        Finding::Sole
+    } else if sure(trim(trial)) {
+        Finding::Fault
+    } else if sure(all) {
+        Finding::Few
+    } else if all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
         Finding::Doubt
     } else {
         Finding::Clear
     }
 }
 
-/// Median pace of the trial machines over that of earlier machines of the same kind and class, lately, and
-/// that median's lower bound: medians of 20 scattered answers alone differ by half too often.
-fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64) {
-    let mut usual: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
+/// Median pace of the trial machines over that of earlier machines of the same kind and class, lately; that
+/// median's lower bound, as medians of 20 scattered answers alone differ by half too often; and the number
+/// of machines seen, the slowest left out of the figures where there are several.
+fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64, usize) {
+    let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
     for s in earlier.iter().filter(|s| s.at + JUDGE_SPAN > now) {
-        usual.entry((s.kind, s.class)).or_default().extend(s.pace);
-    }
-    let usual = middles(usual);
-    let ratio = |s: &&Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
-    let mut paces: Vec<f64> = trial.iter().filter_map(ratio).collect();
+        groups.entry((s.kind, s.class)).or_default().extend(s.pace);
+    }
+    let usual = middles(groups, ENOUGH / 2);
+    let ratio = |s: &Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
+    let timed: Vec<&Sample> = trial.iter().filter(|s| ratio(s).is_some()).copied().collect();
+    let order = ranked(&timed, |s| ratio(s).unwrap_or(1.0));
+    let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
+    let mut paces: Vec<f64> = without(&timed, &order[..drop]).into_iter().filter_map(ratio).collect();
+    let n = paces.len() as f64;
     if paces.len() < ENOUGH {
-        return (1.0, 1.0);
+        return (1.0, 1.0, order.len());
     }
     let middle = median(&mut paces).unwrap_or(1.0);
-    let rank = paces.len() as f64 / 2.0 - SURE * (paces.len() as f64).sqrt() / 2.0;
-    let bound = if rank < 1.0 { 0.0 } else { paces[rank as usize] };
-    (middle, bound)
-}
-
-/// The middle of each group that has enough to show one.
-fn middles(groups: BTreeMap<(u8, usize), Vec<f64>>) -> Figures {
-    let enough = groups.into_iter().filter(|g| g.1.len() >= ENOUGH / 2);
-    enough.filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect()
-}
-
-fn share(samples: &[&Sample]) -> (f64, f64) {
-    (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
-}
-
-/// Leaves out the worst machine in four (none if there is but one): a sick machine is no build fault.
-fn trimmed<'a>(samples: &[&'a Sample]) -> Vec<&'a Sample> {
-    let mut by: BTreeMap<MachineId, f64> = BTreeMap::new();
-    for s in samples {
-        *by.entry(s.machine).or_default() += f64::from(u8::from(!s.ok));
-    }
-    let drop = if by.len() < 2 { 0 } else { by.len().div_ceil(4) };
-    let mut worst: Vec<_> = by.into_iter().collect();
-    worst.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-    let left_out: BTreeSet<_> = worst.iter().take(drop).map(|w| w.0).collect();
-    samples.iter().filter(|s| !left_out.contains(&s.machine)).copied().collect()
+    let rank = (n / 2.0 - SURE * n.sqrt() / 2.0).max(0.0);
+    (middle, paces[rank as usize], order.len())
 }
