Learn boot times, shun builds taken off, free retries for what never ran, eject the unreachable

Cause: with the list out of reach a stage's starts are not seen, and machines of a build taken off or of a gone one still look ready. Also covers a zone cut off. May hurt: a machine that refuses connections for a moment is left for 1.5 s.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -16,10 +16,12 @@
 const CLOCK_LAG: Micros = 1_000 * MS; // a stage's clock starts about this long after its last start
 const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
-const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up
+const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
+const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
+const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 11_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
@@ -81,6 +83,8 @@
     inflight: u32,
     news: Option<News>,
     stage_from: Micros, // when the present stage began, as told
+    boot: Micros,       // longest boot that a stage may still be in
+    withdrawn: BTreeSet<Build>,
     places: usize,
     accepted: Vec<Tally>,
     exposed: BTreeMap<(Build, usize), Tally>,
@@ -120,6 +124,8 @@
             inflight: 0,
             news: None,
             stage_from: now,
+            boot: BOOT_LIMIT,
+            withdrawn: BTreeSet::new(),
             places: 0,
             accepted: vec![Tally::default(); classes],
             exposed: BTreeMap::new(),
@@ -532,7 +538,9 @@
 
     fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
         let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
-        m.ejections == 0 || now >= m.ejected_until && m.inflight == 0 && repeatable
+        let taken_off = self.withdrawn.contains(&m.e.build);
+        !taken_off && m.ejections == 0
+            || !taken_off && now >= m.ejected_until && m.inflight == 0 && repeatable
     }
 
     fn load_of(&self, now: Micros, id: MachineId) -> f64 {
@@ -580,7 +588,9 @@
         if r.attempts.iter().any(|a| a.out) {
             return;
         }
-        if now >= r.deadline || !self.afford_retry(id) {
+        // What never ran cost its machine next to nothing: the retry budget is for work done again.
+        let unseen = matches!(ending, Ending::Full | Ending::ConnectFailed);
+        if now >= r.deadline || !unseen && !self.afford_retry(id) {
             return self.finish(now, id, out);
         }
         self.dispatch(now, id, out);
@@ -615,7 +625,7 @@
         if answered {
             m.quiet_from = now;
         }
-        let bad = !matches!(ending, Ending::Ok | Ending::Full);
+        let bad = ending != Ending::Ok;
         m.fail += FAIL_WEIGHT * (f64::from(u8::from(bad)) - m.fail);
         if ending == Ending::ConnectFailed {
             m.fail = m.fail.max(EJECT_SHARE) + FAIL_WEIGHT;
@@ -637,7 +647,7 @@
             let pace = if timed { service.or(own) } else { None };
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
         }
-        self.eject_failing(now, o.machine);
+        self.eject_failing(now, o.machine, matches!(ending, Ending::ConnectFailed | Ending::Reset));
     }
 
     fn note_sample(&mut self, build: Build, sample: Sample) {
@@ -660,7 +670,7 @@
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
     /// fault of the build, and a fault of the build is not cured by ejecting all its machines.
-    fn eject_failing(&mut self, now: Micros, id: MachineId) {
+    fn eject_failing(&mut self, now: Micros, id: MachineId, unreachable: bool) {
         let m = &self.machines[&id];
         if m.fail < EJECT_SHARE || now < m.ejected_until {
             return;
@@ -668,7 +678,8 @@
         let build = m.e.build;
         let peers = self.machines.values().filter(|o| o.e.build == build && o.e.state == MachineState::Ready);
         let middle = median(&mut peers.map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
-        if m.fail > EJECT_TIMES * middle {
+        // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
+        if m.fail > EJECT_TIMES * middle || unreachable {
             self.eject(now, id);
         }
     }
@@ -809,7 +820,8 @@
         let fleet = self.fleet_pace(now, build);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
         if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE {
-            worst = worst.max(if pace.2 > 1 { Finding::Slow } else { Finding::Sole });
+            let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
+            worst = worst.max(if calm { Finding::Slow } else { Finding::Sole });
         } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
             worst = worst.max(Finding::Doubt);
         }
@@ -837,6 +849,18 @@
         }
         let fresh = self.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
         if fresh {
+            let before = self.news.filter(|o| o.build == n.build && o.stage < n.stage);
+            let seen = before.map(|o| self.newest_start(o.build).saturating_sub(self.stage_from));
+            if let Some(boot) = seen.filter(|b| *b > 0) {
+                let known = if self.boot == BOOT_LIMIT { 0 } else { self.boot };
+                self.boot = known.max(boot + BOOT_MARGIN).min(BOOT_LIMIT);
+            }
+            // Danger: with the list out of reach, machines of a build taken off still look ready.
+            let superseded = self.news.filter(|o| o.build < n.build && o.phase != Phase::Released);
+            self.withdrawn.extend(superseded.map(|o| o.build));
+            if matches!(n.phase, Phase::GoingBack | Phase::Withdrawn) {
+                self.withdrawn.insert(n.build);
+            }
             self.stage_from = now.saturating_sub(n.age);
             self.vote = None;
             self.vote_ok = None;
@@ -869,7 +893,7 @@
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
         let wait = WINDOW.max(CLOCK_LAG + bake);
         if (up as f64) < wanted.floor().max(1.0) {
-            return (self.stage_from + BOOT_LIMIT + CLOCK_LAG + bake).max(newest + wait);
+            return (self.stage_from + self.boot + CLOCK_LAG + bake).max(newest + wait);
         }
         newest + wait
     }
