--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -23,10 +23,11 @@
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
-const FLEET_LASTS: Micros = 11_000 * MS; // ...and that sends the build back once it has lasted this long
+const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
+const SICK_SHARE: f64 = 0.25; // ...if it fails more than this share
 const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
@@ -538,7 +539,10 @@
 
     fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
         let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
-        let taken_off = self.withdrawn.contains(&m.e.build);
+        // Once a build is released the earlier machines leave, whatever a list out of date says; lingering
+        // ones turn work away at once and so look idle.
+        let superseded = self.news.is_some_and(|n| n.phase == Phase::Released && m.e.build < n.build);
+        let taken_off = superseded || self.withdrawn.contains(&m.e.build);
         !taken_off && m.ejections == 0
             || !taken_off && now >= m.ejected_until && m.inflight == 0 && repeatable
     }
@@ -644,10 +648,16 @@
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
             // A reported service time holds no waiting; in our own answers the queue met is taken out roughly.
             let own = timed.then_some(took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
-            let pace = if timed { service.or(own) } else { None };
+            // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
+            let settled = o.sent >= started + 3 * self.s.warm_after / 2;
+            let pace = if timed { service.filter(|_| settled).or(own) } else { None };
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
         }
-        self.eject_failing(now, o.machine, matches!(ending, Ending::ConnectFailed | Ending::Reset));
+        self.eject_failing(
+            now,
+            o.machine,
+            matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::Full),
+        );
     }
 
     fn note_sample(&mut self, build: Build, sample: Sample) {
@@ -963,14 +973,18 @@
     }
 }
 
-/// A failure share against the earlier build's. The worst machines are left out where there are several:
-/// a sick machine is no build fault.
+/// A failure share against the earlier build's. The sickest machines are left out where there are several:
+/// a sick machine is no build fault. Scattered failures stay in: a build may fail a little everywhere.
 fn failing(trial: &[&Sample], earlier: &[&Sample]) -> Finding {
     let failed = |s: &Sample| f64::from(u8::from(!s.ok));
     let trim = |v: &[&Sample]| -> (f64, f64) {
         let order = ranked(v, failed);
-        let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
-        share(&without(v, &order[..drop]))
+        let most = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
+        let sick = order.iter().take(most).filter(|m| {
+            let (n, bad) = share(&v.iter().filter(|s| s.machine == **m).copied().collect::<Vec<_>>());
+            bad >= LEAST_BAD && bad > SICK_SHARE * n
+        });
+        share(&without(v, &sick.copied().collect::<Vec<_>>()))
     };
     let base = trim(earlier);
     let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
