Ask sooner for the list, mistrust it where it lags the news, a released build's fault must last 3 s

Cause: a front whose list missed a stage sent all to the two machines it knew and blamed the build; a front fresh from a restart took a released build off on 15 outcomes. Told apart: the news named a stage whose machines the list did not show. May hurt: a released bad build stays 3 s longer.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -30,6 +30,8 @@
 const SICK_SHARE: f64 = 0.25; // ...if it fails more than this share
 const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
+const RELEASED_LASTS: Micros = 3_000 * MS; // the same for a fault of a build already released
+const LIST_BEHIND: f64 = 0.5; // part of a stage's machines below which the list is taken to lag the news
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
@@ -59,7 +61,8 @@
 const PARK_PART: f64 = 0.5; // part of its aim that a request waits for a machine to appear
 const BACK_PART: f64 = 0.15; // part of the aim after which to come back, with up to as much again for spread
 const EDGE: Micros = 60 * MS; // margin on counted spans
-const ASK_AGAIN: Micros = 1_000 * MS; // pause before asking for the list again; doubles up to four times
+const ASK_AGAIN: Micros = 1_000 * MS; // least pause before asking for the list again, spread to twice that
+const ANSWER_LIMIT: Micros = 4_000 * MS; // an ask without an answer for this long is made again
 
 // ---- State ---------------------------------------------------------------------------------------
 #[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
@@ -105,8 +108,6 @@
     vote_ok: Option<Micros>,
     vote_waits: bool,
     ask_at: Micros,
-    ask_failures: u32,
-    ask_waits: bool,
     /// Events that named something unknown or made no sense.
     pub ignored: u64,
 }
@@ -146,8 +147,6 @@
             vote_ok: None,
             vote_waits: false,
             ask_at: now,
-            ask_failures: 0,
-            ask_waits: false,
             ignored: 0,
         };
         front.follow_list(now, out);
@@ -341,21 +340,15 @@
         }
         // Asked again after a failure or no answer, spread out so that fronts do not stampede.
         out.push(Action::Watch(true));
-        self.ask_waits = true;
-        let pause = ASK_AGAIN * (1 << self.ask_failures.min(2));
-        self.ask_at = now + 4 * pause + self.jitter(pause);
+        self.ask_at = now + ANSWER_LIMIT + self.jitter(ASK_AGAIN);
     }
 
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.ask_failures += 1;
-            let pause = ASK_AGAIN * (1 << self.ask_failures.min(2));
-            self.ask_at = now + pause / 2 + self.jitter(pause);
+            self.ask_at = now + ASK_AGAIN + self.jitter(ASK_AGAIN);
             return;
         }
         if kind != ListKind::Cached {
-            self.ask_failures = 0;
-            self.ask_waits = false;
             self.ask_at = Micros::MAX;
         }
         if kind != ListKind::Delta {
@@ -541,7 +534,8 @@
         let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
         // Once a build is released the earlier machines leave, whatever a list out of date says; lingering
         // ones turn work away at once and so look idle.
-        let superseded = self.news.is_some_and(|n| n.phase == Phase::Released && m.e.build < n.build);
+        let released = self.news.filter(|n| n.phase == Phase::Released && m.e.build < n.build);
+        let superseded = released.is_some_and(|n| !self.list_behind(n.build));
         let taken_off = superseded || self.withdrawn.contains(&m.e.build);
         !taken_off && m.ejections == 0
             || !taken_off && now >= m.ejected_until && m.inflight == 0 && repeatable
@@ -829,7 +823,7 @@
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         let fleet = self.fleet_pace(now, build);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
-        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE {
+        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && !self.list_behind(build) {
             let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
             worst = worst.max(if calm { Finding::Slow } else { Finding::Sole });
         } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
@@ -887,6 +881,18 @@
         self.news = Some(n);
     }
 
+    fn wanted(&self, n: &News) -> f64 {
+        self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.places as f64
+    }
+
+    /// The news speaks of a stage whose machines the list hardly shows: the few it shows carry too much to be
+    /// judged by pace, and the earlier ones are still needed.
+    fn list_behind(&self, build: Build) -> bool {
+        let Some(n) = self.news.filter(|n| n.build == build) else { return true };
+        let ready = |m: &&Machine| m.e.build == build && m.e.state == MachineState::Ready;
+        (self.machines.values().filter(ready).count() as f64) < self.wanted(&n) * LIST_BEHIND
+    }
+
     fn newest_start(&self, build: Build) -> Micros {
         let starts = self.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
         starts.max().unwrap_or(0).max(self.stage_from)
@@ -898,7 +904,7 @@
         let Some(n) = self.news.filter(|n| n.build == build) else { return Micros::MAX };
         let mine = || self.machines.values().filter(|m| m.e.build == build);
         let newest = self.newest_start(build);
-        let wanted = self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.places as f64;
+        let wanted = self.wanted(&n);
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
         let wait = WINDOW.max(CLOCK_LAG + bake);
@@ -911,6 +917,8 @@
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
         let finding = self.judge(now, n.build).0;
         let lasts = match finding {
+            // Danger: a front that restarted has seen little, and taking off a released build is dear.
+            Finding::Fault if n.phase == Phase::Released => RELEASED_LASTS,
             Finding::Fault => 0,
             Finding::Slow => SLOW_LASTS,
             Finding::Sole => SOLE_LASTS,
