Move state to the books, give up hopeless requests at once

A request that no machine may take any more was parked for part of its aim; it now gets its answer at once.

--- a/crates/yarrowspoke-drill/src/host.rs
+++ b/crates/yarrowspoke-drill/src/host.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use yarrowspoke::interface::{Action, Entry, Event, ListKind, News};
+use yarrowspoke::interface::{Action, Arrival, Ended, Entry, Event, ListKind, News};
 use yarrowspoke::Front;
 
 /// All instances of this process, and the lists that their events refer to.
@@ -140,7 +140,7 @@
             28 => {
                 let (id, class, remaining) = (r.u64()?, r.u8()?, r.u32()?.into());
                 let (key, tenant, hint, opts) = (r.u64()?, r.u32()?, r.u32()?, r.u8()?);
-                Event::Request {
+                Event::Request(Arrival {
                     id,
                     class,
                     remaining,
@@ -148,7 +148,7 @@
                     tenant,
                     hint: (opts & 1 != 0).then_some(hint.into()),
                     repeat: opts & 2 != 0,
-                }
+                })
             }
             27 => {
                 let (id, attempt) = (r.u64()?, r.u16()?);
@@ -160,7 +160,7 @@
                 let (id, settled, ending) = (r.u64()?, r.u8()? != 0, r.ending()?);
                 let (machine, took, attempt) = (r.u32()?, r.u32()?.into(), r.u16()?);
                 load = r.load()?;
-                Event::Outcome { id, attempt, machine, ending, settled, took, load: &load }
+                Event::Outcome(Ended { id, attempt, machine, ending, settled, took, load: &load })
             }
             21 => {
                 let (machine, ending, took) = (r.u32()?, r.ending()?, r.u32()?.into());
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -1,7 +1,7 @@
 //! Mechanical bookkeeping: counts over time, sorted middles, fixed mixing. Every limit, span and
 //! threshold is the caller's; nothing here decides.
 
-use crate::interface::{Build, Entry, LoadField, MachineId, Micros};
+use crate::interface::{Build, Entry, LoadField, MachineId, Micros, News, RequestId, Verdict};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Amounts noted over time, summed over a span that the caller names.
@@ -180,3 +180,64 @@
     let out: BTreeSet<_> = machines.iter().collect();
     samples.iter().filter(|s| !out.contains(&s.machine)).copied().collect()
 }
+
+/// What a front knows; it starts empty.
+#[derive(Default)]
+pub struct Knowledge {
+    /// All machines ever listed.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Requests that are owed a final answer.
+    pub requests: BTreeMap<RequestId, Request>,
+    /// Attempts whose outcome is to come.
+    pub outs: BTreeMap<(RequestId, u16), Out>,
+    /// Attempts out.
+    pub inflight: u32,
+    /// The last valid news.
+    pub news: Option<News>,
+    /// When the present stage began, as told.
+    pub stage_from: Micros,
+    /// Longest boot that a stage may still be in.
+    pub boot: Micros,
+    /// Builds that were taken off.
+    pub withdrawn: BTreeSet<Build>,
+    /// Places of the fleet.
+    pub places: usize,
+    /// Requests taken, by class.
+    pub accepted: Vec<Tally>,
+    /// Attempts, by build and class.
+    pub exposed: BTreeMap<(Build, usize), Tally>,
+    /// Outcomes as evidence, by build.
+    pub samples: BTreeMap<Build, VecDeque<Sample>>,
+    /// The platform's counts, by build and class.
+    pub tallies: BTreeMap<(Build, usize), Vec<(Micros, f64, f64)>>,
+    /// Keys answered by a build.
+    pub tied: BTreeMap<u64, Build>,
+    /// Served answers.
+    pub served: Tally,
+    /// Best recent completions a microsecond.
+    pub best_rate: f64,
+    /// Smoothed answer time.
+    pub answer_time: f64,
+    /// Retries saved up.
+    pub retry_tokens: f64,
+    /// Each tenant's requests in hand, and when they were counted.
+    pub tenants: Vec<(f64, Micros)>,
+    /// Usual paces from before the newest build.
+    pub figures: Figures,
+    /// Since when a finding that must last has lasted.
+    pub suspect_from: Option<Micros>,
+    /// A build that this front has voted back.
+    pub condemned: Option<Build>,
+    /// The last vote cast.
+    pub vote: Option<(Build, u8, Verdict)>,
+    /// When it was cast.
+    pub vote_sent: Micros,
+    /// When it was taken, if it was.
+    pub vote_ok: Option<Micros>,
+    /// Its answer is to come.
+    pub vote_waits: bool,
+    /// When to ask for the list.
+    pub ask_at: Micros,
+    /// Events that named something unknown.
+    pub ignored: u64,
+}
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -309,6 +309,44 @@
     pub age: Micros,
 }
 
+/// A client's request.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: u8,
+    /// Time before the client stops waiting.
+    pub remaining: Micros,
+    /// Its subject; 0 = none.
+    pub key: u64,
+    /// Its tenant.
+    pub tenant: u32,
+    /// Expected work.
+    pub hint: Option<Micros>,
+    /// Marked by the client as a repeat.
+    pub repeat: bool,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: u16,
+    /// The machine.
+    pub machine: MachineId,
+    /// How it ended.
+    pub ending: Ending,
+    /// The request is over.
+    pub settled: bool,
+    /// Time since the send.
+    pub took: Micros,
+    /// Load report, possibly empty.
+    pub load: &'a [f32],
+}
+
 /// What a front is told.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
@@ -320,22 +358,7 @@
         entries: &'a [Entry],
     },
     /// A client's request.
-    Request {
-        /// Its id.
-        id: RequestId,
-        /// Its class.
-        class: u8,
-        /// Time before the client stops waiting.
-        remaining: Micros,
-        /// Its subject; 0 = none.
-        key: u64,
-        /// Its tenant.
-        tenant: u32,
-        /// Expected work.
-        hint: Option<Micros>,
-        /// Marked by the client as a repeat.
-        repeat: bool,
-    },
+    Request(Arrival),
     /// A streamed answer has begun.
     FirstByte {
         /// The request.
@@ -349,22 +372,7 @@
         name: u64,
     },
     /// An attempt has ended.
-    Outcome {
-        /// The request.
-        id: RequestId,
-        /// The attempt.
-        attempt: u16,
-        /// The machine.
-        machine: MachineId,
-        /// How it ended.
-        ending: Ending,
-        /// The request is over.
-        settled: bool,
-        /// Time since the send.
-        took: Micros,
-        /// Load report, possibly empty.
-        load: &'a [f32],
-    },
+    Outcome(Ended<'a>),
     /// A probe has ended.
     Probed {
         /// The machine.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Values (time in microseconds) ---------------------------------------------------------------
 const MS: Micros = 1_000;
@@ -49,6 +49,7 @@
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
+const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
@@ -60,6 +61,7 @@
 const RETRY_BURST: f64 = 20.0; // most retries saved up
 const PARK_PART: f64 = 0.5; // part of its aim that a request waits for a machine to appear
 const BACK_PART: f64 = 0.15; // part of the aim after which to come back, with up to as much again for spread
+const NOMINAL_WORK: f64 = 100_000.0; // work of a request without a hint, in microseconds
 const EDGE: Micros = 60 * MS; // margin on counted spans
 const ASK_AGAIN: Micros = 1_000 * MS; // least pause before asking for the list again, spread to twice that
 const ANSWER_LIMIT: Micros = 4_000 * MS; // an ask without an answer for this long is made again
@@ -77,78 +79,27 @@
     Fault,
 }
 
-/// One front: its whole knowledge, fed by [`Front::handle`].
+/// One front: its settings, its random source and what it knows, fed by [`Front::handle`].
 pub struct Front {
     s: Settings,
     rng: Pcg64Mcg,
-    machines: BTreeMap<MachineId, Machine>,
-    requests: BTreeMap<RequestId, Request>,
-    outs: BTreeMap<(RequestId, u16), Out>,
-    inflight: u32,
-    news: Option<News>,
-    stage_from: Micros, // when the present stage began, as told
-    boot: Micros,       // longest boot that a stage may still be in
-    withdrawn: BTreeSet<Build>,
-    places: usize,
-    accepted: Vec<Tally>,
-    exposed: BTreeMap<(Build, usize), Tally>,
-    samples: BTreeMap<Build, VecDeque<Sample>>,
-    tallies: BTreeMap<(Build, usize), Vec<(Micros, f64, f64)>>,
-    tied: BTreeMap<u64, Build>,
-    served: Tally,
-    best_rate: f64, // completions a microsecond
-    answer_time: f64,
-    retry_tokens: f64,
-    tenants: Vec<(f64, Micros)>,
-    figures: Figures,
-    suspect_from: Option<Micros>,
-    condemned: Option<Build>,
-    vote: Option<(Build, u8, Verdict)>,
-    vote_sent: Micros,
-    vote_ok: Option<Micros>,
-    vote_waits: bool,
-    ask_at: Micros,
-    /// Events that named something unknown or made no sense.
-    pub ignored: u64,
+    k: Knowledge,
 }
 
 impl Front {
     /// A front that knows only its settings.
     pub fn new(seed: u64, s: Settings, now: Micros, out: &mut Vec<Action>) -> Self {
-        let classes = s.classes.len();
-        let tenants = s.tenants.iter().map(|t| (t.quota_rps / s.fronts.max(1) as f64, now)).collect();
-        let mut front = Self {
-            s,
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            machines: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            outs: BTreeMap::new(),
-            inflight: 0,
-            news: None,
+        let share = f64::from(s.fronts.max(1));
+        let k = Knowledge {
+            accepted: vec![Tally::default(); s.classes.len()],
+            tenants: s.tenants.iter().map(|t| (t.quota_rps / share, now)).collect(),
             stage_from: now,
             boot: BOOT_LIMIT,
-            withdrawn: BTreeSet::new(),
-            places: 0,
-            accepted: vec![Tally::default(); classes],
-            exposed: BTreeMap::new(),
-            samples: BTreeMap::new(),
-            tallies: BTreeMap::new(),
-            tied: BTreeMap::new(),
-            served: Tally::default(),
-            best_rate: 0.0,
-            answer_time: 0.0,
             retry_tokens: RETRY_BURST,
-            tenants,
-            figures: Figures::new(),
-            suspect_from: None,
-            condemned: None,
-            vote: None,
-            vote_sent: 0,
-            vote_ok: None,
-            vote_waits: false,
             ask_at: now,
-            ignored: 0,
+            ..Knowledge::default()
         };
+        let mut front = Self { s, rng: Pcg64Mcg::seed_from_u64(seed), k };
         front.follow_list(now, out);
         out.push(Action::Timer { name: 0, after: TICK });
         front
@@ -157,39 +108,34 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         match *event {
-            Event::List { kind, entries } => self.on_list(now, kind, entries, out),
-            Event::Request { id, class, remaining, key, tenant, hint, .. } => {
-                self.on_request(now, id, class, remaining, key, tenant, hint, out)
-            }
+            Event::List { kind, entries } => self.on_list(now, kind, entries),
+            Event::Request(ref r) => self.on_request(now, r, out),
             Event::Timer { .. } => self.on_tick(now, out),
-            Event::Outcome { id, attempt, ending, settled, took, load, .. } => {
-                let service = load_value(&self.s.report_fields, load, LoadField::MeanMs);
-                self.on_outcome(now, id, attempt, ending, settled, took, service, out);
-            }
+            Event::Outcome(ref e) => self.on_outcome(now, e, out),
             Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
             Event::News(news) => self.on_news(now, news),
             Event::Tally { build, class, count, bad, age, .. } => {
                 let at = now.saturating_sub(age);
-                let kept = self.tallies.entry((build, class.into())).or_default();
+                let kept = self.k.tallies.entry((build, class.into())).or_default();
                 kept.retain(|t| t.0 + JUDGE_SPAN > now);
                 kept.push((at, count.into(), bad.min(count).into()));
             }
             Event::Withdrawn { id } => {
-                self.requests.remove(&id);
+                self.k.requests.remove(&id);
             }
             Event::FirstByte { .. } | Event::Probed { .. } => {}
-            Event::Message { .. } => self.ignored += 1,
+            Event::Message { .. } => self.k.ignored += 1,
         }
     }
 
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::Timer { name: 0, after: TICK });
-        let rate = self.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
-        self.best_rate = rate.max(self.best_rate * RATE_FADE);
+        let rate = self.k.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
+        self.k.best_rate = rate.max(self.k.best_rate * RATE_FADE);
         self.follow_list(now, out);
         self.eject_silent(now);
         self.rescue(now, out);
-        let parked: Vec<_> = self.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
+        let parked: Vec<_> = self.k.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
         for id in parked {
             self.dispatch(now, id, out);
         }
@@ -265,7 +211,7 @@
         }
         let span = self.s.fall;
         let (mut work, mut size) = (0.0, 0.0);
-        for o in self.machines.values().filter(|o| o.e.state == MachineState::Ready) {
+        for o in self.k.machines.values().filter(|o| o.e.state == MachineState::Ready) {
             if self.warmth(now, o) >= 1.0 {
                 work += o.sent.sum(now, span);
                 size += o.e.weight;
@@ -279,7 +225,7 @@
     /// The cap that binds `build`, or `None` if it is not on trial. A build not named yet is stage 0.
     fn cap(&self, build: Build) -> Option<f64> {
         let first = self.s.release.caps.first().copied().unwrap_or(0.0);
-        let news = match self.news {
+        let news = match self.k.news {
             Some(n) => n,
             None => return (self.base_build()? < build).then_some(first),
         };
@@ -292,7 +238,7 @@
     }
 
     fn stage(&self, build: Build) -> u8 {
-        self.news.filter(|n| n.build == build).map_or(0, |n| n.stage)
+        self.k.news.filter(|n| n.build == build).map_or(0, |n| n.stage)
     }
 
     /// Rule 5: attempts at a build on trial, over a span widened for safety, stay within free attempts plus
@@ -307,15 +253,15 @@
         let mut taken = 0.0;
         let mut sent = 0.0;
         for c in (0..self.s.classes.len()).filter(|c| !rel.by_class || *c == class) {
-            taken += self.accepted[c].sum(now, rel.window.saturating_sub(EDGE));
-            sent += self.exposed.get(&(build, c)).map_or(0.0, |t| t.sum(now, rel.window + EDGE));
+            taken += self.k.accepted[c].sum(now, rel.window.saturating_sub(EDGE));
+            sent += self.k.exposed.get(&(build, c)).map_or(0.0, |t| t.sum(now, rel.window + EDGE));
         }
         sent + 1.0 <= rel.free + cap * taken
     }
 
     /// Rule 1: the one place that gives a final answer, at once.
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.remove(&id) else { return };
+        let Some(r) = self.k.requests.remove(&id) else { return };
         if self.may_refuse(now, &r) {
             let part = (self.s.classes[r.class].aim as f64 * BACK_PART) as Micros;
             let backoff = (part + self.jitter(part)).min(self.s.max_retry_after);
@@ -327,44 +273,41 @@
     }
 
     fn cancel_rest(&self, id: RequestId, r: &Request, out: &mut Vec<Action>) {
-        for (k, a) in r.attempts.iter().enumerate().filter(|a| a.1.out && self.s.may_cancel) {
-            let _ = a;
-            out.push(Action::Cancel { id, attempt: k as u16 });
-        }
+        let left = (0..r.attempts.len()).filter(|k| r.attempts[*k].out && self.s.may_cancel);
+        out.extend(left.map(|k| Action::Cancel { id, attempt: k as u16 }));
     }
 
     // ---- Following the list ----------------------------------------------------------------------
     fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if !self.s.ask_list || now < self.ask_at {
+        if !self.s.ask_list || now < self.k.ask_at {
             return;
         }
         // Asked again after a failure or no answer, spread out so that fronts do not stampede.
         out.push(Action::Watch(true));
-        self.ask_at = now + ANSWER_LIMIT + self.jitter(ASK_AGAIN);
+        self.k.ask_at = now + ANSWER_LIMIT + self.jitter(ASK_AGAIN);
     }
 
-    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
+    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            self.ask_at = now + ASK_AGAIN + self.jitter(ASK_AGAIN);
+            self.k.ask_at = now + ASK_AGAIN + self.jitter(ASK_AGAIN);
             return;
         }
         if kind != ListKind::Cached {
-            self.ask_at = Micros::MAX;
+            self.k.ask_at = Micros::MAX;
         }
         if kind != ListKind::Delta {
             let listed: BTreeSet<_> = entries.iter().map(|e| e.machine).collect();
-            for (_, m) in self.machines.iter_mut().filter(|m| !listed.contains(m.0)) {
+            for (_, m) in self.k.machines.iter_mut().filter(|m| !listed.contains(m.0)) {
                 m.e.state = MachineState::Gone;
             }
         }
         for e in entries {
             self.learn(now, e);
         }
-        let _ = out;
     }
 
     fn learn(&mut self, now: Micros, e: &Entry) {
-        let m = self.machines.entry(e.machine).or_insert_with(|| Machine {
+        let m = self.k.machines.entry(e.machine).or_insert_with(|| Machine {
             e: e.clone(),
             inflight: 0,
             quiet_from: now,
@@ -387,41 +330,30 @@
     }
 
     fn base_build(&self) -> Option<Build> {
-        let ready = self.machines.values().filter(|m| m.e.state != MachineState::Gone);
+        let ready = self.k.machines.values().filter(|m| m.e.state != MachineState::Gone);
         ready.map(|m| m.e.build).min()
     }
 
     // ---- Routing: window, in-flight ceiling, hash positions, two random choices -------------------
-    #[allow(clippy::too_many_arguments)]
-    fn on_request(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        class: u8,
-        remaining: Micros,
-        key: u64,
-        tenant: u32,
-        hint: Option<Micros>,
-        out: &mut Vec<Action>,
-    ) {
-        let class = usize::from(class);
+    fn on_request(&mut self, now: Micros, a: &Arrival, out: &mut Vec<Action>) {
+        let (id, class, key) = (a.id, usize::from(a.class), a.key);
         if class >= self.s.classes.len() {
             // Unknown class: nothing is known of its effect, so it is refused unsent.
-            self.ignored += 1;
+            self.k.ignored += 1;
             out.push(Action::Refuse { id, backoff: 0 });
             return;
         }
         let keep = self.s.release.window + EDGE;
-        self.accepted[class].add(now, 1.0, keep);
-        self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
-        let over = self.over_share(now, tenant as usize);
-        let work = hint.filter(|h| *h > 0).map_or(100_000.0, |h| h as f64);
+        self.k.accepted[class].add(now, 1.0, keep);
+        self.k.retry_tokens = (self.k.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        let over = self.over_share(now, a.tenant as usize);
+        let work = a.hint.filter(|h| *h > 0).map_or(NOMINAL_WORK, |h| h as f64);
         let pos = position(if key == 0 { id } else { key });
-        let deadline = now + remaining;
+        let deadline = now + a.remaining;
         let attempts = Vec::new();
         let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
         let admitted = self.admits(&r);
-        self.requests.insert(id, r);
+        self.k.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
         } else {
@@ -431,21 +363,24 @@
 
     /// Sends a request to the machine that the mechanism picks; else parks it or gives it up at once.
     fn dispatch(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(mut r) = self.requests.remove(&id) else { return };
+        let Some(mut r) = self.k.requests.remove(&id) else { return };
         let picked = self.route(now, &r);
         if let Some(machine) = picked {
             r.parked = false;
             self.send(now, id, &mut r, machine, out);
-            self.requests.insert(id, r);
+            self.k.requests.insert(id, r);
             return;
         }
         let c = &self.s.classes[r.class];
         let patience = r.arrived + (c.aim as f64 * PARK_PART) as Micros;
         let until = patience.min(r.deadline.saturating_sub(TICK));
         let idle = !r.attempts.iter().any(|a| a.out);
-        r.parked = idle && now < until;
+        // What no machine may ever take is given up at once; the rest waits a little for a machine.
+        let hope = r.attempts.len() < self.s.max_attempts as usize
+            && self.k.machines.values().any(|m| self.may_repeat(now, &r, m));
+        r.parked = idle && hope && now < until;
         let give_up = idle && !r.parked;
-        self.requests.insert(id, r);
+        self.k.requests.insert(id, r);
         if give_up {
             self.finish(now, id, out);
         }
@@ -454,25 +389,25 @@
     fn send(&mut self, now: Micros, id: RequestId, r: &mut Request, to: MachineId, out: &mut Vec<Action>) {
         let keep = self.s.release.window + EDGE;
         let fall = self.s.fall + EDGE;
-        let Some(m) = self.machines.get_mut(&to) else { return };
+        let Some(m) = self.k.machines.get_mut(&to) else { return };
         if m.inflight == 0 {
             m.quiet_from = now;
         }
         m.inflight += 1;
         m.sent.add(now, r.work, fall.max(RATE_SPAN));
         let (build, zone, cell, queue) = (m.e.build, m.e.zone, m.e.cell, f64::from(m.inflight));
-        self.inflight += 1;
-        self.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
+        self.k.inflight += 1;
+        self.k.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
         let attempt = r.attempts.len() as u16;
         r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
         let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
-        self.outs.insert((id, attempt), o);
+        self.k.outs.insert((id, attempt), o);
         out.push(Action::Send { id, machine: to, timeout: 0 });
     }
 
     /// The ordinary path of the design, with its departures marked.
     fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
-        let tied = self.tied.get(&r.key).copied().filter(|_| r.key != 0 && self.s.release.forward_only);
+        let tied = self.k.tied.get(&r.key).copied().filter(|_| r.key != 0 && self.s.release.forward_only);
         let least = tied.unwrap_or(0);
         let earlier = self.draw(now, r, |f, m| m.e.build >= least && f.cap(m.e.build).is_none());
         let trial = self.draw(now, r, |f, m| m.e.build >= least && f.turn(r, m.e.build));
@@ -481,7 +416,7 @@
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
                 // Departure: a machine inside its own window takes a turn only when the earlier ones carry
                 // clearly more; after it, a turn goes back when the new machines carry clearly more.
-                let waits = now < self.machines[&t].e.started + WINDOW;
+                let waits = now < self.k.machines[&t].e.started + WINDOW;
                 let take = if waits { le > lt + SPILL } else { lt <= le };
                 Some(if take { t } else { e })
             }
@@ -497,9 +432,9 @@
         let Some(cap) = self.cap(build) else { return false };
         let effect = self.s.classes[r.class].effect != Effect::Repeatable;
         let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(2);
-        let on_trial = self.machines.values().filter(|m| m.e.build == build);
+        let on_trial = self.k.machines.values().filter(|m| m.e.build == build);
         let held: u32 = on_trial.map(|m| m.inflight).sum();
-        let ceiling = (cap * f64::from(self.inflight + 1)).ceil();
+        let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
         let failed_there = r.attempts.iter().any(|a| a.build == build);
         open && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
     }
@@ -513,14 +448,13 @@
         wanted: impl Fn(&Self, &Machine) -> bool,
     ) -> Option<MachineId> {
         let allowed = |m: &&Machine| wanted(self, m) && self.may_send(now, r, m);
-        let all: Vec<&Machine> = self.machines.values().filter(allowed).collect();
+        let all: Vec<&Machine> = self.k.machines.values().filter(allowed).collect();
         let untried = |m: &&&Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
-        let sound: Vec<_> = all.iter().filter(untried).filter(|m| self.sound(now, m, r)).collect();
-        let ids: Vec<MachineId> = if sound.is_empty() {
-            all.iter().map(|m| m.e.machine).collect()
-        } else {
-            sound.iter().map(|m| m.e.machine).collect()
-        };
+        let mut ids: Vec<MachineId> =
+            all.iter().filter(untried).filter(|m| self.sound(now, m, r)).map(|m| m.e.machine).collect();
+        if ids.is_empty() {
+            ids = all.iter().map(|m| m.e.machine).collect();
+        }
         if ids.is_empty() {
             return None;
         }
@@ -534,51 +468,42 @@
         let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
         // Once a build is released the earlier machines leave, whatever a list out of date says; lingering
         // ones turn work away at once and so look idle.
-        let released = self.news.filter(|n| n.phase == Phase::Released && m.e.build < n.build);
+        let released = self.k.news.filter(|n| n.phase == Phase::Released && m.e.build < n.build);
         let superseded = released.is_some_and(|n| !self.list_behind(n.build));
-        let taken_off = superseded || self.withdrawn.contains(&m.e.build);
-        !taken_off && m.ejections == 0
-            || !taken_off && now >= m.ejected_until && m.inflight == 0 && repeatable
+        let taken_off = superseded || self.k.withdrawn.contains(&m.e.build);
+        let half_open = now >= m.ejected_until && m.inflight == 0 && repeatable;
+        !taken_off && (m.ejections == 0 || half_open)
     }
 
     fn load_of(&self, now: Micros, id: MachineId) -> f64 {
-        let m = &self.machines[&id];
+        let m = &self.k.machines[&id];
         f64::from(m.inflight) / (m.e.weight * self.warmth(now, m))
     }
 
     // ---- Attempts: outcomes, ejection, further attempts --------------------------------------------
-    #[allow(clippy::too_many_arguments)]
-    fn on_outcome(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u16,
-        ending: Ending,
-        settled: bool,
-        took: Micros,
-        service: Option<f64>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(o) = self.outs.remove(&(id, attempt)) else {
-            self.ignored += 1;
+    fn on_outcome(&mut self, now: Micros, e: &Ended, out: &mut Vec<Action>) {
+        let (id, attempt, ending) = (e.id, e.attempt, e.ending);
+        let Some(o) = self.k.outs.remove(&(id, attempt)) else {
+            self.k.ignored += 1;
             return;
         };
-        self.inflight = self.inflight.saturating_sub(1);
-        self.note_machine(now, &o, ending, took, service);
+        self.k.inflight = self.k.inflight.saturating_sub(1);
+        self.note_machine(now, &o, e);
         if ending == Ending::Ok {
-            self.served.add(now, 1.0, RATE_SPAN);
-            self.answer_time += 0.05 * (took as f64 - self.answer_time);
+            self.k.served.add(now, 1.0, RATE_SPAN);
+            self.k.answer_time += TIME_WEIGHT * (e.took as f64 - self.k.answer_time);
         }
-        if settled {
-            if let Some(r) = self.requests.remove(&id) {
+        if e.settled {
+            if let Some(mut r) = self.k.requests.remove(&id) {
+                r.attempts.iter_mut().skip(attempt.into()).take(1).for_each(|a| a.out = false);
                 if ending == Ending::Ok && r.key != 0 && self.s.release.forward_only {
-                    self.tied.insert(r.key, o.build);
+                    self.k.tied.insert(r.key, o.build);
                 }
-                self.cancel_others(id, attempt, &r, out);
+                self.cancel_rest(id, &r, out);
             }
             return;
         }
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.k.requests.get_mut(&id) else { return };
         if let Some(a) = r.attempts.get_mut(usize::from(attempt)) {
             a.out = false;
             a.maybe_ran = !matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::Moot);
@@ -588,43 +513,29 @@
         }
         // What never ran cost its machine next to nothing: the retry budget is for work done again.
         let unseen = matches!(ending, Ending::Full | Ending::ConnectFailed);
-        if now >= r.deadline || !unseen && !self.afford_retry(id) {
+        if now >= r.deadline || !unseen && !self.afford_retry() {
             return self.finish(now, id, out);
         }
         self.dispatch(now, id, out);
     }
 
-    fn cancel_others(&self, id: RequestId, done: u16, r: &Request, out: &mut Vec<Action>) {
-        if !self.s.may_cancel {
-            return;
-        }
-        for k in (0..r.attempts.len()).filter(|k| *k != usize::from(done) && r.attempts[*k].out) {
-            out.push(Action::Cancel { id, attempt: k as u16 });
-        }
-    }
-
-    fn afford_retry(&mut self, id: RequestId) -> bool {
-        let left =
-            self.requests.get(&id).map_or(0, |r| self.s.max_attempts as usize - r.attempts.len().min(9));
-        let can = left > 0 && self.retry_tokens >= 1.0;
-        if can {
-            self.retry_tokens -= 1.0;
-        }
+    fn afford_retry(&mut self) -> bool {
+        let can = self.k.retry_tokens >= 1.0;
+        self.k.retry_tokens -= f64::from(u8::from(can));
         can
     }
 
-    fn note_machine(&mut self, now: Micros, o: &Out, ending: Ending, took: Micros, service: Option<f64>) {
-        let Some(m) = self.machines.get_mut(&o.machine) else { return };
+    fn note_machine(&mut self, now: Micros, o: &Out, e: &Ended) {
+        let ending = e.ending;
+        let Some(m) = self.k.machines.get_mut(&o.machine) else { return };
         m.inflight = m.inflight.saturating_sub(1);
         if matches!(ending, Ending::Cancelled | Ending::Moot) || m.e.build != o.build {
             return;
         }
-        let answered = matches!(ending, Ending::Ok | Ending::Error | Ending::Full);
-        if answered {
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             m.quiet_from = now;
         }
-        let bad = ending != Ending::Ok;
-        m.fail += FAIL_WEIGHT * (f64::from(u8::from(bad)) - m.fail);
+        m.fail += FAIL_WEIGHT * (f64::from(u8::from(ending != Ending::Ok)) - m.fail);
         if ending == Ending::ConnectFailed {
             m.fail = m.fail.max(EJECT_SHARE) + FAIL_WEIGHT;
         }
@@ -641,21 +552,19 @@
             let (class, ok) = (o.class, ending == Ending::Ok);
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
             // A reported service time holds no waiting; in our own answers the queue met is taken out roughly.
-            let own = timed.then_some(took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
+            let own = timed.then_some(e.took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
             // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
+            let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
             let pace = if timed { service.filter(|_| settled).or(own) } else { None };
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
         }
-        self.eject_failing(
-            now,
-            o.machine,
-            matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::Full),
-        );
+        let away = matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::Full);
+        self.eject_failing(now, o.machine, away);
     }
 
     fn note_sample(&mut self, build: Build, sample: Sample) {
-        let ring = self.samples.entry(build).or_default();
+        let ring = self.k.samples.entry(build).or_default();
         ring.push_back(sample);
         if ring.len() > RING {
             ring.pop_front();
@@ -664,8 +573,8 @@
 
     fn on_complaint(&mut self, now: Micros, machine: MachineId, class: u8) {
         let class = usize::from(class);
-        let Some(m) = self.machines.get(&machine).filter(|_| class < self.s.classes.len()) else {
-            self.ignored += 1;
+        let Some(m) = self.k.machines.get(&machine).filter(|_| class < self.s.classes.len()) else {
+            self.k.ignored += 1;
             return;
         };
         let (build, kind) = (m.e.build, m.e.kind);
@@ -675,12 +584,13 @@
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
     /// fault of the build, and a fault of the build is not cured by ejecting all its machines.
     fn eject_failing(&mut self, now: Micros, id: MachineId, unreachable: bool) {
-        let m = &self.machines[&id];
+        let m = &self.k.machines[&id];
         if m.fail < EJECT_SHARE || now < m.ejected_until {
             return;
         }
         let build = m.e.build;
-        let peers = self.machines.values().filter(|o| o.e.build == build && o.e.state == MachineState::Ready);
+        let peers =
+            self.k.machines.values().filter(|o| o.e.build == build && o.e.state == MachineState::Ready);
         let middle = median(&mut peers.map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
         // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
         if m.fail > EJECT_TIMES * middle || unreachable {
@@ -690,16 +600,16 @@
 
     fn eject(&mut self, now: Micros, id: MachineId) {
         let spread = self.jitter(EJECT_FOR / 4);
-        let Some(m) = self.machines.get_mut(&id) else { return };
+        let Some(m) = self.k.machines.get_mut(&id) else { return };
         m.ejected_until = now + EJECT_FOR * (1 << m.ejections.min(3)) + spread;
         m.ejections += 1;
     }
 
     /// Ejects machines that hold work and have answered nothing for long: hung, dead, cut off or paused.
     fn eject_silent(&mut self, now: Micros) {
-        let limit = SILENT_FLOOR + (SILENT_TIMES * self.answer_time) as Micros;
+        let limit = SILENT_FLOOR + (SILENT_TIMES * self.k.answer_time) as Micros;
         let silent = |m: &&Machine| m.inflight > 0 && now > m.quiet_from + limit && now >= m.ejected_until;
-        let ids: Vec<_> = self.machines.values().filter(silent).map(|m| m.e.machine).collect();
+        let ids: Vec<_> = self.k.machines.values().filter(silent).map(|m| m.e.machine).collect();
         for id in ids {
             self.eject(now, id);
         }
@@ -708,10 +618,11 @@
     /// Requests held by an ejected or gone machine go elsewhere where their class allows.
     fn rescue(&mut self, now: Micros, out: &mut Vec<Action>) {
         let stuck = |a: &Attempt| {
-            let m = &self.machines[&a.machine];
+            let m = &self.k.machines[&a.machine];
             a.out && (m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR)
         };
         let ids: Vec<_> = self
+            .k
             .requests
             .iter()
             .filter(|(_, r)| {
@@ -724,11 +635,12 @@
             .collect();
         for id in ids {
             if self.s.second_copies {
-                if self.afford_retry(id) {
+                if self.afford_retry() {
                     self.dispatch(now, id, out);
                 }
-            } else if self.s.may_cancel && self.requests[&id].attempts.len() < self.s.max_attempts as usize {
-                let attempt = self.requests[&id].attempts.len() as u16 - 1;
+            } else if self.s.may_cancel && self.k.requests[&id].attempts.len() < self.s.max_attempts as usize
+            {
+                let attempt = self.k.requests[&id].attempts.len() as u16 - 1;
                 out.push(Action::Cancel { id, attempt });
             }
         }
@@ -736,7 +648,7 @@
 
     // ---- Overload: shed what cannot meet its aim ---------------------------------------------------
     fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
-        let (Some(t), Some(set)) = (self.tenants.get_mut(tenant), self.s.tenants.get(tenant)) else {
+        let (Some(t), Some(set)) = (self.k.tenants.get_mut(tenant), self.s.tenants.get(tenant)) else {
             return false;
         };
         let rate = set.quota_rps / f64::from(self.s.fronts.max(1));
@@ -753,7 +665,7 @@
     fn admits(&self, r: &Request) -> bool {
         let live = |m: &&Machine| m.e.state == MachineState::Ready && m.ejections == 0;
         let (mut held, mut slots) = (0.0, 0.0);
-        for m in self.machines.values().filter(live) {
+        for m in self.k.machines.values().filter(live) {
             held += f64::from(m.inflight);
             slots += FREE_SLOTS;
         }
@@ -761,11 +673,11 @@
             return true;
         }
         let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
-        if self.answer_time < EASY * tightest {
+        if self.k.answer_time < EASY * tightest {
             return true;
         }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
-        let rate = self.best_rate;
+        let rate = self.k.best_rate;
         // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
         let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
         let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
@@ -776,19 +688,19 @@
     // ---- The judge -----------------------------------------------------------------------------------
     /// The earlier build that `build` is held against: the newest below it with enough outcomes.
     fn earlier(&self, build: Build) -> Vec<&Sample> {
-        let below = || self.samples.range(..build).rev().map(|s| s.1);
+        let below = || self.k.samples.range(..build).rev().map(|s| s.1);
         let ring = below().find(|r| r.len() >= ENOUGH).or_else(|| below().max_by_key(|r| r.len()));
         ring.into_iter().flatten().collect()
     }
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
-        let ratio = |s: &Sample| Some(s.own? / self.figures.get(&(s.kind, s.class))?.max(1e-9));
+        let ratio = |s: &Sample| Some(s.own? / self.k.figures.get(&(s.kind, s.class))?.max(1e-9));
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-        let before = self.samples.range(..build).flat_map(|b| b.1);
+        let before = self.k.samples.range(..build).flat_map(|b| b.1);
         let mut paces: Vec<f64> = before.filter(late).filter_map(ratio).collect();
         if paces.len() < ENOUGH {
-            paces = self.samples.values().flatten().filter(late).filter_map(ratio).collect();
+            paces = self.k.samples.values().flatten().filter(late).filter_map(ratio).collect();
         }
         median(&mut paces).filter(|_| paces.len() >= ENOUGH).unwrap_or(1.0)
     }
@@ -796,16 +708,16 @@
     /// Takes the figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
         let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-        for s in self.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
+        for s in self.k.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
             groups.entry((s.kind, s.class)).or_default().extend(s.own);
         }
-        self.figures = middles(groups, ENOUGH / 2);
+        self.k.figures = middles(groups, ENOUGH / 2);
     }
 
     /// Compares each class, and all together, with the earlier build; the worst finding stands.
     fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
         let lately = |s: &&Sample| s.at + JUDGE_SPAN > now;
-        let trial: Vec<&Sample> = self.samples.get(&build).into_iter().flatten().filter(lately).collect();
+        let trial: Vec<&Sample> = self.k.samples.get(&build).into_iter().flatten().filter(lately).collect();
         let earlier = self.earlier(build);
         let (mut worst, mut thin, mut text) = (failing(&trial, &earlier), true, String::new());
         for class in 0..self.s.classes.len() {
@@ -839,77 +751,77 @@
     // ---- Votes ---------------------------------------------------------------------------------------
     fn on_news(&mut self, now: Micros, n: News) {
         if n.answer {
-            self.vote_waits = false;
+            self.k.vote_waits = false;
             match n.ending {
-                Ending::Ok => self.vote_ok = Some(self.vote_sent),
-                _ => self.vote_ok = None,
+                Ending::Ok => self.k.vote_ok = Some(self.k.vote_sent),
+                _ => self.k.vote_ok = None,
             }
         }
         if n.ending != Ending::Ok {
             return;
         }
-        if self.news.is_none_or(|o| o.build < n.build) {
+        if self.k.news.is_none_or(|o| o.build < n.build) {
             self.take_figures(now, n.build);
         }
-        let fresh = self.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
+        let fresh = self.k.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
         if fresh {
-            let before = self.news.filter(|o| o.build == n.build && o.stage < n.stage);
-            let seen = before.map(|o| self.newest_start(o.build).saturating_sub(self.stage_from));
+            let before = self.k.news.filter(|o| o.build == n.build && o.stage < n.stage);
+            let seen = before.map(|o| self.newest_start(o.build).saturating_sub(self.k.stage_from));
             if let Some(boot) = seen.filter(|b| *b > 0) {
-                let known = if self.boot == BOOT_LIMIT { 0 } else { self.boot };
-                self.boot = known.max(boot + BOOT_MARGIN).min(BOOT_LIMIT);
+                let known = if self.k.boot == BOOT_LIMIT { 0 } else { self.k.boot };
+                self.k.boot = known.max(boot + BOOT_MARGIN).min(BOOT_LIMIT);
             }
             // Danger: with the list out of reach, machines of a build taken off still look ready.
-            let superseded = self.news.filter(|o| o.build < n.build && o.phase != Phase::Released);
-            self.withdrawn.extend(superseded.map(|o| o.build));
+            let superseded = self.k.news.filter(|o| o.build < n.build && o.phase != Phase::Released);
+            self.k.withdrawn.extend(superseded.map(|o| o.build));
             if matches!(n.phase, Phase::GoingBack | Phase::Withdrawn) {
-                self.withdrawn.insert(n.build);
+                self.k.withdrawn.insert(n.build);
             }
-            self.stage_from = now.saturating_sub(n.age);
-            self.vote = None;
-            self.vote_ok = None;
-            if n.stage == 0 || self.places == 0 {
+            self.k.stage_from = now.saturating_sub(n.age);
+            self.k.vote = None;
+            self.k.vote_ok = None;
+            if n.stage == 0 || self.k.places == 0 {
                 let held = |m: &&Machine| m.e.state == MachineState::Ready && m.e.build != n.build;
-                let all = self.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
-                let base = self.machines.values().filter(held).count();
-                self.places = if self.s.release.parallel || n.stage == 0 { base } else { all };
+                let all = self.k.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
+                let base = self.k.machines.values().filter(held).count();
+                self.k.places = if self.s.release.parallel || n.stage == 0 { base } else { all };
             }
         }
         if n.phase != Phase::Trial && n.phase != Phase::Released {
-            self.tied.clear();
+            self.k.tied.clear();
         }
-        self.news = Some(n);
+        self.k.news = Some(n);
     }
 
     fn wanted(&self, n: &News) -> f64 {
-        self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.places as f64
+        self.s.release.shares.get(usize::from(n.stage)).unwrap_or(&1.0) * self.k.places as f64
     }
 
     /// The news speaks of a stage whose machines the list hardly shows: the few it shows carry too much to be
     /// judged by pace, and the earlier ones are still needed.
     fn list_behind(&self, build: Build) -> bool {
-        let Some(n) = self.news.filter(|n| n.build == build) else { return true };
+        let Some(n) = self.k.news.filter(|n| n.build == build) else { return true };
         let ready = |m: &&Machine| m.e.build == build && m.e.state == MachineState::Ready;
-        (self.machines.values().filter(ready).count() as f64) < self.wanted(&n) * LIST_BEHIND
+        (self.k.machines.values().filter(ready).count() as f64) < self.wanted(&n) * LIST_BEHIND
     }
 
     fn newest_start(&self, build: Build) -> Micros {
-        let starts = self.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
-        starts.max().unwrap_or(0).max(self.stage_from)
+        let starts = self.k.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
+        starts.max().unwrap_or(0).max(self.k.stage_from)
     }
 
     /// End of the stage's waiting window: after the newest start seen, once all machines that the stage
     /// should have are seen, or after the platform's own limit on their boot.
     fn window_end(&self, build: Build) -> Micros {
-        let Some(n) = self.news.filter(|n| n.build == build) else { return Micros::MAX };
-        let mine = || self.machines.values().filter(|m| m.e.build == build);
+        let Some(n) = self.k.news.filter(|n| n.build == build) else { return Micros::MAX };
+        let mine = || self.k.machines.values().filter(|m| m.e.build == build);
         let newest = self.newest_start(build);
         let wanted = self.wanted(&n);
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
         let wait = WINDOW.max(CLOCK_LAG + bake);
         if (up as f64) < wanted.floor().max(1.0) {
-            return (self.stage_from + self.boot + CLOCK_LAG + bake).max(newest + wait);
+            return (self.k.stage_from + self.k.boot + CLOCK_LAG + bake).max(newest + wait);
         }
         newest + wait
     }
@@ -926,11 +838,11 @@
             _ => Micros::MAX,
         };
         // 'Back' cannot be undone: what may pass by itself must last before it counts.
-        self.suspect_from = if lasts < Micros::MAX { self.suspect_from.or(Some(now)) } else { None };
-        if self.suspect_from.is_some_and(|t| now >= t.saturating_add(lasts)) {
-            self.condemned = Some(n.build);
+        self.k.suspect_from = if lasts < Micros::MAX { self.k.suspect_from.or(Some(now)) } else { None };
+        if self.k.suspect_from.is_some_and(|t| now >= t.saturating_add(lasts)) {
+            self.k.condemned = Some(n.build);
         }
-        if self.condemned == Some(n.build) {
+        if self.k.condemned == Some(n.build) {
             return Some(Verdict::Back);
         }
         if n.phase != Phase::Trial {
@@ -938,12 +850,12 @@
         }
         if self.s.release.mode == VoteMode::Automatic {
             let holds = finding >= Finding::Doubt;
-            let held = self.vote.is_some_and(|v| v.2 == Verdict::Hold);
+            let held = self.k.vote.is_some_and(|v| v.2 == Verdict::Hold);
             return if holds { Some(Verdict::Hold) } else { held.then_some(Verdict::None) };
         }
         let end = self.window_end(n.build);
         // Once cast, 'on' stands while nothing speaks against it: the next stage's machines may show first.
-        let cast = self.vote == Some((n.build, n.stage, Verdict::On));
+        let cast = self.k.vote == Some((n.build, n.stage, Verdict::On));
         match finding {
             Finding::Clear | Finding::Thin if cast => Some(Verdict::On),
             Finding::Clear if now >= end => Some(Verdict::On),
@@ -954,23 +866,25 @@
 
     /// Casts, renews or changes this front's vote, paced and matched to the present stage.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let Some(n) = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else { return };
-        let pause = if self.vote_waits { self.s.release.call_timeout + VOTE_GAP } else { VOTE_GAP };
-        if now < self.vote_sent + pause {
+        let Some(n) = self.k.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
+            return;
+        };
+        let pause = if self.k.vote_waits { self.s.release.call_timeout + VOTE_GAP } else { VOTE_GAP };
+        if now < self.k.vote_sent + pause {
             return;
         }
-        let standing = self.vote.filter(|v| v.2 != Verdict::None);
+        let standing = self.k.vote.filter(|v| v.2 != Verdict::None);
         let Some(verdict) = self.verdict(now, &n).or(standing.map(|_| Verdict::None)) else { return };
         let wish = (n.build, n.stage, verdict);
         let renew = (self.s.release.vote_stands as f64 * RENEW_PART) as Micros;
-        let stands = self.vote_ok.is_some_and(|t| now < t + renew);
-        if self.vote == Some(wish) && stands {
+        let stands = self.k.vote_ok.is_some_and(|t| now < t + renew);
+        if self.k.vote == Some(wish) && stands {
             return;
         }
-        self.vote = Some(wish);
-        self.vote_ok = None;
-        self.vote_waits = true;
-        self.vote_sent = now + self.jitter(VOTE_GAP / 4);
+        self.k.vote = Some(wish);
+        self.k.vote_ok = None;
+        self.k.vote_waits = true;
+        self.k.vote_sent = now + self.jitter(VOTE_GAP / 4);
         out.push(Action::Vote { build: n.build, stage: n.stage, verdict });
         out.push(Action::Log(format!(
             "{verdict:?} {} stage {}: {}",
