Compare pace over the same seconds only, and not after a release

Cause: a burst met new machines only, and was held against earlier machines' quieter seconds. Told from a slow build: the fleet figure rose at the same moment as the traffic. May hurt: a slow build that was released stays unless it slows the whole fleet.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -33,6 +33,8 @@
 const RELEASED_LASTS: Micros = 3_000 * MS; // the same for a fault of a build already released
 const LIST_BEHIND: f64 = 0.5; // part of a stage's machines below which the list is taken to lag the news
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
+const PACE_SPAN: Micros = 5_000 * MS; // age up to which answers speak for the pace of either build
+const PACE_GAP: Micros = 1_000 * MS; // pace is not judged once the last earlier answer is this old
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
 const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
@@ -751,11 +753,12 @@
             thin &= t.len() < ENOUGH;
             text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
+        let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let pace = slowness(now, &trial, &earlier);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         let fleet = self.fleet_pace(now, build);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
-        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && !self.list_behind(build) {
+        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && !self.list_behind(build) && !released {
             let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
             worst = worst.max(if calm { Finding::Slow } else { Finding::Sole });
         } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
@@ -950,12 +953,18 @@
 /// of machines seen, the slowest left out of the figures where there are several.
 fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64, usize) {
     let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-    for s in earlier.iter().filter(|s| s.at + JUDGE_SPAN > now) {
+    for s in earlier.iter().filter(|s| s.at + PACE_SPAN > now) {
         groups.entry((s.kind, s.class)).or_default().extend(s.pace);
     }
+    // Danger: once the earlier machines are idle or gone, a busy moment of the new ones has no match.
+    let last = earlier.iter().filter(|s| s.pace.is_some()).map(|s| s.at).max().unwrap_or(0);
+    if last + PACE_GAP < now {
+        return (1.0, 1.0, 0);
+    }
     let usual = middles(groups, ENOUGH / 2);
     let ratio = |s: &Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
-    let timed: Vec<&Sample> = trial.iter().filter(|s| ratio(s).is_some()).copied().collect();
+    let near = |s: &&&Sample| s.at + PACE_SPAN > now && ratio(s).is_some();
+    let timed: Vec<&Sample> = trial.iter().filter(near).copied().collect();
     let order = ranked(&timed, |s| ratio(s).unwrap_or(1.0));
     let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
     let mut paces: Vec<f64> = without(&timed, &order[..drop]).into_iter().filter_map(ratio).collect();
