--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -13,7 +13,7 @@
 const MS: Micros = 1_000;
 const TICK: Micros = 50 * MS; // housekeeping period
 const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
-const CLOCK_LAG: Micros = 1_000 * MS; // a stage's clock starts about this long after its last start
+const CLOCK_LAG: Micros = 1_100 * MS; // a stage's clock starts about this long after its last start
 const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
@@ -581,7 +581,7 @@
             let pace = if timed { service.filter(|_| settled).or(own) } else { None };
             self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
         }
-        let away = matches!(ending, Ending::ConnectFailed | Ending::Reset | Ending::Full);
+        let away = matches!(ending, Ending::ConnectFailed | Ending::Reset);
         self.eject_failing(now, o.machine, away);
     }
 
@@ -717,14 +717,19 @@
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
-        let ratio = |s: &Sample| Some(s.own? / self.k.figures.get(&(s.kind, s.class))?.max(1e-9));
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-        let before = self.k.samples.range(..build).flat_map(|b| b.1);
-        let mut paces: Vec<f64> = before.filter(late).filter_map(ratio).collect();
-        if paces.len() < ENOUGH {
-            paces = self.k.samples.values().flatten().filter(late).filter_map(ratio).collect();
-        }
-        median(&mut paces).filter(|_| paces.len() >= ENOUGH).unwrap_or(1.0)
+        let before = self.k.samples.range(..build).flat_map(|b| b.1).filter(late);
+        self.against_figures(before).unwrap_or_else(|| {
+            let all = self.k.samples.values().flatten().filter(late);
+            self.against_figures(all).unwrap_or(1.0)
+        })
+    }
+
+    /// Median pace of some outcomes against the figures, if there are enough of both.
+    fn against_figures<'a>(&self, samples: impl Iterator<Item = &'a Sample>) -> Option<f64> {
+        let ratio = |s: &Sample| Some(s.own? / self.k.figures.get(&(s.kind, s.class))?.max(1e-9));
+        let mut paces: Vec<f64> = samples.filter_map(ratio).collect();
+        median(&mut paces).filter(|_| paces.len() >= ENOUGH)
     }
 
     /// Takes the figures against which the build just named will be held.
@@ -755,10 +760,13 @@
         }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let pace = slowness(now, &trial, &earlier);
+        // Danger: earlier machines left idle look quick, and busy new ones slow beside them.
+        let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
+        let slowed = self.against_figures(near).is_none_or(|p| p > SLOW_RATIO);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         let fleet = self.fleet_pace(now, build);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
-        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && !self.list_behind(build) && !released {
+        if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && slowed && !self.list_behind(build) && !released {
             let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
             worst = worst.max(if calm { Finding::Slow } else { Finding::Sole });
         } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
