Few but certain failures must last 6 s; withhold the trial's turns to find why all are slow

May hurt: 2.5 s without the trial's machines while all are slow, only where half the fleet or more is on the earlier build.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -1,7 +1,7 @@
 //! Mechanical bookkeeping: counts over time, sorted middles, fixed mixing. Every limit, span and
 //! threshold is the caller's; nothing here decides.
 
-use crate::interface::{Build, Entry, LoadField, MachineId, Micros, News, RequestId, Verdict};
+use crate::interface::{Build, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Verdict};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Amounts noted over time, summed over a span that the caller names.
@@ -231,6 +231,10 @@
     pub figures: Figures,
     /// Since when a finding that must last has lasted.
     pub suspect_from: Option<Micros>,
+    /// The trial's turns are withheld (or given back again) since then, to find a cause.
+    pub pause: Option<(bool, Micros)>,
+    /// When this may be tried again.
+    pub probe_at: Micros,
     /// A build that this front has voted back.
     pub condemned: Option<Build>,
     /// The last vote cast.
@@ -246,3 +250,61 @@
     /// Events that named something unknown.
     pub ignored: u64,
 }
+
+impl Knowledge {
+    /// Takes a line of the list. A new process or build under an id starts with a clean record.
+    pub fn learn(&mut self, now: Micros, e: &Entry) {
+        let fresh = || Machine {
+            e: e.clone(),
+            inflight: 0,
+            quiet_from: now,
+            fail: 0.0,
+            ejected_until: 0,
+            ejections: 0,
+            sent: Tally::default(),
+        };
+        let m = self.machines.entry(e.machine).or_insert_with(fresh);
+        if m.e.started != e.started || m.e.build != e.build {
+            (m.fail, m.ejected_until, m.ejections, m.quiet_from) = (0.0, 0, 0, now);
+        }
+        m.e = e.clone();
+        if !(m.e.weight > 0.0 && m.e.weight.is_finite()) {
+            m.e.weight = 1.0;
+        }
+    }
+
+    /// Marks as gone what a whole list does not name.
+    pub fn drop_missing(&mut self, entries: &[Entry]) {
+        let listed: BTreeSet<_> = entries.iter().map(|e| e.machine).collect();
+        for (_, m) in self.machines.iter_mut().filter(|m| !listed.contains(m.0)) {
+            m.e.state = MachineState::Gone;
+        }
+    }
+
+    /// The ready machines that run `build`.
+    pub fn ready(&self, build: Build) -> impl Iterator<Item = &Machine> {
+        let ready = move |m: &&Machine| m.e.build == build && m.e.state == MachineState::Ready;
+        self.machines.values().filter(ready)
+    }
+
+    /// The lowest build that a listed machine runs.
+    pub fn base_build(&self) -> Option<Build> {
+        let listed = self.machines.values().filter(|m| m.e.state != MachineState::Gone);
+        listed.map(|m| m.e.build).min()
+    }
+
+    /// The newest start seen of `build`, or the start of the stage.
+    pub fn newest_start(&self, build: Build) -> Micros {
+        let starts = self.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
+        starts.max().unwrap_or(0).max(self.stage_from)
+    }
+
+    /// Keeps an outcome, and at most `most` of its build.
+    pub fn note_sample(&mut self, build: Build, most: usize, sample: Sample) {
+        let ring = self.samples.entry(build).or_default();
+        ring.push_back(sample);
+        if ring.len() > most {
+            ring.pop_front();
+        }
+    }
+}
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 // ---- Values (time in microseconds) ---------------------------------------------------------------
 const MS: Micros = 1_000;
@@ -19,11 +19,16 @@
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
+const SLIGHT_MARGIN: f64 = 0.005; // the same for failures that are few but certain and must last
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
+const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts this long has the trial's turns withheld...
+const PROBE_SPAN: Micros = 2_500 * MS; // ...for so long, then given back for as long
+const PROBE_LAG: Micros = 700 * MS; // answers this soon after a change still speak of the time before
+const PROBE_SHARE: f64 = 0.5; // ...if no more than this part of the ready machines is on trial
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
@@ -76,6 +81,7 @@
     Doubt,
     Few,
     FleetSlow,
+    Slight,
     Sole,
     Slow,
     Fault,
@@ -247,7 +253,7 @@
         let first = self.s.release.caps.first().copied().unwrap_or(0.0);
         let news = match self.k.news {
             Some(n) => n,
-            None => return (self.base_build()? < build).then_some(first),
+            None => return (self.k.base_build()? < build).then_some(first),
         };
         match build.cmp(&news.build) {
             std::cmp::Ordering::Less => None,
@@ -316,44 +322,13 @@
             self.k.ask_at = Micros::MAX;
         }
         if kind != ListKind::Delta {
-            let listed: BTreeSet<_> = entries.iter().map(|e| e.machine).collect();
-            for (_, m) in self.k.machines.iter_mut().filter(|m| !listed.contains(m.0)) {
-                m.e.state = MachineState::Gone;
-            }
+            self.k.drop_missing(entries);
         }
         for e in entries {
-            self.learn(now, e);
+            self.k.learn(now, e);
         }
     }
 
-    fn learn(&mut self, now: Micros, e: &Entry) {
-        let m = self.k.machines.entry(e.machine).or_insert_with(|| Machine {
-            e: e.clone(),
-            inflight: 0,
-            quiet_from: now,
-            fail: 0.0,
-            ejected_until: 0,
-            ejections: 0,
-            sent: Tally::default(),
-        });
-        if m.e.started != e.started || m.e.build != e.build {
-            // A new process: what the old one did says nothing about it.
-            m.fail = 0.0;
-            m.ejected_until = 0;
-            m.ejections = 0;
-            m.quiet_from = now;
-        }
-        m.e = e.clone();
-        if !(m.e.weight > 0.0 && m.e.weight.is_finite()) {
-            m.e.weight = 1.0;
-        }
-    }
-
-    fn base_build(&self) -> Option<Build> {
-        let ready = self.k.machines.values().filter(|m| m.e.state != MachineState::Gone);
-        ready.map(|m| m.e.build).min()
-    }
-
     // ---- Routing: window, in-flight ceiling, hash positions, two random choices -------------------
     fn on_request(&mut self, now: Micros, a: &Arrival, out: &mut Vec<Action>) {
         let (id, class, key) = (a.id, usize::from(a.class), a.key);
@@ -453,11 +428,12 @@
         let Some(cap) = self.cap(build) else { return false };
         let effect = self.s.classes[r.class].effect != Effect::Repeatable;
         let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(2);
+        let withheld = self.k.pause.is_some_and(|p| p.0);
         let on_trial = self.k.machines.values().filter(|m| m.e.build == build);
         let held: u32 = on_trial.map(|m| m.inflight).sum();
         let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
         let failed_there = r.attempts.iter().any(|a| a.build == build);
-        open && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
+        open && !withheld && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
     }
 
     /// Two random choices by fewest in flight for its size, among machines that the guards allow. Ejected
@@ -579,20 +555,16 @@
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
             let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
             let pace = if timed { service.filter(|_| settled).or(own) } else { None };
-            self.note_sample(o.build, Sample { at: now, machine: o.machine, kind, class, ok, pace, own });
+            self.k.note_sample(
+                o.build,
+                RING,
+                Sample { at: now, machine: o.machine, kind, class, ok, pace, own },
+            );
         }
         let away = matches!(ending, Ending::ConnectFailed | Ending::Reset);
         self.eject_failing(now, o.machine, away);
     }
 
-    fn note_sample(&mut self, build: Build, sample: Sample) {
-        let ring = self.k.samples.entry(build).or_default();
-        ring.push_back(sample);
-        if ring.len() > RING {
-            ring.pop_front();
-        }
-    }
-
     fn on_complaint(&mut self, now: Micros, machine: MachineId, class: u8) {
         let class = usize::from(class);
         let Some(m) = self.k.machines.get(&machine).filter(|_| class < self.s.classes.len()) else {
@@ -600,7 +572,11 @@
             return;
         };
         let (build, kind) = (m.e.build, m.e.kind);
-        self.note_sample(build, Sample { at: now, machine, kind, class, ok: false, pace: None, own: None });
+        self.k.note_sample(
+            build,
+            RING,
+            Sample { at: now, machine, kind, class, ok: false, pace: None, own: None },
+        );
     }
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
@@ -797,7 +773,7 @@
         let fresh = self.k.news.is_none_or(|o| (o.build, o.stage, o.phase) != (n.build, n.stage, n.phase));
         if fresh {
             let before = self.k.news.filter(|o| o.build == n.build && o.stage < n.stage);
-            let seen = before.map(|o| self.newest_start(o.build).saturating_sub(self.k.stage_from));
+            let seen = before.map(|o| self.k.newest_start(o.build).saturating_sub(self.k.stage_from));
             if let Some(boot) = seen.filter(|b| *b > 0) {
                 let known = if self.k.boot == BOOT_LIMIT { 0 } else { self.k.boot };
                 self.k.boot = known.max(boot + BOOT_MARGIN).min(BOOT_LIMIT);
@@ -809,8 +785,7 @@
                 self.k.withdrawn.insert(n.build);
             }
             self.k.stage_from = now.saturating_sub(n.age);
-            self.k.vote = None;
-            self.k.vote_ok = None;
+            (self.k.vote, self.k.vote_ok, self.k.pause) = (None, None, None);
             if n.stage == 0 || self.k.places == 0 {
                 let held = |m: &&Machine| m.e.state == MachineState::Ready && m.e.build != n.build;
                 let all = self.k.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
@@ -832,13 +807,7 @@
     /// judged by pace, and the earlier ones are still needed.
     fn list_behind(&self, build: Build) -> bool {
         let Some(n) = self.k.news.filter(|n| n.build == build) else { return true };
-        let ready = |m: &&Machine| m.e.build == build && m.e.state == MachineState::Ready;
-        (self.k.machines.values().filter(ready).count() as f64) < self.wanted(&n) * LIST_BEHIND
-    }
-
-    fn newest_start(&self, build: Build) -> Micros {
-        let starts = self.k.machines.values().filter(|m| m.e.build == build).map(|m| m.e.started);
-        starts.max().unwrap_or(0).max(self.k.stage_from)
+        (self.k.ready(build).count() as f64) < self.wanted(&n) * LIST_BEHIND
     }
 
     /// End of the stage's waiting window: after the newest start seen, once all machines that the stage
@@ -846,7 +815,7 @@
     fn window_end(&self, build: Build) -> Micros {
         let Some(n) = self.k.news.filter(|n| n.build == build) else { return Micros::MAX };
         let mine = || self.k.machines.values().filter(|m| m.e.build == build);
-        let newest = self.newest_start(build);
+        let newest = self.k.newest_start(build);
         let wanted = self.wanted(&n);
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
@@ -858,13 +827,15 @@
     }
 
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
-        let finding = self.judge(now, n.build).0;
+        let found = self.judge(now, n.build).0;
+        self.find_cause(now, n, found);
+        let finding = if self.k.pause.is_some() { found.max(Finding::Doubt) } else { found };
         let lasts = match finding {
             // Danger: a front that restarted has seen little, and taking off a released build is dear.
             Finding::Fault if n.phase == Phase::Released => RELEASED_LASTS,
             Finding::Fault => 0,
             Finding::Slow => SLOW_LASTS,
-            Finding::Sole => SOLE_LASTS,
+            Finding::Sole | Finding::Slight => SOLE_LASTS,
             Finding::FleetSlow => FLEET_LASTS,
             _ => Micros::MAX,
         };
@@ -890,11 +861,39 @@
         match finding {
             Finding::Clear | Finding::Thin if cast => Some(Verdict::On),
             Finding::Clear if now >= end => Some(Verdict::On),
-            Finding::Thin if now >= end.max(self.newest_start(n.build) + 2 * WINDOW) => Some(Verdict::On),
+            Finding::Thin if now >= end.max(self.k.newest_start(n.build) + 2 * WINDOW) => Some(Verdict::On),
             _ => None,
         }
     }
 
+    /// Danger: a build that slows old and new in step with its traffic looks like a slow time for all. While
+    /// earlier machines can carry the load, its turns are withheld for a moment, then given back: if the slowness
+    /// goes and returns with them, the build is the cause.
+    fn find_cause(&mut self, now: Micros, n: &News, found: Finding) {
+        let since = |t: Micros| move |s: &&Sample| s.at > t + PROBE_LAG;
+        match self.k.pause {
+            None => {
+                let slow = found == Finding::FleetSlow && n.phase == Phase::Trial && now >= self.k.probe_at;
+                let lasting = self.k.suspect_from.is_some_and(|t| now >= t + PROBE_AFTER);
+                let ready = self.k.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
+                let spare = ready > 0 && self.k.ready(n.build).count() as f64 <= PROBE_SHARE * ready as f64;
+                if slow && lasting && spare {
+                    self.k.pause = Some((true, now));
+                }
+            }
+            Some((withheld, t)) if now >= t + PROBE_SPAN => {
+                let paces = self.k.samples.range(..n.build).flat_map(|b| b.1).filter(since(t));
+                let pace = self.against_figures(paces).unwrap_or(if withheld { FLEET_SLOW } else { 1.0 });
+                self.k.pause = (withheld && pace < FLEET_UNEASY).then_some((false, now));
+                if !withheld && pace > FLEET_UNEASY {
+                    self.k.condemned = Some(n.build);
+                }
+                self.k.probe_at = now + FLEET_LASTS;
+            }
+            Some(_) => {}
+        }
+    }
+
     /// Casts, renews or changes this front's vote, paced and matched to the present stage.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(n) = self.k.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
@@ -941,12 +940,15 @@
     };
     let base = trim(earlier);
     let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
+    let slight = (base.1 + 0.5) / base.0.max(1.0) + SLIGHT_MARGIN;
     let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, SURE) > margin;
     let all = share(trial);
     if sure(all) && ranked(trial, failed).len() < 2 {
         Finding::Sole
     } else if sure(trim(trial)) {
         Finding::Fault
+    } else if trim(trial).1 > LEAST_BAD && lower_bound(trim(trial).1, trim(trial).0, SURE) > slight {
+        Finding::Slight
     } else if sure(all) {
         Finding::Few
     } else if all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
