--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -25,7 +25,7 @@
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
-const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts this long has the trial's turns withheld...
+const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts so long has the trial's turns withheld...
 const PROBE_SPAN: Micros = 2_500 * MS; // ...for so long, then given back for as long
 const PROBE_LAG: Micros = 700 * MS; // answers this soon after a change still speak of the time before
 const PROBE_SHARE: f64 = 0.5; // ...if no more than this part of the ready machines is on trial
@@ -867,8 +867,8 @@
     }
 
     /// Danger: a build that slows old and new in step with its traffic looks like a slow time for all. While
-    /// earlier machines can carry the load, its turns are withheld for a moment, then given back: if the slowness
-    /// goes and returns with them, the build is the cause.
+    /// earlier machines can carry the load, its turns are withheld for a moment, then given back: if the
+    /// slowness goes and returns with them, the build is the cause.
     fn find_cause(&mut self, now: Micros, n: &News, found: Finding) {
         let since = |t: Micros| move |s: &&Sample| s.at > t + PROBE_LAG;
         match self.k.pause {
