--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -25,10 +25,10 @@
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
-const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts so long has the trial's turns withheld...
+const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts so long has the trial's turns withheld
 const PROBE_SPAN: Micros = 2_500 * MS; // ...for so long, then given back for as long
 const PROBE_LAG: Micros = 700 * MS; // answers this soon after a change still speak of the time before
-const PROBE_SHARE: f64 = 0.5; // ...if no more than this part of the ready machines is on trial
+const PROBE_SHARE: f64 = 0.65; // ...if no more than this part of the ready machines is on trial
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
@@ -748,6 +748,9 @@
         } else if pace.0 > 1.0 + (SLOW_RATIO - 1.0) / 2.0 && pace.1 > SLOW_DOUBT {
             worst = worst.max(Finding::Doubt);
         }
+        if fleet > FLEET_UNEASY {
+            worst = worst.max(Finding::Doubt);
+        }
         if fleet > FLEET_SLOW {
             // Failures on too few machines to blame the build, and slowness at once, are blame enough.
             worst = if worst == Finding::Few { Finding::Fault } else { worst.max(Finding::FleetSlow) };
