Few but certain failures last 3 s and must be spread; never mix reported and own pace

Cause: reports are milliseconds and our own pace a ratio, so a young machine looked 30 times quicker than its peers and slow builds passed; a build bad only when busy was released before its 6 s were over. May hurt: fast errors on a quarter of the machines.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -299,6 +299,11 @@
         starts.max().unwrap_or(0).max(self.stage_from)
     }
 
+    /// How many outcomes of `build` are kept.
+    pub fn seen(&self, build: Build) -> usize {
+        self.samples.get(&build).map_or(0, VecDeque::len)
+    }
+
     /// Keeps an outcome, and at most `most` of its build.
     pub fn note_sample(&mut self, build: Build, most: usize, sample: Sample) {
         let ring = self.samples.entry(build).or_default();
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -20,6 +20,7 @@
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLIGHT_MARGIN: f64 = 0.005; // the same for failures that are few but certain and must last
+const SPREAD: f64 = 0.25; // ...and must show on this part of the build's machines
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
@@ -33,9 +34,11 @@
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
 const SICK_SHARE: f64 = 0.25; // ...if it fails more than this share
+const SICK_BAD: f64 = 2.0; // ...and at least so many
 const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
-const RELEASED_LASTS: Micros = 3_000 * MS; // the same for a fault of a build already released
+const SLIGHT_LASTS: Micros = 3_000 * MS; // the same for few but certain failures
+const RELEASED_LEAST: usize = 200; // ...and for any of a released build seen less often than this
 const LIST_BEHIND: f64 = 0.5; // part of a stage's machines below which the list is taken to lag the news
 const SLOW_LASTS: Micros = 1_000 * MS; // slowness counts as a fault once it has lasted this long
 const PACE_SPAN: Micros = 5_000 * MS; // age up to which answers speak for the pace of either build
@@ -554,7 +557,8 @@
             // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
             let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
-            let pace = if timed { service.filter(|_| settled).or(own) } else { None };
+            let reports = self.s.report_fields.contains(&LoadField::MeanMs);
+            let pace = if reports { service.filter(|_| timed && settled) } else { own };
             self.k.note_sample(
                 o.build,
                 RING,
@@ -835,10 +839,13 @@
         let finding = if self.k.pause.is_some() { found.max(Finding::Doubt) } else { found };
         let lasts = match finding {
             // Danger: a front that restarted has seen little, and taking off a released build is dear.
-            Finding::Fault if n.phase == Phase::Released => RELEASED_LASTS,
+            Finding::Fault if n.phase == Phase::Released && self.k.seen(n.build) < RELEASED_LEAST => {
+                SLIGHT_LASTS
+            }
             Finding::Fault => 0,
             Finding::Slow => SLOW_LASTS,
-            Finding::Sole | Finding::Slight => SOLE_LASTS,
+            Finding::Sole => SOLE_LASTS,
+            Finding::Slight => SLIGHT_LASTS,
             Finding::FleetSlow => FLEET_LASTS,
             _ => Micros::MAX,
         };
@@ -937,20 +944,23 @@
         let most = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
         let sick = order.iter().take(most).filter(|m| {
             let (n, bad) = share(&v.iter().filter(|s| s.machine == **m).copied().collect::<Vec<_>>());
-            bad >= LEAST_BAD && bad > SICK_SHARE * n
+            bad >= SICK_BAD && bad > SICK_SHARE * n
         });
         share(&without(v, &sick.copied().collect::<Vec<_>>()))
     };
     let base = trim(earlier);
     let margin = base.1 / base.0.max(1.0) + BACK_MARGIN;
+    let kept = trim(trial);
+    let failing: Vec<&Sample> = trial.iter().filter(|s| !s.ok).copied().collect();
+    let spread = ranked(&failing, failed).len() as f64 >= SPREAD * ranked(trial, failed).len() as f64;
     let slight = (base.1 + 0.5) / base.0.max(1.0) + SLIGHT_MARGIN;
     let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, SURE) > margin;
     let all = share(trial);
     if sure(all) && ranked(trial, failed).len() < 2 {
         Finding::Sole
-    } else if sure(trim(trial)) {
+    } else if sure(kept) {
         Finding::Fault
-    } else if trim(trial).1 > LEAST_BAD && lower_bound(trim(trial).1, trim(trial).0, SURE) > slight {
+    } else if kept.1 > LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > slight && spread {
         Finding::Slight
     } else if sure(all) {
         Finding::Few
