--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -231,10 +231,6 @@
     pub figures: Figures,
     /// Since when a finding that must last has lasted.
     pub suspect_from: Option<Micros>,
-    /// The trial's turns are withheld (or given back again) since then, to find a cause.
-    pub pause: Option<(bool, Micros)>,
-    /// When this may be tried again.
-    pub probe_at: Micros,
     /// A build that this front has voted back.
     pub condemned: Option<Build>,
     /// The last vote cast.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -26,10 +26,6 @@
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
-const PROBE_AFTER: Micros = 1_500 * MS; // slowness of all that lasts so long has the trial's turns withheld
-const PROBE_SPAN: Micros = 2_500 * MS; // ...for so long, then given back for as long
-const PROBE_LAG: Micros = 700 * MS; // answers this soon after a change still speak of the time before
-const PROBE_SHARE: f64 = 0.65; // ...if no more than this part of the ready machines is on trial
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
@@ -431,12 +427,11 @@
         let Some(cap) = self.cap(build) else { return false };
         let effect = self.s.classes[r.class].effect != Effect::Repeatable;
         let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(2);
-        let withheld = self.k.pause.is_some_and(|p| p.0);
         let on_trial = self.k.machines.values().filter(|m| m.e.build == build);
         let held: u32 = on_trial.map(|m| m.inflight).sum();
         let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
         let failed_there = r.attempts.iter().any(|a| a.build == build);
-        open && !withheld && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
+        open && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
     }
 
     /// Two random choices by fewest in flight for its size, among machines that the guards allow. Ejected
@@ -740,11 +735,13 @@
         }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let pace = slowness(now, &trial, &earlier);
-        // Danger: earlier machines left idle look quick, and busy new ones slow beside them.
-        let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
-        let slowed = self.against_figures(near).is_none_or(|p| p > SLOW_RATIO);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
-        let fleet = self.fleet_pace(now, build);
+        // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
+        let near = || trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
+        let trial_pace = self.against_figures(near());
+        let fleet = self.fleet_pace(now, build).min(trial_pace.unwrap_or(f64::MAX));
+        // Danger: earlier machines left idle look quick, and busy new ones slow beside them.
+        let slowed = trial_pace.is_none_or(|p| p > SLOW_RATIO);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
         if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && slowed && !self.list_behind(build) && !released {
             let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
@@ -792,7 +789,7 @@
                 self.k.withdrawn.insert(n.build);
             }
             self.k.stage_from = now.saturating_sub(n.age);
-            (self.k.vote, self.k.vote_ok, self.k.pause) = (None, None, None);
+            (self.k.vote, self.k.vote_ok) = (None, None);
             if n.stage == 0 || self.k.places == 0 {
                 let held = |m: &&Machine| m.e.state == MachineState::Ready && m.e.build != n.build;
                 let all = self.k.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
@@ -834,9 +831,7 @@
     }
 
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
-        let found = self.judge(now, n.build).0;
-        self.find_cause(now, n, found);
-        let finding = if self.k.pause.is_some() { found.max(Finding::Doubt) } else { found };
+        let finding = self.judge(now, n.build).0;
         let lasts = match finding {
             // Danger: a front that restarted has seen little, and taking off a released build is dear.
             Finding::Fault if n.phase == Phase::Released && self.k.seen(n.build) < RELEASED_LEAST => {
@@ -876,34 +871,6 @@
         }
     }
 
-    /// Danger: a build that slows old and new in step with its traffic looks like a slow time for all. While
-    /// earlier machines can carry the load, its turns are withheld for a moment, then given back: if the
-    /// slowness goes and returns with them, the build is the cause.
-    fn find_cause(&mut self, now: Micros, n: &News, found: Finding) {
-        let since = |t: Micros| move |s: &&Sample| s.at > t + PROBE_LAG;
-        match self.k.pause {
-            None => {
-                let slow = found == Finding::FleetSlow && n.phase == Phase::Trial && now >= self.k.probe_at;
-                let lasting = self.k.suspect_from.is_some_and(|t| now >= t + PROBE_AFTER);
-                let ready = self.k.machines.values().filter(|m| m.e.state == MachineState::Ready).count();
-                let spare = ready > 0 && self.k.ready(n.build).count() as f64 <= PROBE_SHARE * ready as f64;
-                if slow && lasting && spare {
-                    self.k.pause = Some((true, now));
-                }
-            }
-            Some((withheld, t)) if now >= t + PROBE_SPAN => {
-                let paces = self.k.samples.range(..n.build).flat_map(|b| b.1).filter(since(t));
-                let pace = self.against_figures(paces).unwrap_or(if withheld { FLEET_SLOW } else { 1.0 });
-                self.k.pause = (withheld && pace < FLEET_UNEASY).then_some((false, now));
-                if !withheld && pace > FLEET_UNEASY {
-                    self.k.condemned = Some(n.build);
-                }
-                self.k.probe_at = now + FLEET_LASTS;
-            }
-            Some(_) => {}
-        }
-    }
-
     /// Casts, renews or changes this front's vote, paced and matched to the present stage.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(n) = self.k.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)) else {
