--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -181,9 +181,6 @@
     samples.iter().filter(|s| !out.contains(&s.machine)).copied().collect()
 }
 
-/// A count by the platform: when, how many, how many failed.
-pub type Count = (Micros, f64, f64);
-
 /// What a front knows; it starts empty.
 #[derive(Default)]
 pub struct Knowledge {
@@ -211,8 +208,6 @@
     pub exposed: BTreeMap<(Build, usize), Tally>,
     /// Outcomes as evidence, by build.
     pub samples: BTreeMap<Build, VecDeque<Sample>>,
-    /// The platform's counts, by build and class.
-    pub tallies: BTreeMap<(Build, usize), Vec<Count>>,
     /// Keys answered by a build.
     pub tied: BTreeMap<u64, Build>,
     /// Work that a warm machine is sent, by size and microsecond.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -121,16 +121,10 @@
             Event::Outcome(ref e) => self.on_outcome(now, e, out),
             Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
             Event::News(news) => self.on_news(now, news),
-            Event::Tally { build, class, count, bad, age, .. } => {
-                let at = now.saturating_sub(age);
-                let kept = self.k.tallies.entry((build, class.into())).or_default();
-                kept.retain(|t| t.0 + JUDGE_SPAN > now);
-                kept.push((at, count.into(), bad.min(count).into()));
-            }
             Event::Withdrawn { id } => {
                 self.k.requests.remove(&id);
             }
-            Event::FirstByte { .. } | Event::Probed { .. } => {}
+            Event::FirstByte { .. } | Event::Probed { .. } | Event::Tally { .. } => {}
             Event::Message { .. } => self.k.ignored += 1,
         }
     }
