Broken links no longer eject a machine whatever the others do; half of a build's machines stay

Cause: each reset ejected its machine for seconds, until four slow machines without resets carried everything. Told from dead machines: the same machines answered most requests, and dead ones refuse connections. Covers any fault that strikes most machines a little. May hurt: more attempts at machines that fail together.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -50,6 +50,7 @@
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
 const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
+const EJECT_LEAVES: f64 = 0.5; // ...and more than this part of its build's machines is left
 const EJECT_FOR: Micros = 1_500 * MS; // first ejection; doubles up to eight times this
 const FAIL_WEIGHT: f64 = 0.15; // weight of the newest answer in a machine's failing share
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
@@ -340,7 +341,7 @@
         let deadline = now + a.remaining;
         let attempts = Vec::new();
         let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
-        let admitted = self.admits(&r);
+        let admitted = self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
@@ -554,8 +555,8 @@
                 Sample { at: now, machine: o.machine, kind, class, ok, pace, own },
             );
         }
-        let away = matches!(ending, Ending::ConnectFailed | Ending::Reset);
-        self.eject_failing(now, o.machine, away);
+        // Danger: links that break now and then on all machines must not eject them all; dead ones refuse.
+        self.eject_failing(now, o.machine, ending == Ending::ConnectFailed);
     }
 
     fn on_complaint(&mut self, now: Micros, machine: MachineId, class: u8) {
@@ -579,12 +580,11 @@
         if m.fail < EJECT_SHARE || now < m.ejected_until {
             return;
         }
-        let build = m.e.build;
-        let peers =
-            self.k.machines.values().filter(|o| o.e.build == build && o.e.state == MachineState::Ready);
-        let middle = median(&mut peers.map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
+        let middle = median(&mut self.k.ready(m.e.build).map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
+        let stood = self.k.ready(m.e.build).filter(|o| now >= o.ejected_until).count();
+        let spare = stood as f64 > EJECT_LEAVES * self.k.ready(m.e.build).count() as f64;
         // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
-        if m.fail > EJECT_TIMES * middle || unreachable {
+        if m.fail > EJECT_TIMES * middle && spare || unreachable {
             self.eject(now, id);
         }
     }
@@ -653,8 +653,8 @@
     }
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
-    fn admits(&self, r: &Request) -> bool {
-        let live = |m: &&Machine| m.e.state == MachineState::Ready && m.ejections == 0;
+    fn admits(&self, now: Micros, r: &Request) -> bool {
+        let live = |m: &&Machine| m.e.state == MachineState::Ready && now >= m.ejected_until;
         let (mut held, mut slots) = (0.0, 0.0);
         for m in self.k.machines.values().filter(live) {
             held += f64::from(m.inflight);
--- a/crates/yarrowspoke/tests/mechanism.rs
+++ b/crates/yarrowspoke/tests/mechanism.rs
@@ -336,3 +336,21 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn links_that_break_on_all_machines_do_not_leave_the_work_to_a_few() {
+    let mut rig = Rig::new(settings(), 8);
+    let mut n = 0;
+    let mut per = [0; 8];
+    for _ in 0..800 {
+        n += 1;
+        let machine =
+            rig.round(
+                0,
+                |m| if m < 6 && n % 3 == 0 { (Ending::Reset, 20 * MS) } else { (Ending::Ok, 60 * MS) },
+            );
+        rig.tick();
+        per[machine.expect("a machine is ready") as usize] += 1;
+    }
+    assert!(per[..6].iter().sum::<i32>() > 300, "{per:?}");
+}
