Failures that have ceased no longer send a build back

Cause: outcomes of the last 8 s still held the sick time, too thin to see the machine as sick. Told from a bad build: eight or more outcomes in 2.5 s without a failure. Covers any trouble that passes. May hurt: a build bad in bursts.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -31,6 +31,8 @@
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
 const SICK_SHARE: f64 = 0.25; // ...if it fails more than this share
 const SICK_BAD: f64 = 2.0; // ...and at least so many
+const HEAL_SPAN: Micros = 2_500 * MS; // failures have ceased when outcomes this recent hold none
+const HEAL_LEAST: usize = 8; // ...and are at least so many
 const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
 const SLIGHT_LASTS: Micros = 3_000 * MS; // the same for few but certain failures
@@ -727,6 +729,11 @@
             thin &= t.len() < ENOUGH;
             text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
+        // A build does not recover by itself: failures that have ceased were a machine's or the network's.
+        let recent = trial.iter().copied().filter(|s| s.at + HEAL_SPAN > now).collect::<Vec<_>>();
+        if recent.len() >= HEAL_LEAST && share(&recent).1 == 0.0 {
+            worst = worst.min(Finding::Doubt);
+        }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let pace = slowness(now, &trial, &earlier);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
--- a/crates/yarrowspoke/tests/mechanism.rs
+++ b/crates/yarrowspoke/tests/mechanism.rs
@@ -340,17 +340,33 @@
 #[test]
 fn links_that_break_on_all_machines_do_not_leave_the_work_to_a_few() {
     let mut rig = Rig::new(settings(), 8);
-    let mut n = 0;
     let mut per = [0; 8];
-    for _ in 0..800 {
-        n += 1;
+    for n in 0..800 {
+        let broken = |m| m < 6 && n % 3 == 0;
         let machine =
-            rig.round(
-                0,
-                |m| if m < 6 && n % 3 == 0 { (Ending::Reset, 20 * MS) } else { (Ending::Ok, 60 * MS) },
-            );
+            rig.round(0, |m| if broken(m) { (Ending::Reset, 20 * MS) } else { (Ending::Ok, 60 * MS) });
         rig.tick();
         per[machine.expect("a machine is ready") as usize] += 1;
     }
     assert!(per[..6].iter().sum::<i32>() > 300, "{per:?}");
 }
+
+#[test]
+fn failures_that_have_ceased_do_not_send_a_build_back() {
+    let mut rig = trial(settings(), 1, 0, 0);
+    let mut votes =
+        play(
+            &mut rig,
+            2_500 * MS,
+            |m, _| {
+                if m >= 20 {
+                    (Ending::Error, 20 * MS)
+                } else {
+                    (Ending::Ok, 60 * MS)
+                }
+            },
+        );
+    votes.extend(play(&mut rig, 9 * S, fine));
+    assert!(votes.iter().all(|v| v.1 != Verdict::Back), "{votes:?}");
+    assert!(votes.iter().any(|v| v.1 == Verdict::On), "{votes:?}");
+}
