Never hold a build against one that was taken off

Cause: the newest earlier build with outcomes was the bad one taken off 15 s before, so nothing recent stood beside the trial. May hurt: a first build after a restart has nothing beside it.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -290,6 +290,12 @@
         starts.max().unwrap_or(0).max(self.stage_from)
     }
 
+    /// Outcomes of the builds below `build`, lowest first, without those that were taken off.
+    pub fn kept_below(&self, build: Build) -> impl DoubleEndedIterator<Item = &VecDeque<Sample>> {
+        let kept = |s: &(&Build, &VecDeque<Sample>)| !self.withdrawn.contains(s.0);
+        self.samples.range(..build).filter(kept).map(|s| s.1)
+    }
+
     /// How many outcomes of `build` are kept.
     pub fn seen(&self, build: Build) -> usize {
         self.samples.get(&build).map_or(0, VecDeque::len)
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -679,9 +679,10 @@
     }
 
     // ---- The judge -----------------------------------------------------------------------------------
-    /// The earlier build that `build` is held against: the newest below it with enough outcomes.
+    /// The earlier build that `build` is held against: the newest below it with enough outcomes. Danger: one
+    /// that was taken off must not count, or the next bad build is held against the last.
     fn earlier(&self, build: Build) -> Vec<&Sample> {
-        let below = || self.k.samples.range(..build).rev().map(|s| s.1);
+        let below = || self.k.kept_below(build).rev();
         let ring = below().find(|r| r.len() >= ENOUGH).or_else(|| below().max_by_key(|r| r.len()));
         ring.into_iter().flatten().collect()
     }
@@ -689,7 +690,7 @@
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-        let before = self.k.samples.range(..build).flat_map(|b| b.1).filter(late);
+        let before = self.k.kept_below(build).flatten().filter(late);
         self.against_figures(before).unwrap_or_else(|| {
             let all = self.k.samples.values().flatten().filter(late);
             self.against_figures(all).unwrap_or(1.0)
@@ -706,7 +707,7 @@
     /// Takes the figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
         let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-        for s in self.k.samples.range(..build).flat_map(|b| b.1).filter(|s| s.at + JUDGE_SPAN > now) {
+        for s in self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now) {
             groups.entry((s.kind, s.class)).or_default().extend(s.own);
         }
         self.k.figures = middles(groups, ENOUGH / 2);
--- a/crates/yarrowspoke/tests/mechanism.rs
+++ b/crates/yarrowspoke/tests/mechanism.rs
@@ -370,3 +370,27 @@
     assert!(votes.iter().all(|v| v.1 != Verdict::Back), "{votes:?}");
     assert!(votes.iter().any(|v| v.1 == Verdict::On), "{votes:?}");
 }
+
+#[test]
+fn a_slow_build_is_not_held_against_a_slow_one_taken_off_before_it() {
+    let mut rig = trial(settings(), 3, 1, 0);
+    let slow = |m: MachineId, _| (Ending::Ok, if m >= 20 { 180 * MS } else { 60 * MS });
+    let votes = play(&mut rig, 9 * S, slow);
+    assert!(votes.iter().any(|v| v.1 == Verdict::Back), "{votes:?}");
+    rig.say(Event::News(news(2, 1, Phase::Withdrawn, 0.0)));
+    let gone = |m| Entry { state: MachineState::Gone, ..entry(m, 2, 0) };
+    rig.list(ListKind::Delta, &[gone(20), gone(21), gone(22)]);
+    play(&mut rig, 9 * S, fine);
+    rig.say(Event::News(news(3, 1, Phase::Trial, 0.5)));
+    let start = rig.now;
+    rig.list(ListKind::Delta, &[entry(30, 3, start), entry(31, 3, start), entry(32, 3, start)]);
+    let mut back = false;
+    while rig.now < start + 10 * S {
+        for _ in 0..8 {
+            rig.round(0, |m| slow(m, 0));
+        }
+        rig.tick();
+        back |= rig.vote() == Some(Verdict::Back);
+    }
+    assert!(back);
+}
