--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -925,7 +925,7 @@
     let slight = (base.1 + 0.5) / base.0.max(1.0) + SLIGHT_MARGIN;
     let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, SURE) > margin;
     let all = share(trial);
-    if sure(all) && ranked(trial, failed).len() < 2 {
+    if sure(all) && ranked(&failing, failed).len() < 2 {
         Finding::Sole
     } else if sure(kept) {
         Finding::Fault
