Errors that strike earlier machines too hold a build in its first stages

Told from a bad build: an earlier machine was ejected and its last answer was an error. A first form that read any ejected machine let lost answers mask a bad build (its test failed); one that read recent errors only never acted, as ejected machines get no work. May hurt: a bad build among fast errors is held, not sent back, in its first two stages.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -18,6 +18,7 @@
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
+const EFFECT_STAGE: u8 = 2; // the third stage, from which requests with an effect may go to trial
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLIGHT_MARGIN: f64 = 0.005; // the same for failures that are few but certain and must last
 const SPREAD: f64 = 0.25; // ...and must show on this part of the build's machines
@@ -423,7 +424,7 @@
     fn turn(&self, r: &Request, build: Build) -> bool {
         let Some(cap) = self.cap(build) else { return false };
         let effect = self.s.classes[r.class].effect != Effect::Repeatable;
-        let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(2);
+        let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(EFFECT_STAGE);
         let on_trial = self.k.machines.values().filter(|m| m.e.build == build);
         let held: u32 = on_trial.map(|m| m.inflight).sum();
         let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
@@ -719,17 +720,28 @@
         let trial: Vec<&Sample> = self.k.samples.get(&build).into_iter().flatten().filter(lately).collect();
         let earlier = self.earlier(build);
         let (mut worst, mut thin, mut text) = (failing(&trial, &earlier), true, String::new());
+        let mut picked = false;
         for class in 0..self.s.classes.len() {
             let (t, rest): (Vec<_>, Vec<_>) = trial.iter().partition(|s| s.class == class);
             let e: Vec<_> = earlier.iter().filter(|s| s.class == class).copied().collect();
             let found = failing(&t, &e);
             let (n, bad) = share(&rest);
             // One machine may be sick, but a sick machine does not pick a class: then it is the build.
-            let picked = found == Finding::Sole && n >= CLASS_REST && bad < n * BACK_MARGIN;
-            worst = worst.max(if picked { Finding::Fault } else { found });
+            picked |= found >= Finding::Sole && n >= CLASS_REST && bad < n * BACK_MARGIN;
+            worst = worst.max(found);
             thin &= t.len() < ENOUGH;
             text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
+        // Danger: what strikes earlier machines too, at the same time, strikes the few new ones by chance.
+        // While effects are still kept from them, waiting costs little.
+        let last: BTreeMap<MachineId, bool> = earlier.iter().map(|s| (s.machine, s.ok)).collect();
+        let erring = |m: &Machine| m.e.state == MachineState::Ready && m.ejections > 0;
+        let outbreak = last.iter().any(|(id, ok)| !ok && self.k.machines.get(id).is_some_and(erring));
+        if picked {
+            worst = Finding::Fault;
+        } else if outbreak && self.stage(build) < EFFECT_STAGE {
+            worst = worst.min(Finding::Doubt);
+        }
         // A build does not recover by itself: failures that have ceased were a machine's or the network's.
         let recent = trial.iter().copied().filter(|s| s.at + HEAL_SPAN > now).collect::<Vec<_>>();
         if recent.len() >= HEAL_LEAST && share(&recent).1 == 0.0 {
