--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -174,7 +174,8 @@
         self.end_after(id, 0, machine, ending, took);
         let mut attempt = 1;
         while let Some((id, next)) = self.sent() {
-            self.end(id, attempt, next, Ending::Ok);
+            let (ending, took) = how(next);
+            self.end_after(id, attempt, next, ending, took);
             attempt += 1;
         }
         Some(machine)
