--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -167,6 +167,7 @@
             && r.attempts.len() < self.s.max_attempts as usize
             && drains
             && self.may_repeat(now, r, m)
+            && self.tie_allows(r, m)
             && self.cold_allows(now, r, m)
             && self.exposure_allows(now, r.class, m.e.build)
     }
@@ -194,6 +195,12 @@
         })
     }
 
+    /// Rule 5, forward only: a key that the new build has answered goes to no earlier one.
+    fn tie_allows(&self, r: &Request, m: &Machine) -> bool {
+        let tied = self.k.tied.get(&r.key).filter(|_| r.key != 0 && self.s.release.forward_only);
+        tied.is_none_or(|build| m.e.build >= *build)
+    }
+
     /// Rule 2: a refusal promises that trying again is harmless.
     fn may_refuse(&self, now: Micros, r: &Request) -> bool {
         let c = &self.s.classes[r.class];
@@ -399,10 +406,8 @@
 
     /// The ordinary path of the design, with its departures marked.
     fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
-        let tied = self.k.tied.get(&r.key).copied().filter(|_| r.key != 0 && self.s.release.forward_only);
-        let least = tied.unwrap_or(0);
-        let earlier = self.draw(now, r, |f, m| m.e.build >= least && f.cap(m.e.build).is_none());
-        let trial = self.draw(now, r, |f, m| m.e.build >= least && f.turn(r, m.e.build));
+        let earlier = self.draw(now, r, |f, m| f.cap(m.e.build).is_none());
+        let trial = self.draw(now, r, |f, m| f.turn(r, m.e.build));
         match (earlier, trial) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
@@ -416,7 +421,7 @@
             (None, Some(t)) => Some(t),
             // Departure: with no earlier machine left, position, ceiling and effect turns yield; the rule
             // stays.
-            (None, None) => self.draw(now, r, |f, m| m.e.build >= least && f.cap(m.e.build).is_some()),
+            (None, None) => self.draw(now, r, |f, m| f.cap(m.e.build).is_some()),
         }
     }
 
