Each front meets 20 machines of each build; turns end at the build's part of capacity

Cause: at full size a front's own in-flight count is next to nothing, so turns under a cap of 1 all went to a quarter of the machines, draws were blind to machine size, and each front met hundreds of machines it knew nothing of. Every front sending one request to a cold machine pushed it over. Change: a steady stretch of a ring of machines for each front and build; positions count up to the build's part of capacity; draws by size, warmth and measured pace; cold machines get a lot drawn per span where the part is less than a request. Also covers: machines that accept few connections, CPU at size. May hurt where a front's whole stretch is sick: then the whole fleet is asked.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -51,6 +51,16 @@
     ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The one of `sizes` in which `at`, from 0 to below 1, falls when they are laid end to end.
+pub fn weighted(sizes: &[(MachineId, f64)], at: f64) -> Option<MachineId> {
+    let mut left = at * sizes.iter().map(|s| s.1).sum::<f64>();
+    let past = |s: &&(MachineId, f64)| {
+        left -= s.1;
+        left < 0.0
+    };
+    sizes.iter().find(past).or(sizes.last()).map(|s| s.0)
+}
+
 /// A named value of a load report, if it is there and a number.
 pub fn load_value(fields: &[LoadField], load: &[f32], wanted: LoadField) -> Option<f64> {
     let at = fields.iter().position(|f| *f == wanted)?;
@@ -73,6 +83,8 @@
     pub ejections: u32,
     /// Work sent, for the cold budget.
     pub sent: Tally,
+    /// Its answer times over its kind's, smoothed.
+    pub pace: f64,
 }
 
 /// One attempt of a request.
@@ -152,12 +164,31 @@
 /// Middles by machine kind and class.
 pub type Figures = BTreeMap<(u8, usize), f64>;
 
-/// The middle of each group that holds at least `least` values.
-pub fn middles(groups: BTreeMap<(u8, usize), Vec<f64>>, least: usize) -> Figures {
+/// The middle of `value` for each machine kind and class with at least `least` of them.
+pub fn middles<'a>(
+    samples: impl Iterator<Item = &'a Sample>,
+    value: impl Fn(&Sample) -> Option<f64>,
+    least: usize,
+) -> Figures {
+    let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
+    for s in samples {
+        groups.entry((s.kind, s.class)).or_default().extend(value(s));
+    }
     let enough = groups.into_iter().filter(|g| g.1.len() >= least);
     enough.filter_map(|(k, mut v)| Some((k, median(&mut v)?))).collect()
 }
 
+/// Median of own paces over the figures for their kind and class, if there are `least` of them.
+pub fn pace_over<'a>(
+    samples: impl Iterator<Item = &'a Sample>,
+    figures: &Figures,
+    least: usize,
+) -> Option<f64> {
+    let ratio = |s: &Sample| Some(s.own? / figures.get(&(s.kind, s.class))?.max(f64::MIN_POSITIVE));
+    let mut paces: Vec<f64> = samples.filter_map(ratio).collect();
+    median(&mut paces).filter(|_| paces.len() >= least)
+}
+
 /// How many samples there are, and how many of them failed.
 pub fn share(samples: &[&Sample]) -> (f64, f64) {
     (samples.len() as f64, samples.iter().filter(|s| !s.ok).count() as f64)
@@ -192,6 +223,18 @@
     pub outs: BTreeMap<(RequestId, u16), Out>,
     /// Attempts out.
     pub inflight: u32,
+    /// Attempts out, by build.
+    pub held: BTreeMap<Build, u32>,
+    /// The machines that this front sends to, by build.
+    pub reach: BTreeMap<Build, Vec<MachineId>>,
+    /// Ready machines.
+    pub ready_count: f64,
+    /// Each build's part of the fleet's capacity.
+    pub parts: BTreeMap<Build, f64>,
+    /// Fronts that meet a machine of the largest build, over those that meet one of this build.
+    pub fewer: BTreeMap<Build, f64>,
+    /// Smoothed answer time over expected work, by kind.
+    pub kind_pace: BTreeMap<u8, f64>,
     /// The last valid news.
     pub news: Option<News>,
     /// When the present stage began, as told.
@@ -253,10 +296,11 @@
             ejected_until: 0,
             ejections: 0,
             sent: Tally::default(),
+            pace: 1.0,
         };
         let m = self.machines.entry(e.machine).or_insert_with(fresh);
         if m.e.started != e.started || m.e.build != e.build {
-            (m.fail, m.ejected_until, m.ejections, m.quiet_from) = (0.0, 0, 0, now);
+            (m.fail, m.ejected_until, m.ejections, m.quiet_from, m.pace) = (0.0, 0, 0, now, 1.0);
         }
         m.e = e.clone();
         if !(m.e.weight > 0.0 && m.e.weight.is_finite()) {
@@ -272,6 +316,27 @@
         }
     }
 
+    /// Orders the ready machines of each build on a ring by a hash of their ids, and keeps the `most` from
+    /// `part` of the way round.
+    pub fn reach_anew(&mut self, most: usize, part: f64) {
+        let mut rings: BTreeMap<Build, Vec<MachineId>> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.e.state == MachineState::Ready) {
+            rings.entry(m.e.build).or_default().push(m.e.machine);
+        }
+        for ring in rings.values_mut() {
+            ring.sort_by(|a, b| position(u64::from(*a)).total_cmp(&position(u64::from(*b))));
+            let from = (part * ring.len() as f64) as usize % ring.len();
+            ring.rotate_left(from);
+            ring.truncate(most);
+        }
+        self.reach = rings;
+    }
+
+    /// The machines within reach.
+    pub fn reached(&self) -> impl Iterator<Item = &Machine> {
+        self.reach.values().flatten().filter_map(|id| self.machines.get(id))
+    }
+
     /// The ready machines that run `build`.
     pub fn ready(&self, build: Build) -> impl Iterator<Item = &Machine> {
         let ready = move |m: &&Machine| m.e.build == build && m.e.state == MachineState::Ready;
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -50,6 +50,9 @@
 const RING: usize = 3_000; // outcomes kept for each build
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
+const REACH: usize = 20; // machines of each build that one front sends to
+const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
+const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to differ from its kind's, either way
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
 const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
@@ -142,7 +145,7 @@
         out.push(Action::Timer { name: 0, after: TICK });
         let rate = self.k.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
         self.k.best_rate = rate.max(self.k.best_rate * RATE_FADE);
-        self.learn_usual_work(now);
+        self.measure(now);
         self.follow_list(now, out);
         self.eject_silent(now);
         self.rescue(now, out);
@@ -162,10 +165,9 @@
 
     /// Rules 2 to 5 for one send; rule 1 is `finish` and the ledger of open requests.
     fn may_send(&self, now: Micros, r: &Request, m: &Machine) -> bool {
-        let drains = m.e.state == MachineState::Ready;
         now < r.deadline
             && r.attempts.len() < self.s.max_attempts as usize
-            && drains
+            && m.e.state == MachineState::Ready
             && self.may_repeat(now, r, m)
             && self.tie_allows(r, m)
             && self.cold_allows(now, r, m)
@@ -220,36 +222,59 @@
         self.s.cold_from + (1.0 - self.s.cold_from) * age as f64 / self.s.warm_after as f64
     }
 
-    /// Rule 4: work sent to a cold machine stays under a part of what it can bear, taking what warm
-    /// machines of its size are sent as their capacity. A front without history sends next to nothing.
+    /// Rule 4: work sent to a cold machine stays under this front's part of what it can bear, taking what
+    /// warm machines of its size are sent as their capacity. Danger: hundreds of fronts push it over with one
+    /// request each: where the part is less than one request, a lot drawn for each span decides.
     fn cold_allows(&self, now: Micros, r: &Request, m: &Machine) -> bool {
         let warmth = self.warmth(now, m);
         if warmth >= 1.0 {
             return true;
         }
         let span = self.s.fall + EDGE;
-        let sent = m.sent.sum(now, span);
         let bears = self.k.usual_work * span as f64 * m.e.weight * warmth * self.s.tip_multiple;
-        sent == 0.0 || sent + r.work <= COLD_PART * bears
+        let part = COLD_PART * bears * self.k.fewer.get(&m.e.build).copied().unwrap_or(1.0);
+        let sent = m.sent.sum(now, span);
+        let mine = u64::from(m.e.machine) | u64::from(self.s.me) << 32;
+        let lot = position(mine ^ (now / span) << 48);
+        sent + r.work <= part
+            || sent == 0.0 && lot < (part / r.work).max(1.0 / f64::from(self.s.fronts.max(1)))
     }
 
-    /// Work that a warm machine is sent, by size and time: the measure of capacity for cold ones. With no
-    /// warm
-    /// machine left the last figure stands; a front that never saw one takes its whole work over all
-    /// machines.
-    fn learn_usual_work(&mut self, now: Micros) {
+    /// Work that a warm machine is sent, by size and time: the measure of capacity for cold ones. With none
+    /// left the last figure stands; a front that never saw one takes its whole work over all machines. Then
+    /// each build's part of the fleet's capacity, and how many more fronts meet its machines than others.
+    fn measure(&mut self, now: Micros) {
         let span = self.s.fall;
-        let ready = || self.k.machines.values().filter(|m| m.e.state == MachineState::Ready);
-        let warm = || ready().filter(|m| self.warmth(now, m) >= 1.0);
+        let warm = || self.k.reached().filter(|m| self.warmth(now, m) >= 1.0);
         let size: f64 = warm().map(|m| m.e.weight).sum();
+        let ready = || self.k.machines.values().filter(|m| m.e.state == MachineState::Ready);
+        let mut usual = self.k.usual_work;
         if size > 0.0 {
             let work: f64 = warm().map(|m| m.sent.sum(now, span)).sum();
-            self.k.usual_work = work / size / span as f64;
-        } else if self.k.usual_work == 0.0 {
+            usual = work / size / span as f64;
+        } else if usual == 0.0 {
             let taken: f64 = self.k.accepted.iter().map(|t| t.sum(now, span)).sum();
             let all: f64 = ready().map(|m| m.e.weight).sum();
-            self.k.usual_work = taken * NOMINAL_WORK / all.max(1.0) / span as f64;
+            usual = taken * NOMINAL_WORK / all.max(1.0) / span as f64;
         }
+        let (mut capacity, mut count) = (BTreeMap::new(), BTreeMap::new());
+        for m in ready() {
+            *capacity.entry(m.e.build).or_insert(0.0) += self.capacity(now, m);
+            *count.entry(m.e.build).or_insert(0.0) += 1.0;
+        }
+        let met = |n: f64| (REACH as f64).min(n) / n.max(1.0);
+        let most = count.values().copied().fold(0.0, f64::max);
+        let fewer = count.iter().map(|(b, n)| (*b, met(most) / met(*n))).collect();
+        let all: f64 = capacity.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        let parts = capacity.into_iter().map(|(b, c)| (b, c / all)).collect();
+        (self.k.usual_work, self.k.parts, self.k.fewer) = (usual, parts, fewer);
+        self.k.ready_count = count.values().sum();
+    }
+
+    /// What a machine is taken to serve beside others: size, warmth, and the pace of its kind and its own.
+    fn capacity(&self, now: Micros, m: &Machine) -> f64 {
+        let kind = self.k.kind_pace.get(&m.e.kind).copied().unwrap_or(1.0);
+        m.e.weight * self.warmth(now, m) / (kind * m.pace)
     }
 
     /// The cap that binds `build`, or `None` if it is not on trial. A build not named yet is stage 0.
@@ -331,6 +356,10 @@
         for e in entries {
             self.k.learn(now, e);
         }
+        // Danger: a front that meets every machine of a large fleet learns nothing of any, and holds
+        // connections that machines may lack. Each takes a stretch of a ring instead, overlapping.
+        self.k.reach_anew(REACH, f64::from(self.s.me) / f64::from(self.s.fronts.max(1)));
+        self.measure(now);
     }
 
     // ---- Routing: window, in-flight ceiling, hash positions, two random choices -------------------
@@ -351,7 +380,7 @@
         let deadline = now + a.remaining;
         let attempts = Vec::new();
         let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
-        let admitted = self.admits(now, &r);
+        let admitted = self.admits(&r);
         self.k.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
@@ -396,6 +425,7 @@
         m.sent.add(now, r.work, fall.max(RATE_SPAN));
         let (build, zone, cell, queue) = (m.e.build, m.e.zone, m.e.cell, f64::from(m.inflight));
         self.k.inflight += 1;
+        *self.k.held.entry(build).or_default() += 1;
         self.k.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
         let attempt = r.attempts.len() as u16;
         r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
@@ -406,9 +436,11 @@
 
     /// The ordinary path of the design, with its departures marked.
     fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
-        let earlier = self.draw(now, r, |f, m| f.cap(m.e.build).is_none());
-        let trial = self.draw(now, r, |f, m| f.turn(r, m.e.build));
-        match (earlier, trial) {
+        let builds: Vec<Build> = self.k.reach.keys().copied().collect();
+        let (trial, earlier): (Vec<Build>, Vec<_>) = builds.iter().partition(|b| self.cap(**b).is_some());
+        let turns: Vec<Build> = trial.iter().filter(|b| self.turn(r, **b)).copied().collect();
+        let (e, t) = (self.draw(now, r, &earlier), self.draw(now, r, &turns));
+        match (e, t) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
                 // Departure: a machine inside its own window takes a turn only when the earlier ones carry
@@ -421,7 +453,7 @@
             (None, Some(t)) => Some(t),
             // Departure: with no earlier machine left, position, ceiling and effect turns yield; the rule
             // stays.
-            (None, None) => self.draw(now, r, |f, m| f.cap(m.e.build).is_some()),
+            (None, None) => self.draw(now, r, &trial),
         }
     }
 
@@ -430,34 +462,37 @@
         let Some(cap) = self.cap(build) else { return false };
         let effect = self.s.classes[r.class].effect != Effect::Repeatable;
         let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(EFFECT_STAGE);
-        let on_trial = self.k.machines.values().filter(|m| m.e.build == build);
-        let held: u32 = on_trial.map(|m| m.inflight).sum();
+        let held = self.k.held.get(&build).copied().unwrap_or(0);
         let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
         let failed_there = r.attempts.iter().any(|a| a.build == build);
-        open && r.pos < cap && !failed_there && f64::from(held + 1) <= ceiling
-    }
-
-    /// Two random choices by fewest in flight for its size, among machines that the guards allow. Ejected
-    /// machines stand aside while others are left.
-    fn draw(
-        &mut self,
-        now: Micros,
-        r: &Request,
-        wanted: impl Fn(&Self, &Machine) -> bool,
-    ) -> Option<MachineId> {
-        let allowed = |m: &&Machine| wanted(self, m) && self.may_send(now, r, m);
-        let all: Vec<&Machine> = self.k.machines.values().filter(allowed).collect();
-        let untried = |m: &&&Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
-        let mut ids: Vec<MachineId> =
-            all.iter().filter(untried).filter(|m| self.sound(now, m, r)).map(|m| m.e.machine).collect();
-        if ids.is_empty() {
-            ids = all.iter().map(|m| m.e.machine).collect();
-        }
-        if ids.is_empty() {
-            return None;
+        // Departure: a front with next to nothing in flight cannot see from it that the new machines carry
+        // too much: positions count only up to their part of the fleet's capacity.
+        let part = self.k.parts.get(&build).copied().unwrap_or(0.0);
+        open && r.pos < cap.min(part) && !failed_there && f64::from(held + 1) <= ceiling
+    }
+
+    /// Two random choices, drawn by capacity, by fewest in flight for it, among machines of `builds` that the
+    /// guards allow. Ejected machines stand aside while others are left, then the whole fleet is asked.
+    fn draw(&mut self, now: Micros, r: &Request, builds: &[Build]) -> Option<MachineId> {
+        let near = builds.iter().filter_map(|b| self.k.reach.get(b)).flatten();
+        let near: Vec<&Machine> = near.map(|id| &self.k.machines[id]).collect();
+        let allowed = |m: &&&Machine| self.may_send(now, r, m);
+        let untried = |m: &Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
+        let good = |m: &&&Machine| untried(m) && self.sound(now, m, r) && allowed(m);
+        let mut of: Vec<&Machine> = near.iter().filter(good).copied().collect();
+        if of.is_empty() {
+            let all: Vec<_> = self.k.machines.values().filter(|m| builds.contains(&m.e.build)).collect();
+            of = all.iter().filter(good).copied().collect();
+            if of.is_empty() {
+                of = near.iter().filter(allowed).copied().collect();
+            }
+            if of.is_empty() {
+                of = all.iter().filter(allowed).copied().collect();
+            }
         }
-        let a = ids[self.jitter(ids.len() as u64) as usize];
-        let b = ids[self.jitter(ids.len() as u64) as usize];
+        let sizes: Vec<(MachineId, f64)> = of.iter().map(|m| (m.e.machine, self.capacity(now, m))).collect();
+        let at = [0, 1].map(|_| position(self.rng.next_u64()));
+        let (a, b) = (weighted(&sizes, at[0])?, weighted(&sizes, at[1])?);
         let (la, lb) = (self.load_of(now, a), self.load_of(now, b));
         Some(if lb < la { b } else { a })
     }
@@ -475,7 +510,7 @@
 
     fn load_of(&self, now: Micros, id: MachineId) -> f64 {
         let m = &self.k.machines[&id];
-        f64::from(m.inflight) / (m.e.weight * self.warmth(now, m))
+        f64::from(m.inflight) / self.capacity(now, m)
     }
 
     // ---- Attempts: outcomes, ejection, further attempts --------------------------------------------
@@ -486,6 +521,7 @@
             return;
         };
         self.k.inflight = self.k.inflight.saturating_sub(1);
+        self.k.held.entry(o.build).and_modify(|h| *h = h.saturating_sub(1));
         self.note_machine(now, &o, e);
         if ending == Ending::Ok {
             self.k.served.add(now, 1.0, RATE_SPAN);
@@ -552,16 +588,19 @@
             // A reported service time holds no waiting; in our own answers the queue met is taken out
             // roughly.
             let own = timed.then_some(e.took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
+            if let Some(own) = own {
+                let usual = self.k.kind_pace.entry(kind).or_insert(own);
+                *usual += TIME_WEIGHT * (own - *usual);
+                m.pace += PACE_WEIGHT * (own / usual.max(f64::MIN_POSITIVE) - m.pace);
+                m.pace = m.pace.clamp(1.0 / PACE_BOUND, PACE_BOUND);
+            }
             // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
             let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
             let reports = self.s.report_fields.contains(&LoadField::MeanMs);
             let pace = if reports { service.filter(|_| timed && settled) } else { own };
-            self.k.note_sample(
-                o.build,
-                RING,
-                Sample { at: now, machine: o.machine, kind, class, ok, pace, own },
-            );
+            let sample = Sample { at: now, machine: o.machine, kind, class, ok, pace, own };
+            self.k.note_sample(o.build, RING, sample);
         }
         // Danger: links that break now and then on all machines must not eject them all; dead ones refuse.
         self.eject_failing(now, o.machine, ending == Ending::ConnectFailed);
@@ -574,11 +613,8 @@
             return;
         };
         let (build, kind) = (m.e.build, m.e.kind);
-        self.k.note_sample(
-            build,
-            RING,
-            Sample { at: now, machine, kind, class, ok: false, pace: None, own: None },
-        );
+        let sample = Sample { at: now, machine, kind, class, ok: false, pace: None, own: None };
+        self.k.note_sample(build, RING, sample);
     }
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
@@ -620,18 +656,12 @@
             let m = &self.k.machines[&a.machine];
             a.out && (m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR)
         };
-        let ids: Vec<_> = self
-            .k
-            .requests
-            .iter()
-            .filter(|(_, r)| {
-                let effect = self.s.classes[r.class].effect;
-                effect != Effect::Once
-                    && r.attempts.last().is_some_and(stuck)
-                    && r.attempts.iter().filter(|a| a.out).count() == 1
-            })
-            .map(|(id, _)| *id)
-            .collect();
+        let movable = |r: &Request| {
+            self.s.classes[r.class].effect != Effect::Once
+                && r.attempts.last().is_some_and(stuck)
+                && r.attempts.iter().filter(|a| a.out).count() == 1
+        };
+        let ids: Vec<_> = self.k.requests.iter().filter(|r| movable(r.1)).map(|r| *r.0).collect();
         for id in ids {
             if self.s.second_copies {
                 if self.afford_retry() {
@@ -661,14 +691,9 @@
     }
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
-    fn admits(&self, now: Micros, r: &Request) -> bool {
-        let live = |m: &&Machine| m.e.state == MachineState::Ready && now >= m.ejected_until;
-        let (mut held, mut slots) = (0.0, 0.0);
-        for m in self.k.machines.values().filter(live) {
-            held += f64::from(m.inflight);
-            slots += FREE_SLOTS;
-        }
-        if held < slots / f64::from(self.s.fronts.max(1)) {
+    fn admits(&self, r: &Request) -> bool {
+        let held = f64::from(self.k.inflight);
+        if held < FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1)) {
             return true;
         }
         let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
@@ -697,26 +722,16 @@
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
         let before = self.k.kept_below(build).flatten().filter(late);
-        self.against_figures(before).unwrap_or_else(|| {
+        pace_over(before, &self.k.figures, ENOUGH).unwrap_or_else(|| {
             let all = self.k.samples.values().flatten().filter(late);
-            self.against_figures(all).unwrap_or(1.0)
+            pace_over(all, &self.k.figures, ENOUGH).unwrap_or(1.0)
         })
     }
 
-    /// Median pace of some outcomes against the figures, if there are enough of both.
-    fn against_figures<'a>(&self, samples: impl Iterator<Item = &'a Sample>) -> Option<f64> {
-        let ratio = |s: &Sample| Some(s.own? / self.k.figures.get(&(s.kind, s.class))?.max(1e-9));
-        let mut paces: Vec<f64> = samples.filter_map(ratio).collect();
-        median(&mut paces).filter(|_| paces.len() >= ENOUGH)
-    }
-
     /// Takes the figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
-        let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-        for s in self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now) {
-            groups.entry((s.kind, s.class)).or_default().extend(s.own);
-        }
-        self.k.figures = middles(groups, ENOUGH / 2);
+        let lately = self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now);
+        self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
     /// Compares each class, and all together, with the earlier build; the worst finding stands.
@@ -757,7 +772,7 @@
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = || trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
-        let trial_pace = self.against_figures(near());
+        let trial_pace = pace_over(near(), &self.k.figures, ENOUGH);
         let fleet = self.fleet_pace(now, build).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and busy new ones slow beside them.
         let slowed = trial_pace.is_none_or(|p| p > SLOW_RATIO);
@@ -912,12 +927,8 @@
         self.k.vote_waits = true;
         self.k.vote_sent = now + self.jitter(VOTE_GAP / 4);
         out.push(Action::Vote { build: n.build, stage: n.stage, verdict });
-        out.push(Action::Log(format!(
-            "{verdict:?} {} stage {}: {}",
-            n.build,
-            n.stage,
-            self.judge(now, n.build).1
-        )));
+        let why = self.judge(now, n.build).1;
+        out.push(Action::Log(format!("{verdict:?} {} stage {}: {why}", n.build, n.stage)));
     }
 }
 
@@ -961,16 +972,13 @@
 /// median's lower bound, as medians of 20 scattered answers alone differ by half too often; and the number
 /// of machines seen, the slowest left out of the figures where there are several.
 fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64, usize) {
-    let mut groups: BTreeMap<(u8, usize), Vec<f64>> = BTreeMap::new();
-    for s in earlier.iter().filter(|s| s.at + PACE_SPAN > now) {
-        groups.entry((s.kind, s.class)).or_default().extend(s.pace);
-    }
     // Danger: once the earlier machines are idle or gone, a busy moment of the new ones has no match.
     let last = earlier.iter().filter(|s| s.pace.is_some()).map(|s| s.at).max().unwrap_or(0);
     if last + PACE_GAP < now {
         return (1.0, 1.0, 0);
     }
-    let usual = middles(groups, ENOUGH / 2);
+    let lately = earlier.iter().copied().filter(|s| s.at + PACE_SPAN > now);
+    let usual = middles(lately, |s| s.pace, ENOUGH / 2);
     let ratio = |s: &Sample| Some(s.pace? / usual.get(&(s.kind, s.class))?.max(1e-9));
     let near = |s: &&&Sample| s.at + PACE_SPAN > now && ratio(s).is_some();
     let timed: Vec<&Sample> = trial.iter().filter(near).copied().collect();
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -168,7 +168,10 @@
     /// Offers one request of `class`, ends it as `how` says for its machine, and returns the machine.
     pub fn round(&mut self, class: u8, how: impl Fn(MachineId) -> (Ending, Micros)) -> Option<MachineId> {
         self.request(class);
-        let (id, machine) = self.sent()?;
+        let Some((id, machine)) = self.sent() else {
+            self.now += 5 * MS;
+            return None;
+        };
         let (ending, took) = how(machine);
         self.now += took.min(5 * MS);
         self.end_after(id, 0, machine, ending, took);
