Turns up to 1.25 times the build's part of the places; ejected machines' work is not held

Cause: with earlier machines staying, a build's part of all machines is smaller than its part of the places, and work on hung machines counted as queue.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -51,6 +51,7 @@
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
 const REACH: usize = 20; // machines of each build that one front sends to
+const PUSH: f64 = 1.25; // positions that go to trial, over its part of the capacity that is there anyway
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
 const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to differ from its kind's, either way
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
@@ -265,7 +266,8 @@
         let met = |n: f64| (REACH as f64).min(n) / n.max(1.0);
         let most = count.values().copied().fold(0.0, f64::max);
         let fewer = count.iter().map(|(b, n)| (*b, met(most) / met(*n))).collect();
-        let all: f64 = capacity.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        let stays = |b: &&Build| !self.s.release.parallel || self.cap(**b).is_none();
+        let all = capacity.iter().filter(|c| stays(&c.0)).map(|c| c.1).sum::<f64>().max(f64::MIN_POSITIVE);
         let parts = capacity.into_iter().map(|(b, c)| (b, c / all)).collect();
         (self.k.usual_work, self.k.parts, self.k.fewer) = (usual, parts, fewer);
         self.k.ready_count = count.values().sum();
@@ -380,7 +382,7 @@
         let deadline = now + a.remaining;
         let attempts = Vec::new();
         let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
-        let admitted = self.admits(&r);
+        let admitted = self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
@@ -468,7 +470,7 @@
         // Departure: a front with next to nothing in flight cannot see from it that the new machines carry
         // too much: positions count only up to their part of the fleet's capacity.
         let part = self.k.parts.get(&build).copied().unwrap_or(0.0);
-        open && r.pos < cap.min(part) && !failed_there && f64::from(held + 1) <= ceiling
+        open && r.pos < cap.min(PUSH * part) && !failed_there && f64::from(held + 1) <= ceiling
     }
 
     /// Two random choices, drawn by capacity, by fewest in flight for it, among machines of `builds` that the
@@ -691,8 +693,9 @@
     }
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
-    fn admits(&self, r: &Request) -> bool {
-        let held = f64::from(self.k.inflight);
+    fn admits(&self, now: Micros, r: &Request) -> bool {
+        let live = self.k.reached().filter(|m| now >= m.ejected_until);
+        let held = live.map(|m| f64::from(m.inflight)).sum::<f64>();
         if held < FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1)) {
             return true;
         }
