--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// Tokens that come at a rate and are taken one by one.
+#[derive(Clone, Debug, Default)]
+pub struct Bucket {
+    /// Tokens left.
+    pub left: f64,
+    /// When they were counted.
+    pub at: Micros,
+}
+
+impl Bucket {
+    /// Adds what has come at `rate` a second, up to `most`, and takes one token if there is one.
+    pub fn take(&mut self, now: Micros, rate: f64, most: f64) -> bool {
+        self.left = (self.left + rate * now.saturating_sub(self.at) as f64 / 1e6).min(most);
+        self.at = now;
+        let can = self.left >= 1.0;
+        self.left -= f64::from(u8::from(can));
+        can
+    }
+}
+
 /// The middle of `values`, or `None` if there are none.
 pub fn median(values: &mut [f64]) -> Option<f64> {
     values.sort_by(f64::total_cmp);
@@ -161,6 +181,20 @@
     pub own: Option<f64>,
 }
 
+/// One of the platform's counts of all fronts' attempts.
+pub struct Count {
+    /// When its period ended.
+    pub ended: Micros,
+    /// The build.
+    pub build: Build,
+    /// The class.
+    pub class: usize,
+    /// Attempts.
+    pub n: f64,
+    /// Those not served.
+    pub bad: f64,
+}
+
 /// Middles by machine kind and class.
 pub type Figures = BTreeMap<(u8, usize), f64>;
 
@@ -251,6 +285,8 @@
     pub exposed: BTreeMap<(Build, usize), Tally>,
     /// Outcomes as evidence, by build.
     pub samples: BTreeMap<Build, VecDeque<Sample>>,
+    /// The platform's counts.
+    pub counts: Vec<Count>,
     /// Keys answered by a build.
     pub tied: BTreeMap<u64, Build>,
     /// Work that a warm machine is sent, by size and microsecond.
@@ -262,9 +298,9 @@
     /// Smoothed answer time.
     pub answer_time: f64,
     /// Retries saved up.
-    pub retry_tokens: f64,
-    /// Each tenant's requests in hand, and when they were counted.
-    pub tenants: Vec<(f64, Micros)>,
+    pub retries: Bucket,
+    /// Each tenant's requests in hand.
+    pub tenants: Vec<Bucket>,
     /// Usual paces from before the newest build.
     pub figures: Figures,
     /// Since when a finding that must last has lasted.
@@ -361,6 +397,18 @@
         self.samples.range(..build).filter(kept).map(|s| s.1)
     }
 
+    /// Keeps a count, and those of periods that ended after `from`.
+    pub fn note_count(&mut self, count: Count, from: Micros) {
+        self.counts.retain(|c| c.ended > from);
+        self.counts.push(count);
+    }
+
+    /// Attempts of `build`, and those not served, in periods that ended after `from`, of some classes.
+    pub fn counted(&self, build: Build, from: Micros, class: impl Fn(usize) -> bool) -> (f64, f64) {
+        let mine = self.counts.iter().filter(|c| c.build == build && c.ended > from && class(c.class));
+        mine.fold((0.0, 0.0), |sum, c| (sum.0 + c.n, sum.1 + c.bad))
+    }
+
     /// How many outcomes of `build` are kept.
     pub fn seen(&self, build: Build) -> usize {
         self.samples.get(&build).map_or(0, VecDeque::len)
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -46,12 +46,15 @@
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
 const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
 const SURE: f64 = 2.0; // standard deviations by which a failure share must clear the margin
+const CROWD: f64 = 4.0; // fronts for each vote needed, above which each must be surer by itself
+const CERTAIN: f64 = 3.0; // the same for counts that all fronts see
 const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
 const RING: usize = 3_000; // outcomes kept for each build
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
 const REACH: usize = 20; // machines of each build that one front sends to
 const PUSH: f64 = 1.25; // positions that go to trial, over its part of the capacity that is there anyway
+const BLIND: f64 = 0.2; // ...while this front holds fewer requests for each machine that it meets
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
 const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to differ from its kind's, either way
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
@@ -70,6 +73,7 @@
 const FIT: f64 = 0.55; // part of the tightest aim that answers may be predicted to take
 const FIT_OVER: f64 = 0.25; // the same for tenants over their share
 const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
+const QUOTA_LEAST: f64 = 5.0; // requests that a tenant may send at once to any front
 const FREE_SLOTS: f64 = 3.0; // requests a machine always admitted
 const RETRY_SHARE: f64 = 0.2; // retry budget earned by each request
 const RETRY_BURST: f64 = 20.0; // most retries saved up
@@ -86,7 +90,6 @@
     Clear,
     Thin,
     Doubt,
-    Few,
     FleetSlow,
     Slight,
     Sole,
@@ -107,10 +110,10 @@
         let share = f64::from(s.fronts.max(1));
         let k = Knowledge {
             accepted: vec![Tally::default(); s.classes.len()],
-            tenants: s.tenants.iter().map(|t| (t.quota_rps / share, now)).collect(),
+            tenants: s.tenants.iter().map(|t| Bucket { left: t.quota_rps / share, at: now }).collect(),
             stage_from: now,
             boot: BOOT_LIMIT,
-            retry_tokens: RETRY_BURST,
+            retries: Bucket { left: RETRY_BURST, at: now },
             ask_at: now,
             ..Knowledge::default()
         };
@@ -132,8 +135,13 @@
             Event::Withdrawn { id } => {
                 self.k.requests.remove(&id);
             }
-            Event::FirstByte { .. } | Event::Probed { .. } | Event::Tally { .. } => {}
-            Event::Message { .. } => self.k.ignored += 1,
+            Event::Tally { build, class, count, bad, age, .. } if bad <= count => {
+                let (class, ended) = (usize::from(class), now.saturating_sub(age));
+                let c = Count { ended, build, class, n: count.into(), bad: bad.into() };
+                self.k.note_count(c, now.saturating_sub(JUDGE_SPAN));
+            }
+            Event::FirstByte { .. } | Event::Probed { .. } => {}
+            Event::Message { .. } | Event::Tally { .. } => self.k.ignored += 1,
         }
     }
 
@@ -375,7 +383,7 @@
         }
         let keep = self.s.release.window + EDGE;
         self.k.accepted[class].add(now, 1.0, keep);
-        self.k.retry_tokens = (self.k.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        self.k.retries.left += RETRY_SHARE;
         let over = self.over_share(now, a.tenant as usize);
         let work = a.hint.filter(|h| *h > 0).map_or(NOMINAL_WORK, |h| h as f64);
         let pos = position(if key == 0 { id } else { key });
@@ -469,8 +477,9 @@
         let failed_there = r.attempts.iter().any(|a| a.build == build);
         // Departure: a front with next to nothing in flight cannot see from it that the new machines carry
         // too much: positions count only up to their part of the fleet's capacity.
-        let part = self.k.parts.get(&build).copied().unwrap_or(0.0);
-        open && r.pos < cap.min(PUSH * part) && !failed_there && f64::from(held + 1) <= ceiling
+        let blind = f64::from(self.k.inflight) < BLIND * self.k.reached().count() as f64;
+        let part = if blind { PUSH * self.k.parts.get(&build).copied().unwrap_or(0.0) } else { 1.0 };
+        open && r.pos < cap.min(part) && !failed_there && f64::from(held + 1) <= ceiling
     }
 
     /// Two random choices, drawn by capacity, by fewest in flight for it, among machines of `builds` that the
@@ -549,18 +558,12 @@
         }
         // What never ran cost its machine next to nothing: the retry budget is for work done again.
         let unseen = matches!(ending, Ending::Full | Ending::ConnectFailed);
-        if now >= r.deadline || !unseen && !self.afford_retry() {
+        if now >= r.deadline || !unseen && !self.k.retries.take(now, 0.0, RETRY_BURST) {
             return self.finish(now, id, out);
         }
         self.dispatch(now, id, out);
     }
 
-    fn afford_retry(&mut self) -> bool {
-        let can = self.k.retry_tokens >= 1.0;
-        self.k.retry_tokens -= f64::from(u8::from(can));
-        can
-    }
-
     fn note_machine(&mut self, now: Micros, o: &Out, e: &Ended) {
         let ending = e.ending;
         let Some(m) = self.k.machines.get_mut(&o.machine) else { return };
@@ -666,7 +669,7 @@
         let ids: Vec<_> = self.k.requests.iter().filter(|r| movable(r.1)).map(|r| *r.0).collect();
         for id in ids {
             if self.s.second_copies {
-                if self.afford_retry() {
+                if self.k.retries.take(now, 0.0, RETRY_BURST) {
                     self.dispatch(now, id, out);
                 }
             } else if self.s.may_cancel && self.k.requests[&id].attempts.len() < self.s.max_attempts as usize
@@ -679,17 +682,9 @@
 
     // ---- Overload: shed what cannot meet its aim ---------------------------------------------------
     fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
-        let (Some(t), Some(set)) = (self.k.tenants.get_mut(tenant), self.s.tenants.get(tenant)) else {
-            return false;
-        };
+        let Some(set) = self.s.tenants.get(tenant) else { return false };
         let rate = set.quota_rps / f64::from(self.s.fronts.max(1));
-        t.0 = (t.0 + rate * (now - t.1) as f64 / 1e6).min(rate.max(1.0));
-        t.1 = now;
-        let over = t.0 < 1.0;
-        if !over {
-            t.0 -= 1.0;
-        }
-        over
+        !self.k.tenants[tenant].take(now, rate, rate.max(QUOTA_LEAST))
     }
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
@@ -737,17 +732,42 @@
         self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
+    /// Whether the platform's counts of all fronts send `build` back: one class fails and the others do not.
+    /// Danger: dead, silent and unreachable machines count as failures there; but they do not pick a class.
+    fn counted_out(&self, now: Micros, build: Build) -> bool {
+        let from = now.saturating_sub(JUDGE_SPAN);
+        let lower = self.k.counts.iter().map(|c| c.build).filter(|b| *b < build);
+        let base = lower.filter(|b| !self.k.withdrawn.contains(b)).max().unwrap_or(0);
+        let part = |c: (f64, f64)| c.1 / c.0.max(1.0);
+        let usual = part(self.k.counted(base, from, |_| true));
+        (0..self.s.classes.len()).any(|class| {
+            let picked = self.k.counted(build, from, |c| c == class);
+            let rest = self.k.counted(build, from, |c| c != class);
+            let margin = BACK_MARGIN + part(rest).max(part(self.k.counted(base, from, |c| c == class)));
+            let sound = rest.0 >= ENOUGH as f64 && part(rest) < usual + BACK_MARGIN;
+            sound && picked.1 >= LEAST_BAD && lower_bound(picked.1, picked.0, CERTAIN) > margin
+        })
+    }
+
+    /// Standard deviations by which this front must be sure. Danger: where one of hundreds of fronts may send a
+    /// build back, the unluckiest decides.
+    fn sure(&self) -> f64 {
+        let crowd = f64::from(self.s.fronts) / f64::from(self.s.release.back_votes.max(1)) / CROWD;
+        (SURE * SURE + 2.0 * crowd.max(1.0).ln()).sqrt()
+    }
+
     /// Compares each class, and all together, with the earlier build; the worst finding stands.
     fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
         let lately = |s: &&Sample| s.at + JUDGE_SPAN > now;
         let trial: Vec<&Sample> = self.k.samples.get(&build).into_iter().flatten().filter(lately).collect();
         let earlier = self.earlier(build);
-        let (mut worst, mut thin, mut text) = (failing(&trial, &earlier), true, String::new());
+        let z = self.sure();
+        let (mut worst, mut thin, mut text) = (failing(&trial, &earlier, z), true, String::new());
         let mut picked = false;
         for class in 0..self.s.classes.len() {
             let (t, rest): (Vec<_>, Vec<_>) = trial.iter().partition(|s| s.class == class);
             let e: Vec<_> = earlier.iter().filter(|s| s.class == class).copied().collect();
-            let found = failing(&t, &e);
+            let found = failing(&t, &e, z);
             let (n, bad) = share(&rest);
             // One machine may be sick, but a sick machine does not pick a class: then it is the build.
             picked |= found >= Finding::Sole && n >= CLASS_REST && bad < n * BACK_MARGIN;
@@ -771,7 +791,7 @@
             worst = worst.min(Finding::Doubt);
         }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
-        let pace = slowness(now, &trial, &earlier);
+        let pace = slowness(now, &trial, &earlier, z);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = || trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
@@ -790,8 +810,10 @@
             worst = worst.max(Finding::Doubt);
         }
         if fleet > FLEET_SLOW {
-            // Failures on too few machines to blame the build, and slowness at once, are blame enough.
-            worst = if worst == Finding::Few { Finding::Fault } else { worst.max(Finding::FleetSlow) };
+            worst = worst.max(Finding::FleetSlow);
+        }
+        if self.counted_out(now, build) {
+            worst = Finding::Fault;
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
     }
@@ -937,7 +959,7 @@
 
 /// A failure share against the earlier build's. The sickest machines are left out where there are several:
 /// a sick machine is no build fault. Scattered failures stay in: a build may fail a little everywhere.
-fn failing(trial: &[&Sample], earlier: &[&Sample]) -> Finding {
+fn failing(trial: &[&Sample], earlier: &[&Sample], z: f64) -> Finding {
     let failed = |s: &Sample| f64::from(u8::from(!s.ok));
     let trim = |v: &[&Sample]| -> (f64, f64) {
         let order = ranked(v, failed);
@@ -954,16 +976,14 @@
     let failing: Vec<&Sample> = trial.iter().filter(|s| !s.ok).copied().collect();
     let spread = ranked(&failing, failed).len() as f64 >= SPREAD * ranked(trial, failed).len() as f64;
     let slight = (base.1 + 0.5) / base.0.max(1.0) + SLIGHT_MARGIN;
-    let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, SURE) > margin;
+    let sure = |s: (f64, f64)| s.1 >= LEAST_BAD && lower_bound(s.1, s.0, z) > margin;
     let all = share(trial);
     if sure(all) && ranked(&failing, failed).len() < 2 {
         Finding::Sole
     } else if sure(kept) {
         Finding::Fault
-    } else if kept.1 > LEAST_BAD && lower_bound(kept.1, kept.0, SURE) > slight && spread {
+    } else if kept.1 > LEAST_BAD && lower_bound(kept.1, kept.0, z) > slight && spread {
         Finding::Slight
-    } else if sure(all) {
-        Finding::Few
     } else if all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
         Finding::Doubt
     } else {
@@ -974,7 +994,7 @@
 /// Median pace of the trial machines over that of earlier machines of the same kind and class, lately; that
 /// median's lower bound, as medians of 20 scattered answers alone differ by half too often; and the number
 /// of machines seen, the slowest left out of the figures where there are several.
-fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample]) -> (f64, f64, usize) {
+fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample], z: f64) -> (f64, f64, usize) {
     // Danger: once the earlier machines are idle or gone, a busy moment of the new ones has no match.
     let last = earlier.iter().filter(|s| s.pace.is_some()).map(|s| s.at).max().unwrap_or(0);
     if last + PACE_GAP < now {
@@ -993,6 +1013,6 @@
         return (1.0, 1.0, order.len());
     }
     let middle = median(&mut paces).unwrap_or(1.0);
-    let rank = (n / 2.0 - SURE * n.sqrt() / 2.0).max(0.0);
+    let rank = (n / 2.0 - z * n.sqrt() / 2.0).max(0.0);
     (middle, paces[rank as usize], order.len())
 }
