--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -1,7 +1,9 @@
 //! Mechanical bookkeeping: counts over time, sorted middles, fixed mixing. Every limit, span and
 //! threshold is the caller's; nothing here decides.
 
-use crate::interface::{Build, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Verdict};
+use crate::interface::{
+    Build, DedupScope, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Verdict,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Amounts noted over time, summed over a span that the caller names.
@@ -125,6 +127,15 @@
     pub maybe_ran: bool,
 }
 
+/// Whether `m` is in the group that drops repeats of what was sent in `a`.
+pub fn same_group(scope: DedupScope, a: &Attempt, m: &Machine) -> bool {
+    match scope {
+        DedupScope::All => true,
+        DedupScope::Zone => a.zone == m.e.zone,
+        DedupScope::Cell => a.cell == m.e.cell,
+    }
+}
+
 /// A request that this front owes a final answer.
 pub struct Request {
     /// The class.
@@ -397,6 +408,43 @@
         self.samples.range(..build).filter(kept).map(|s| s.1)
     }
 
+    /// Books an attempt at machine `to`; exposure is kept for `window`, work sent for `fall`.
+    pub fn note_send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        r: &mut Request,
+        to: MachineId,
+        window: Micros,
+        fall: Micros,
+    ) {
+        let Some(m) = self.machines.get_mut(&to) else { return };
+        if m.inflight == 0 {
+            m.quiet_from = now;
+        }
+        m.inflight += 1;
+        m.sent.add(now, r.work, fall);
+        let (build, zone, cell, queue) = (m.e.build, m.e.zone, m.e.cell, f64::from(m.inflight));
+        self.inflight += 1;
+        *self.held.entry(build).or_default() += 1;
+        self.exposed.entry((build, r.class)).or_default().add(now, 1.0, window);
+        let attempt = r.attempts.len() as u16;
+        r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
+        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
+        self.outs.insert((id, attempt), o);
+    }
+
+    /// Takes an attempt off the books; one that is not there is counted and ignored.
+    pub fn note_end(&mut self, id: RequestId, attempt: u16) -> Option<Out> {
+        let Some(o) = self.outs.remove(&(id, attempt)) else {
+            self.ignored += 1;
+            return None;
+        };
+        self.inflight = self.inflight.saturating_sub(1);
+        self.held.entry(o.build).and_modify(|h| *h = h.saturating_sub(1));
+        Some(o)
+    }
+
     /// Keeps a count, and those of periods that ended after `from`.
     pub fn note_count(&mut self, count: Count, from: Micros) {
         self.counts.retain(|c| c.ended > from);
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -56,7 +56,7 @@
 const PUSH: f64 = 1.25; // positions that go to trial, over its part of the capacity that is there anyway
 const BLIND: f64 = 0.2; // ...while this front holds fewer requests for each machine that it meets
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
-const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to differ from its kind's, either way
+const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to exceed its kind's
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
 const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
@@ -194,14 +194,7 @@
                 _ if !a.maybe_ran => true,
                 Effect::Repeatable => true,
                 Effect::Once => false,
-                Effect::ByKey => {
-                    let same = match c.scope {
-                        DedupScope::All => true,
-                        DedupScope::Zone => a.zone == m.e.zone,
-                        DedupScope::Cell => a.cell == m.e.cell,
-                    };
-                    same && now + EDGE < a.sent + c.dedup_window
-                }
+                Effect::ByKey => same_group(c.scope, a, m) && now + EDGE < a.sent + c.dedup_window,
             }
         })
     }
@@ -405,7 +398,9 @@
         let picked = self.route(now, &r);
         if let Some(machine) = picked {
             r.parked = false;
-            self.send(now, id, &mut r, machine, out);
+            let fall = (self.s.fall + EDGE).max(RATE_SPAN);
+            self.k.note_send(now, id, &mut r, machine, self.s.release.window + EDGE, fall);
+            out.push(Action::Send { id, machine, timeout: 0 });
             self.k.requests.insert(id, r);
             return;
         }
@@ -424,26 +419,6 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, r: &mut Request, to: MachineId, out: &mut Vec<Action>) {
-        let keep = self.s.release.window + EDGE;
-        let fall = self.s.fall + EDGE;
-        let Some(m) = self.k.machines.get_mut(&to) else { return };
-        if m.inflight == 0 {
-            m.quiet_from = now;
-        }
-        m.inflight += 1;
-        m.sent.add(now, r.work, fall.max(RATE_SPAN));
-        let (build, zone, cell, queue) = (m.e.build, m.e.zone, m.e.cell, f64::from(m.inflight));
-        self.k.inflight += 1;
-        *self.k.held.entry(build).or_default() += 1;
-        self.k.exposed.entry((build, r.class)).or_default().add(now, 1.0, keep);
-        let attempt = r.attempts.len() as u16;
-        r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
-        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
-        self.k.outs.insert((id, attempt), o);
-        out.push(Action::Send { id, machine: to, timeout: 0 });
-    }
-
     /// The ordinary path of the design, with its departures marked.
     fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
         let builds: Vec<Build> = self.k.reach.keys().copied().collect();
@@ -527,12 +502,7 @@
     // ---- Attempts: outcomes, ejection, further attempts --------------------------------------------
     fn on_outcome(&mut self, now: Micros, e: &Ended, out: &mut Vec<Action>) {
         let (id, attempt, ending) = (e.id, e.attempt, e.ending);
-        let Some(o) = self.k.outs.remove(&(id, attempt)) else {
-            self.k.ignored += 1;
-            return;
-        };
-        self.k.inflight = self.k.inflight.saturating_sub(1);
-        self.k.held.entry(o.build).and_modify(|h| *h = h.saturating_sub(1));
+        let Some(o) = self.k.note_end(id, attempt) else { return };
         self.note_machine(now, &o, e);
         if ending == Ending::Ok {
             self.k.served.add(now, 1.0, RATE_SPAN);
@@ -596,8 +566,8 @@
             if let Some(own) = own {
                 let usual = self.k.kind_pace.entry(kind).or_insert(own);
                 *usual += TIME_WEIGHT * (own - *usual);
-                m.pace += PACE_WEIGHT * (own / usual.max(f64::MIN_POSITIVE) - m.pace);
-                m.pace = m.pace.clamp(1.0 / PACE_BOUND, PACE_BOUND);
+                let apart = (own / usual.max(f64::MIN_POSITIVE)).min(PACE_BOUND);
+                m.pace += PACE_WEIGHT * (apart - m.pace);
             }
             // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
@@ -775,15 +745,8 @@
             thin &= t.len() < ENOUGH;
             text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
-        // Danger: what strikes earlier machines too, at the same time, strikes the few new ones by chance.
-        // While effects are still kept from them, waiting costs little.
-        let last: BTreeMap<MachineId, bool> = earlier.iter().map(|s| (s.machine, s.ok)).collect();
-        let erring = |m: &Machine| m.e.state == MachineState::Ready && m.ejections > 0;
-        let outbreak = last.iter().any(|(id, ok)| !ok && self.k.machines.get(id).is_some_and(erring));
         if picked {
             worst = Finding::Fault;
-        } else if outbreak && self.stage(build) < EFFECT_STAGE {
-            worst = worst.min(Finding::Doubt);
         }
         // A build does not recover by itself: failures that have ceased were a machine's or the network's.
         let recent = trial.iter().copied().filter(|s| s.at + HEAL_SPAN > now).collect::<Vec<_>>();
