--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -204,8 +204,13 @@
     pub n: f64,
     /// Those not served.
     pub bad: f64,
+    /// Mean time of the rest.
+    pub mean: f64,
 }
 
+/// Attempts, those not served, and the time of the rest.
+pub type Sums = (f64, f64, f64);
+
 /// Middles by machine kind and class.
 pub type Figures = BTreeMap<(u8, usize), f64>;
 
@@ -451,10 +456,11 @@
         self.counts.push(count);
     }
 
-    /// Attempts of `build`, and those not served, in periods that ended after `from`, of some classes.
-    pub fn counted(&self, build: Build, from: Micros, class: impl Fn(usize) -> bool) -> (f64, f64) {
+    /// What was counted of `build` in periods that ended after `from`, of some classes.
+    pub fn counted(&self, build: Build, from: Micros, class: impl Fn(usize) -> bool) -> Sums {
         let mine = self.counts.iter().filter(|c| c.build == build && c.ended > from && class(c.class));
-        mine.fold((0.0, 0.0), |sum, c| (sum.0 + c.n, sum.1 + c.bad))
+        let add = |s: Sums, c: &Count| (s.0 + c.n, s.1 + c.bad, s.2 + (c.n - c.bad) * c.mean);
+        mine.fold((0.0, 0.0, 0.0), add)
     }
 
     /// How many outcomes of `build` are kept.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -25,21 +25,17 @@
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
-const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
 const SICK_PART: usize = 4; // one machine in so many may be sick by itself
 const SICK_SHARE: f64 = 0.25; // ...if it fails more than this share
 const SICK_BAD: f64 = 2.0; // ...and at least so many
-const HEAL_SPAN: Micros = 2_500 * MS; // failures have ceased when outcomes this recent hold none
-const HEAL_LEAST: usize = 8; // ...and are at least so many
-const CLASS_REST: f64 = 8.0; // sound outcomes of other classes that clear a machine of being sick
+const BRIEF: Micros = 2_500 * MS; // slowness must last so long; failures have ceased if none is so recent
+const SOUND: f64 = 8.0; // sound outcomes in a row, or of other classes, that clear of a fault
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
-const SLIGHT_LASTS: Micros = 3_000 * MS; // the same for few but certain failures
-const RELEASED_LEAST: usize = 200; // ...and for any of a released build seen less often than this
-const LIST_BEHIND: f64 = 0.5; // part of a stage's machines below which the list is taken to lag the news
-const SLOW_LASTS: Micros = 2_500 * MS; // slowness counts as a fault once it has lasted this long
+const SLIGHT_LASTS: Micros = 3_000 * MS; // the same for few but certain failures, and...
+const RELEASED_LEAST: usize = 200; // ...for any of a released build seen less often than this
 const PACE_SPAN: Micros = 5_000 * MS; // age up to which answers speak for the pace of either build
 const PACE_GAP: Micros = 1_000 * MS; // pace is not judged once the last earlier answer is this old
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
@@ -60,7 +56,7 @@
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
 const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
-const EJECT_LEAVES: f64 = 0.5; // ...and more than this part of its build's machines is left
+const HALF: f64 = 0.5; // part of a build's machines that stays, and of a stage's that a list not late shows
 const EJECT_FOR: Micros = 1_500 * MS; // first ejection; doubles up to eight times this
 const FAIL_WEIGHT: f64 = 0.15; // weight of the newest answer in a machine's failing share
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
@@ -135,9 +131,9 @@
             Event::Withdrawn { id } => {
                 self.k.requests.remove(&id);
             }
-            Event::Tally { build, class, count, bad, age, .. } if bad <= count => {
+            Event::Tally { build, class, count, bad, mean, age } if bad <= count => {
                 let (class, ended) = (usize::from(class), now.saturating_sub(age));
-                let c = Count { ended, build, class, n: count.into(), bad: bad.into() };
+                let c = Count { ended, build, class, n: count.into(), bad: bad.into(), mean: mean as f64 };
                 self.k.note_count(c, now.saturating_sub(JUDGE_SPAN));
             }
             Event::FirstByte { .. } | Event::Probed { .. } => {}
@@ -283,10 +279,7 @@
     /// The cap that binds `build`, or `None` if it is not on trial. A build not named yet is stage 0.
     fn cap(&self, build: Build) -> Option<f64> {
         let first = self.s.release.caps.first().copied().unwrap_or(0.0);
-        let news = match self.k.news {
-            Some(n) => n,
-            None => return (self.k.base_build()? < build).then_some(first),
-        };
+        let Some(news) = self.k.news else { return (self.k.base_build()? < build).then_some(first) };
         match build.cmp(&news.build) {
             std::cmp::Ordering::Less => None,
             std::cmp::Ordering::Greater => Some(first),
@@ -408,7 +401,7 @@
         let patience = r.arrived + (c.aim as f64 * PARK_PART) as Micros;
         let until = patience.min(r.deadline.saturating_sub(TICK));
         let idle = !r.attempts.iter().any(|a| a.out);
-        // What no machine may ever take is given up at once; the rest waits a little for a machine.
+        // What no machine may ever take is given up at once; the rest waits a little.
         let hope = r.attempts.len() < self.s.max_attempts as usize
             && self.k.machines.values().any(|m| self.may_repeat(now, &r, m));
         r.parked = idle && hope && now < until;
@@ -428,16 +421,15 @@
         match (e, t) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
-                // Departure: a machine inside its own window takes a turn only when the earlier ones carry
-                // clearly more; after it, a turn goes back when the new machines carry clearly more.
+                // Departure: a turn goes back when the new machine carries more; one inside its own window
+                // takes a turn only when the earlier one carries clearly more.
                 let waits = now < self.k.machines[&t].e.started + WINDOW;
                 let take = if waits { le > lt + SPILL } else { lt <= le };
                 Some(if take { t } else { e })
             }
             (Some(e), None) => Some(e),
             (None, Some(t)) => Some(t),
-            // Departure: with no earlier machine left, position, ceiling and effect turns yield; the rule
-            // stays.
+            // Departure: with no earlier machine left, position, ceiling and effect turns yield.
             (None, None) => self.draw(now, r, &trial),
         }
     }
@@ -485,8 +477,7 @@
 
     fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
         let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
-        // Once a build is released the earlier machines leave, whatever a list out of date says; lingering
-        // ones turn work away at once and so look idle.
+        // Earlier machines leave after a release, whatever an old list says: those that linger look idle.
         let released = self.k.news.filter(|n| n.phase == Phase::Released && m.e.build < n.build);
         let superseded = released.is_some_and(|n| !self.list_behind(n.build));
         let taken_off = superseded || self.k.withdrawn.contains(&m.e.build);
@@ -560,8 +551,7 @@
         if warm && matches!(ending, Ending::Ok | Ending::Error) {
             let (class, ok) = (o.class, ending == Ending::Ok);
             let timed = ok && (started == 0 || o.sent >= started + self.s.warm_after);
-            // A reported service time holds no waiting; in our own answers the queue met is taken out
-            // roughly.
+            // A reported service time holds no waiting; from our own answers the queue met is taken out.
             let own = timed.then_some(e.took as f64 / o.work / (o.queue / QUEUE_FREE).max(1.0));
             if let Some(own) = own {
                 let usual = self.k.kind_pace.entry(kind).or_insert(own);
@@ -569,7 +559,7 @@
                 let apart = (own / usual.max(f64::MIN_POSITIVE)).min(PACE_BOUND);
                 m.pace += PACE_WEIGHT * (apart - m.pace);
             }
-            // Reports smooth over the past: until well after it is warm, a machine's tell of its cold time.
+            // Reports smooth over the past: for a while a machine's still tell of its cold time.
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
             let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
             let reports = self.s.report_fields.contains(&LoadField::MeanMs);
@@ -601,7 +591,7 @@
         }
         let middle = median(&mut self.k.ready(m.e.build).map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
         let stood = self.k.ready(m.e.build).filter(|o| now >= o.ejected_until).count();
-        let spare = stood as f64 > EJECT_LEAVES * self.k.ready(m.e.build).count() as f64;
+        let spare = stood as f64 > HALF * self.k.ready(m.e.build).count() as f64;
         // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
         if m.fail > EJECT_TIMES * middle && spare || unreachable {
             self.eject(now, id);
@@ -678,8 +668,7 @@
     }
 
     // ---- The judge -----------------------------------------------------------------------------------
-    /// The earlier build that `build` is held against: the newest below it with enough outcomes. Danger: one
-    /// that was taken off must not count, or the next bad build is held against the last.
+    /// The earlier build that `build` is held against: the newest below it that stays, with enough outcomes.
     fn earlier(&self, build: Build) -> Vec<&Sample> {
         let below = || self.k.kept_below(build).rev();
         let ring = below().find(|r| r.len() >= ENOUGH).or_else(|| below().max_by_key(|r| r.len()));
@@ -688,7 +677,7 @@
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
-        let late = |s: &&Sample| s.at + FLEET_SPAN > now;
+        let late = |s: &&Sample| s.at + PACE_SPAN > now;
         let before = self.k.kept_below(build).flatten().filter(late);
         pace_over(before, &self.k.figures, ENOUGH).unwrap_or_else(|| {
             let all = self.k.samples.values().flatten().filter(late);
@@ -702,13 +691,36 @@
         self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
+    /// How many times longer answers of `build` took than the earlier build's in the platform's counts of the
+    /// same class, in periods that ended after `from`; 1 where there are too few.
+    fn counted_pace(&self, now: Micros, build: Build, from: Micros) -> f64 {
+        let base = self.counted_base(build);
+        let of = |b: Build, class: usize, from| {
+            let (n, bad, time) = self.k.counted(b, from, |c| c == class);
+            (n - bad, time)
+        };
+        let (mut n, mut time, mut usual) = (0.0, 0.0, 0.0);
+        for class in 0..self.s.classes.len() {
+            let (t, e) = (of(build, class, from), of(base, class, now.saturating_sub(JUDGE_SPAN)));
+            if e.0 >= ENOUGH as f64 {
+                (n, time, usual) = (n + t.0, time + t.1, usual + t.0 * e.1 / e.0);
+            }
+        }
+        [1.0, time / usual.max(1.0)][usize::from(n >= ENOUGH as f64)]
+    }
+
+    /// The newest earlier build in the platform's counts that was not taken off.
+    fn counted_base(&self, build: Build) -> Build {
+        let lower = self.k.counts.iter().map(|c| c.build).filter(|b| *b < build);
+        lower.filter(|b| !self.k.withdrawn.contains(b)).max().unwrap_or(0)
+    }
+
     /// Whether the platform's counts of all fronts send `build` back: one class fails and the others do not.
     /// Danger: dead, silent and unreachable machines count as failures there; but they do not pick a class.
     fn counted_out(&self, now: Micros, build: Build) -> bool {
         let from = now.saturating_sub(JUDGE_SPAN);
-        let lower = self.k.counts.iter().map(|c| c.build).filter(|b| *b < build);
-        let base = lower.filter(|b| !self.k.withdrawn.contains(b)).max().unwrap_or(0);
-        let part = |c: (f64, f64)| c.1 / c.0.max(1.0);
+        let base = self.counted_base(build);
+        let part = |c: Sums| c.1 / c.0.max(1.0);
         let usual = part(self.k.counted(base, from, |_| true));
         (0..self.s.classes.len()).any(|class| {
             let picked = self.k.counted(build, from, |c| c == class);
@@ -719,8 +731,8 @@
         })
     }
 
-    /// Standard deviations by which this front must be sure. Danger: where one of hundreds of fronts may send a
-    /// build back, the unluckiest decides.
+    /// Standard deviations by which this front must be sure. Danger: where one of hundreds of fronts may send
+    /// a build back, the unluckiest decides.
     fn sure(&self) -> f64 {
         let crowd = f64::from(self.s.fronts) / f64::from(self.s.release.back_votes.max(1)) / CROWD;
         (SURE * SURE + 2.0 * crowd.max(1.0).ln()).sqrt()
@@ -740,17 +752,15 @@
             let found = failing(&t, &e, z);
             let (n, bad) = share(&rest);
             // One machine may be sick, but a sick machine does not pick a class: then it is the build.
-            picked |= found >= Finding::Sole && n >= CLASS_REST && bad < n * BACK_MARGIN;
+            picked |= found >= Finding::Sole && n >= SOUND && bad < n * BACK_MARGIN;
             worst = worst.max(found);
             thin &= t.len() < ENOUGH;
             text += &format!("[{}/{} of {}/{}] ", share(&t).1, t.len(), share(&e).1, e.len());
         }
-        if picked {
-            worst = Finding::Fault;
-        }
+        worst = if picked { Finding::Fault } else { worst };
         // A build does not recover by itself: failures that have ceased were a machine's or the network's.
-        let recent = trial.iter().copied().filter(|s| s.at + HEAL_SPAN > now).collect::<Vec<_>>();
-        if recent.len() >= HEAL_LEAST && share(&recent).1 == 0.0 {
+        let recent = trial.iter().copied().filter(|s| s.at + BRIEF > now).collect::<Vec<_>>();
+        if recent.len() as f64 >= SOUND && share(&recent).1 == 0.0 {
             worst = worst.min(Finding::Doubt);
         }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
@@ -770,13 +780,16 @@
             worst = worst.max(Finding::Doubt);
         }
         if fleet > FLEET_UNEASY {
-            worst = worst.max(Finding::Doubt);
-        }
-        if fleet > FLEET_SLOW {
-            worst = worst.max(Finding::FleetSlow);
+            worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
+        // Danger: cold machines are slow too: until all are warm a slow count only holds 'on' back.
+        let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         if self.counted_out(now, build) {
             worst = Finding::Fault;
+        } else if !released && self.counted_pace(now, build, warm) > SLOW_RATIO {
+            worst = worst.max(Finding::Slow);
+        } else if self.counted_pace(now, build, now.saturating_sub(JUDGE_SPAN / 2)) > SLOW_RATIO {
+            worst = worst.max(Finding::Doubt);
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
     }
@@ -785,10 +798,7 @@
     fn on_news(&mut self, now: Micros, n: News) {
         if n.answer {
             self.k.vote_waits = false;
-            match n.ending {
-                Ending::Ok => self.k.vote_ok = Some(self.k.vote_sent),
-                _ => self.k.vote_ok = None,
-            }
+            self.k.vote_ok = (n.ending == Ending::Ok).then_some(self.k.vote_sent);
         }
         if n.ending != Ending::Ok {
             return;
@@ -833,7 +843,7 @@
     /// judged by pace, and the earlier ones are still needed.
     fn list_behind(&self, build: Build) -> bool {
         let Some(n) = self.k.news.filter(|n| n.build == build) else { return true };
-        (self.k.ready(build).count() as f64) < self.wanted(&n) * LIST_BEHIND
+        (self.k.ready(build).count() as f64) < self.wanted(&n) * HALF
     }
 
     /// End of the stage's waiting window: after the newest start seen, once all machines that the stage
@@ -854,13 +864,12 @@
 
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
         let finding = self.judge(now, n.build).0;
+        // Danger: a front that restarted has seen little, and taking off a released build is dear.
+        let unsure = n.phase == Phase::Released && self.k.seen(n.build) < RELEASED_LEAST;
         let lasts = match finding {
-            // Danger: a front that restarted has seen little, and taking off a released build is dear.
-            Finding::Fault if n.phase == Phase::Released && self.k.seen(n.build) < RELEASED_LEAST => {
-                SLIGHT_LASTS
-            }
+            Finding::Fault if unsure => SLIGHT_LASTS,
             Finding::Fault => 0,
-            Finding::Slow => SLOW_LASTS,
+            Finding::Slow => BRIEF,
             Finding::Sole => SOLE_LASTS,
             Finding::Slight => SLIGHT_LASTS,
             Finding::FleetSlow => FLEET_LASTS,
@@ -947,7 +956,9 @@
         Finding::Fault
     } else if kept.1 > LEAST_BAD && lower_bound(kept.1, kept.0, z) > slight && spread {
         Finding::Slight
-    } else if all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0 {
+    } else if all.1 >= LEAST_BAD - 1.0 && all.1 / all.0 > margin - BACK_MARGIN / 2.0
+        || kept.1 >= LEAST_BAD && lower_bound(kept.1, kept.0, 1.0) > slight
+    {
         Finding::Doubt
     } else {
         Finding::Clear
