Slow counts hold 'on' before the last stage; new machines, not answers, witness slowness

Cause: at full size a build that is slow when busy was never judged, as a front meets too few of its warm machines; and links slow to some machines made a good build look slow to many fronts. May hurt where a few new machines are slow alone.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -256,6 +256,19 @@
     order.into_iter().map(|o| o.0).collect()
 }
 
+/// The middle `value` of each of some machines, sorted.
+pub fn machine_middles(
+    samples: &[&Sample],
+    machines: &[MachineId],
+    value: impl Fn(&Sample) -> Option<f64>,
+) -> Vec<f64> {
+    let of = |id| samples.iter().filter(move |s| s.machine == id).filter_map(|s| value(s));
+    let mut all: Vec<f64> =
+        machines.iter().filter_map(|id| median(&mut of(*id).collect::<Vec<_>>())).collect();
+    all.sort_by(f64::total_cmp);
+    all
+}
+
 /// The samples without those of the named machines.
 pub fn without<'a>(samples: &[&'a Sample], machines: &[MachineId]) -> Vec<&'a Sample> {
     let out: BTreeSet<_> = machines.iter().collect();
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -25,6 +25,7 @@
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
+const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SLOW_SURE: f64 = 1.15; // ...if that median's lower bound is above this
@@ -36,7 +37,8 @@
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
 const SLIGHT_LASTS: Micros = 3_000 * MS; // the same for few but certain failures, and...
 const RELEASED_LEAST: usize = 200; // ...for any of a released build seen less often than this
-const PACE_SPAN: Micros = 5_000 * MS; // age up to which answers speak for the pace of either build
+const PACE_SPAN: Micros = 8_000 * MS; // age up to which answers speak for the pace of either build
+const PACE_LEAST: usize = 12; // answers by which pace is judged
 const PACE_GAP: Micros = 1_000 * MS; // pace is not judged once the last earlier answer is this old
 const SLOW_DOUBT: f64 = 0.95; // lower bound above which a median half as far off holds 'on' back
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
@@ -44,6 +46,7 @@
 const SURE: f64 = 2.0; // standard deviations by which a failure share must clear the margin
 const CROWD: f64 = 4.0; // fronts for each vote needed, above which each must be surer by itself
 const CERTAIN: f64 = 3.0; // the same for counts that all fronts see
+const COUNT_SPAN: Micros = 40_000 * MS; // age up to which the platform's counts are kept
 const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
 const RING: usize = 3_000; // outcomes kept for each build
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
@@ -134,7 +137,7 @@
             Event::Tally { build, class, count, bad, mean, age } if bad <= count => {
                 let (class, ended) = (usize::from(class), now.saturating_sub(age));
                 let c = Count { ended, build, class, n: count.into(), bad: bad.into(), mean: mean as f64 };
-                self.k.note_count(c, now.saturating_sub(JUDGE_SPAN));
+                self.k.note_count(c, now.saturating_sub(COUNT_SPAN));
             }
             Event::FirstByte { .. } | Event::Probed { .. } => {}
             Event::Message { .. } | Event::Tally { .. } => self.k.ignored += 1,
@@ -280,12 +283,10 @@
     fn cap(&self, build: Build) -> Option<f64> {
         let first = self.s.release.caps.first().copied().unwrap_or(0.0);
         let Some(news) = self.k.news else { return (self.k.base_build()? < build).then_some(first) };
-        match build.cmp(&news.build) {
-            std::cmp::Ordering::Less => None,
-            std::cmp::Ordering::Greater => Some(first),
-            std::cmp::Ordering::Equal if news.phase == Phase::Released => None,
-            std::cmp::Ordering::Equal => Some(news.cap),
+        if build > news.build {
+            return Some(first);
         }
+        (build == news.build && news.phase != Phase::Released).then_some(news.cap)
     }
 
     fn stage(&self, build: Build) -> u8 {
@@ -677,7 +678,7 @@
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
-        let late = |s: &&Sample| s.at + PACE_SPAN > now;
+        let late = |s: &&Sample| s.at + FLEET_SPAN > now;
         let before = self.k.kept_below(build).flatten().filter(late);
         pace_over(before, &self.k.figures, ENOUGH).unwrap_or_else(|| {
             let all = self.k.samples.values().flatten().filter(late);
@@ -693,19 +694,16 @@
 
     /// How many times longer answers of `build` took than the earlier build's in the platform's counts of the
     /// same class, in periods that ended after `from`; 1 where there are too few.
-    fn counted_pace(&self, now: Micros, build: Build, from: Micros) -> f64 {
+    fn counted_pace(&self, build: Build, from: Micros) -> f64 {
         let base = self.counted_base(build);
         let of = |b: Build, class: usize, from| {
             let (n, bad, time) = self.k.counted(b, from, |c| c == class);
-            (n - bad, time)
+            (n - bad, time, 0.0)
         };
-        let (mut n, mut time, mut usual) = (0.0, 0.0, 0.0);
-        for class in 0..self.s.classes.len() {
-            let (t, e) = (of(build, class, from), of(base, class, now.saturating_sub(JUDGE_SPAN)));
-            if e.0 >= ENOUGH as f64 {
-                (n, time, usual) = (n + t.0, time + t.1, usual + t.0 * e.1 / e.0);
-            }
-        }
+        let both = (0..self.s.classes.len()).map(|class| (of(build, class, from), of(base, class, 0)));
+        let known = both.filter(|(_, e)| e.0 >= ENOUGH as f64);
+        let add = |s: Sums, (t, e): (Sums, Sums)| (s.0 + t.0, s.1 + t.1, s.2 + t.0 * e.1 / e.0);
+        let (n, time, usual) = known.fold((0.0, 0.0, 0.0), add);
         [1.0, time / usual.max(1.0)][usize::from(n >= ENOUGH as f64)]
     }
 
@@ -744,8 +742,8 @@
         let trial: Vec<&Sample> = self.k.samples.get(&build).into_iter().flatten().filter(lately).collect();
         let earlier = self.earlier(build);
         let z = self.sure();
-        let (mut worst, mut thin, mut text) = (failing(&trial, &earlier, z), true, String::new());
-        let mut picked = false;
+        let (mut worst, mut text) = (failing(&trial, &earlier, z), String::new());
+        let (mut thin, mut picked) = (true, false);
         for class in 0..self.s.classes.len() {
             let (t, rest): (Vec<_>, Vec<_>) = trial.iter().partition(|s| s.class == class);
             let e: Vec<_> = earlier.iter().filter(|s| s.class == class).copied().collect();
@@ -782,13 +780,19 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines are slow too: until all are warm a slow count only holds 'on' back.
+        // Danger: cold machines are slow too: until all are warm a slow count only holds 'on' back, before the
+        // last stage leaves the earlier machines idle and quick.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
+        let recent = now.saturating_sub(JUDGE_SPAN / 2);
+        let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
+        // Failures on earlier machines too are a trouble of links or machines, which makes answers slow as well.
+        let (n, bad, _) = self.k.counted(self.counted_base(build), recent, |_| true);
+        let calm = bad < BACK_MARGIN / 2.0 * n;
         if self.counted_out(now, build) {
             worst = Finding::Fault;
-        } else if !released && self.counted_pace(now, build, warm) > SLOW_RATIO {
+        } else if calm && !released && self.counted_pace(build, warm) > SLOW_RATIO {
             worst = worst.max(Finding::Slow);
-        } else if self.counted_pace(now, build, now.saturating_sub(JUDGE_SPAN / 2)) > SLOW_RATIO {
+        } else if calm && !last && self.counted_pace(build, recent) > SLOW_RATIO {
             worst = worst.max(Finding::Doubt);
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
@@ -982,11 +986,12 @@
     let order = ranked(&timed, |s| ratio(s).unwrap_or(1.0));
     let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
     let mut paces: Vec<f64> = without(&timed, &order[..drop]).into_iter().filter_map(ratio).collect();
-    let n = paces.len() as f64;
-    if paces.len() < ENOUGH {
+    if paces.len() < PACE_LEAST {
         return (1.0, 1.0, order.len());
     }
-    let middle = median(&mut paces).unwrap_or(1.0);
+    // Danger: slow links or sick machines come as whole machines: each is one witness, whatever it answers.
+    let machines = machine_middles(&timed, &order[drop..], ratio);
+    let n = machines.len() as f64;
     let rank = (n / 2.0 - z * n.sqrt() / 2.0).max(0.0);
-    (middle, paces[rank as usize], order.len())
+    (median(&mut paces).unwrap_or(1.0), machines[rank as usize], order.len())
 }
