Own answers must agree before a build counts as slow; no push while answers are slow

Cause: the new machines carried 1.25 times their part while answers were slow, and reports of a few told of that or were false. Told from a slow build: the fronts' own answer times.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -52,7 +52,7 @@
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
 const REACH: usize = 20; // machines of each build that one front sends to
-const PUSH: f64 = 1.25; // positions that go to trial, over its part of the capacity that is there anyway
+const PUSH: f64 = 1.25; // positions that go to trial while answers are quick, over its part of capacity...
 const BLIND: f64 = 0.2; // ...while this front holds fewer requests for each machine that it meets
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
 const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to exceed its kind's
@@ -144,7 +144,7 @@
         }
     }
 
-    /// How many events named something unknown or made no sense: for the operators.
+    /// How many events named something unknown or made no sense.
     pub fn ignored(&self) -> u64 {
         self.k.ignored
     }
@@ -158,9 +158,7 @@
         self.eject_silent(now);
         self.rescue(now, out);
         let parked: Vec<_> = self.k.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
-        for id in parked {
-            self.dispatch(now, id, out);
-        }
+        parked.into_iter().for_each(|id| self.dispatch(now, id, out));
         self.vote(now, out);
     }
 
@@ -255,8 +253,7 @@
             usual = work / size / span as f64;
         } else if usual == 0.0 {
             let taken: f64 = self.k.accepted.iter().map(|t| t.sum(now, span)).sum();
-            let all: f64 = ready().map(|m| m.e.weight).sum();
-            usual = taken * NOMINAL_WORK / all.max(1.0) / span as f64;
+            usual = taken * NOMINAL_WORK / (ready().count().max(1) as f64 * span as f64);
         }
         let (mut capacity, mut count) = (BTreeMap::new(), BTreeMap::new());
         for m in ready() {
@@ -446,7 +443,8 @@
         // Departure: a front with next to nothing in flight cannot see from it that the new machines carry
         // too much: positions count only up to their part of the fleet's capacity.
         let blind = f64::from(self.k.inflight) < BLIND * self.k.reached().count() as f64;
-        let part = if blind { PUSH * self.k.parts.get(&build).copied().unwrap_or(0.0) } else { 1.0 };
+        let push = if self.k.answer_time < EASY * self.tightest() { PUSH } else { 1.0 };
+        let part = if blind { push * self.k.parts.get(&build).copied().unwrap_or(0.0) } else { 1.0 };
         open && r.pos < cap.min(part) && !failed_there && f64::from(held + 1) <= ceiling
     }
 
@@ -590,9 +588,10 @@
         if m.fail < EJECT_SHARE || now < m.ejected_until {
             return;
         }
-        let middle = median(&mut self.k.ready(m.e.build).map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
-        let stood = self.k.ready(m.e.build).filter(|o| now >= o.ejected_until).count();
-        let spare = stood as f64 > HALF * self.k.ready(m.e.build).count() as f64;
+        let peers: Vec<&Machine> = self.k.reached().filter(|o| o.e.build == m.e.build).collect();
+        let middle = median(&mut peers.iter().map(|o| o.fail).collect::<Vec<_>>()).unwrap_or(0.0);
+        let stood = peers.iter().filter(|o| now >= o.ejected_until).count();
+        let spare = stood as f64 > HALF * peers.len() as f64;
         // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
         if m.fail > EJECT_TIMES * middle && spare || unreachable {
             self.eject(now, id);
@@ -611,9 +610,7 @@
         let limit = SILENT_FLOOR + (SILENT_TIMES * self.k.answer_time) as Micros;
         let silent = |m: &&Machine| m.inflight > 0 && now > m.quiet_from + limit && now >= m.ejected_until;
         let ids: Vec<_> = self.k.machines.values().filter(silent).map(|m| m.e.machine).collect();
-        for id in ids {
-            self.eject(now, id);
-        }
+        ids.into_iter().for_each(|id| self.eject(now, id));
     }
 
     /// Requests held by an ejected or gone machine go elsewhere where their class allows.
@@ -648,6 +645,10 @@
         !self.k.tenants[tenant].take(now, rate, rate.max(QUOTA_LEAST))
     }
 
+    fn tightest(&self) -> f64 {
+        self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64
+    }
+
     /// By Little's law the work in flight over the completion rate predicts the answer time.
     fn admits(&self, now: Micros, r: &Request) -> bool {
         let live = self.k.reached().filter(|m| now >= m.ejected_until);
@@ -655,7 +656,7 @@
         if held < FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1)) {
             return true;
         }
-        let tightest = self.s.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        let tightest = self.tightest();
         if self.k.answer_time < EASY * tightest {
             return true;
         }
@@ -765,11 +766,11 @@
         let pace = slowness(now, &trial, &earlier, z);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
-        let near = || trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
-        let trial_pace = pace_over(near(), &self.k.figures, ENOUGH);
+        let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
+        let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
         let fleet = self.fleet_pace(now, build).min(trial_pace.unwrap_or(f64::MAX));
-        // Danger: earlier machines left idle look quick, and busy new ones slow beside them.
-        let slowed = trial_pace.is_none_or(|p| p > SLOW_RATIO);
+        // Danger: earlier machines left idle look quick, and reports may be false: own answers must agree.
+        let slowed = trial_pace.is_some_and(|p| p > SLOW_RATIO);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
         if pace.0 > SLOW_RATIO && pace.1 > SLOW_SURE && slowed && !self.list_behind(build) && !released {
             let calm = pace.2 > 1 && fleet < FLEET_UNEASY;
@@ -780,14 +781,13 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines are slow too: until all are warm a slow count only holds 'on' back, before the
-        // last stage leaves the earlier machines idle and quick.
+        // Danger: cold machines are slow: until all are warm a slow count only holds, and not at the end.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
-        // Failures on earlier machines too are a trouble of links or machines, which makes answers slow as well.
-        let (n, bad, _) = self.k.counted(self.counted_base(build), recent, |_| true);
-        let calm = bad < BACK_MARGIN / 2.0 * n;
+        // Failures on earlier machines too are a trouble of links or machines, and make answers slow as well.
+        let earlier = self.k.counted(self.counted_base(build), recent, |_| true);
+        let calm = earlier.1 < BACK_MARGIN / 2.0 * earlier.0;
         if self.counted_out(now, build) {
             worst = Finding::Fault;
         } else if calm && !released && self.counted_pace(build, warm) > SLOW_RATIO {
