--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -64,6 +64,8 @@
 const FAIL_WEIGHT: f64 = 0.15; // weight of the newest answer in a machine's failing share
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
+const QUEUE_TIMES: f64 = 3.0; // multiple of it up to which an attempt counts as queue
+const HEDGE_TIMES: f64 = 5.0; // multiple of the usual answer time after which a copy may be sent
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
@@ -615,9 +617,13 @@
 
     /// Requests held by an ejected or gone machine go elsewhere where their class allows.
     fn rescue(&mut self, now: Micros, out: &mut Vec<Action>) {
+        // Danger: answers may be lost one by one. While answers are quick a copy is sent of what takes too long.
+        let easy = self.s.second_copies && self.k.answer_time < EASY * self.tightest();
+        let late = if easy { (HEDGE_TIMES * self.k.answer_time) as Micros } else { Micros::MAX };
         let stuck = |a: &Attempt| {
             let m = &self.k.machines[&a.machine];
-            a.out && (m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR)
+            let sick = m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR;
+            a.out && (sick || now - a.sent > late)
         };
         let movable = |r: &Request| {
             self.s.classes[r.class].effect != Effect::Once
@@ -651,8 +657,9 @@
 
     /// By Little's law the work in flight over the completion rate predicts the answer time.
     fn admits(&self, now: Micros, r: &Request) -> bool {
-        let live = self.k.reached().filter(|m| now >= m.ejected_until);
-        let held = live.map(|m| f64::from(m.inflight)).sum::<f64>();
+        // Danger: where answers are lost or machines silent, what is long out is no queue.
+        let late = (QUEUE_TIMES * self.k.answer_time) as Micros;
+        let held = self.k.outs.values().filter(|o| now <= o.sent + late).count() as f64;
         if held < FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1)) {
             return true;
         }
