Cold machines out of a front's reach get a lot only; capacity from work served

Cause: fronts whose stretch refused asked the whole fleet, each with its full part of the cold budget, and usual work counted refused attempts. Told from a cold burst by the connect failures. Also covers: a lost zone, mass restarts. May leave cold machines idle for a while where everything else is down.

--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -105,6 +105,8 @@
     pub ejections: u32,
     /// Work sent, for the cold budget.
     pub sent: Tally,
+    /// Work served, for the cold budget of others.
+    pub done: Tally,
     /// Its answer times over its kind's, smoothed.
     pub pace: f64,
 }
@@ -361,6 +363,7 @@
             ejected_until: 0,
             ejections: 0,
             sent: Tally::default(),
+            done: Tally::default(),
             pace: 1.0,
         };
         let m = self.machines.entry(e.machine).or_insert_with(fresh);
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -226,9 +226,9 @@
         self.s.cold_from + (1.0 - self.s.cold_from) * age as f64 / self.s.warm_after as f64
     }
 
-    /// Rule 4: work sent to a cold machine stays under this front's part of what it can bear, taking what
-    /// warm machines of its size are sent as their capacity. Danger: hundreds of fronts push it over with one
-    /// request each: where the part is less than one request, a lot drawn for each span decides.
+    /// Rule 4: work sent to a cold machine stays under this front's part of what it can bear, where what warm
+    /// ones serve is capacity. Danger: one request from each of hundreds of fronts pushes it over: where the
+    /// part is under one, and out of reach, where none is known, a lot for each span decides.
     fn cold_allows(&self, now: Micros, r: &Request, m: &Machine) -> bool {
         let warmth = self.warmth(now, m);
         if warmth >= 1.0 {
@@ -236,7 +236,8 @@
         }
         let span = self.s.fall + EDGE;
         let bears = self.k.usual_work * span as f64 * m.e.weight * warmth * self.s.tip_multiple;
-        let part = COLD_PART * bears * self.k.fewer.get(&m.e.build).copied().unwrap_or(1.0);
+        let near = self.k.reach.get(&m.e.build).filter(|r| r.contains(&m.e.machine));
+        let part = COLD_PART * bears * near.and(self.k.fewer.get(&m.e.build)).copied().unwrap_or(0.0);
         let sent = m.sent.sum(now, span);
         let mine = u64::from(m.e.machine) | u64::from(self.s.me) << 32;
         let lot = position(mine ^ (now / span) << 48);
@@ -244,9 +245,8 @@
             || sent == 0.0 && lot < (part / r.work).max(1.0 / f64::from(self.s.fronts.max(1)))
     }
 
-    /// Work that a warm machine is sent, by size and time: the measure of capacity for cold ones. With none
-    /// left the last figure stands; a front that never saw one takes its whole work over all machines. Then
-    /// each build's part of the fleet's capacity, and how many more fronts meet its machines than others.
+    /// Work that a warm machine serves (not: is sent), by size and time. With none left the last figure is
+    /// kept; a front that never saw one takes its work over all machines. Also each build's part of capacity.
     fn measure(&mut self, now: Micros) {
         let span = self.s.fall;
         let warm = || self.k.reached().filter(|m| self.warmth(now, m) >= 1.0);
@@ -254,7 +254,7 @@
         let ready = || self.k.machines.values().filter(|m| m.e.state == MachineState::Ready);
         let mut usual = self.k.usual_work;
         if size > 0.0 {
-            let work: f64 = warm().map(|m| m.sent.sum(now, span)).sum();
+            let work: f64 = warm().map(|m| m.done.sum(now, span)).sum();
             usual = work / size / span as f64;
         } else if usual == 0.0 {
             let taken: f64 = self.k.accepted.iter().map(|t| t.sum(now, span)).sum();
@@ -536,6 +536,7 @@
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             m.quiet_from = now;
         }
+        m.done.add(now, if ending == Ending::Ok { o.work } else { 0.0 }, self.s.fall);
         m.fail += FAIL_WEIGHT * (f64::from(u8::from(ending != Ending::Ok)) - m.fail);
         if ending == Ending::ConnectFailed {
             m.fail = m.fail.max(EJECT_SHARE) + FAIL_WEIGHT;
@@ -887,11 +888,9 @@
         if self.k.suspect_from.is_some_and(|t| now >= t.saturating_add(lasts)) {
             self.k.condemned = Some(n.build);
         }
-        if self.k.condemned == Some(n.build) {
-            return Some(Verdict::Back);
-        }
-        if n.phase != Phase::Trial {
-            return None;
+        let condemned = self.k.condemned == Some(n.build);
+        if condemned || n.phase != Phase::Trial {
+            return condemned.then_some(Verdict::Back);
         }
         if self.s.release.mode == VoteMode::Automatic {
             let holds = finding >= Finding::Doubt;
--- a/crates/yarrowspoke/tests/scale.rs
+++ b/crates/yarrowspoke/tests/scale.rs
@@ -49,6 +49,29 @@
     assert!((1..=160).contains(&cold), "{cold} requests");
 }
 
+#[test]
+fn a_cold_machine_out_of_reach_gets_next_to_nothing_when_all_others_refuse() {
+    // Half of the fleet restarts cold and the other half takes no connections: every front asks the whole fleet.
+    let (fronts, mut cold) = (60, BTreeMap::<MachineId, u32>::new());
+    for me in 0..fronts {
+        let mut rig = Rig::new(among(me, fronts), 120);
+        for _ in 0..100 {
+            rig.now += 10 * MS;
+            rig.round(0, well);
+        }
+        let new: Vec<_> = (60..120).map(|m| entry(m, 1, rig.now)).collect();
+        rig.list(ListKind::Delta, &new);
+        let from = rig.now;
+        while rig.now < from + S {
+            rig.now += 10 * MS;
+            let got = rig.round(0, |m| if m < 60 { (Ending::ConnectFailed, MS) } else { well(m) });
+            got.filter(|m| *m >= 60).into_iter().for_each(|m| *cold.entry(m).or_default() += 1);
+        }
+    }
+    // A warm machine served some 35 requests a second before: at 30 % and three times that a cold one stands 31.
+    assert!(cold.values().all(|n| *n <= 31), "{cold:?}");
+}
+
 #[test]
 fn an_idle_front_gives_the_trial_no_more_than_its_part_of_the_fleet() {
     let mut rig = Rig::new(among(0, 120), 180);
