--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -682,13 +682,12 @@
     }
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
-    fn fleet_pace(&self, now: Micros, build: Build) -> f64 {
+    fn fleet_pace(&self, now: Micros, build: Build, doubted: bool) -> f64 {
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
         let before = self.k.kept_below(build).flatten().filter(late);
-        pace_over(before, &self.k.figures, ENOUGH).unwrap_or_else(|| {
-            let all = self.k.samples.values().flatten().filter(late);
-            pace_over(all, &self.k.figures, ENOUGH).unwrap_or(1.0)
-        })
+        let all = self.k.samples.values().flatten().filter(late);
+        let now = pace_over(before, &self.k.figures, PACE_LEAST);
+        now.or(pace_over(all, &self.k.figures, PACE_LEAST)).unwrap_or(if doubted { FLEET_SLOW } else { 1.0 })
     }
 
     /// Takes the figures against which the build just named will be held.
@@ -773,7 +772,9 @@
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
         let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
-        let fleet = self.fleet_pace(now, build).min(trial_pace.unwrap_or(f64::MAX));
+        // Danger: while nearly all is refused there is little to judge by: a doubt stays until it is cleared.
+        let doubted = self.k.suspect_from.is_some();
+        let fleet = self.fleet_pace(now, build, doubted).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and reports may be false: own answers must agree.
         let slowed = trial_pace.is_some_and(|p| p > SLOW_RATIO);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
@@ -784,7 +785,8 @@
             worst = worst.max(Finding::Doubt);
         }
         if fleet > FLEET_UNEASY {
-            worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
+            worst =
+                worst.max(if fleet > FLEET_SLOW || doubted { Finding::FleetSlow } else { Finding::Doubt });
         }
         // Danger: cold machines are slow: until all are warm a slow count only holds, and not at the end.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
