--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -18,6 +18,7 @@
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
+const ROUNDING: f64 = 1e-6; // a stage's share of the places is rounded up
 const EFFECT_STAGE: u8 = 2; // the third stage, from which requests with an effect may go to trial
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLIGHT_MARGIN: f64 = 0.005; // the same for failures that are few but certain and must last
@@ -65,7 +66,7 @@
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
 const QUEUE_TIMES: f64 = 3.0; // multiple of it up to which an attempt counts as queue
-const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
+const COLD_PART: f64 = 0.4; // part of a cold machine's bearable work that this front may send it
 const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
@@ -682,12 +683,11 @@
     }
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
-    fn fleet_pace(&self, now: Micros, build: Build, doubted: bool) -> f64 {
+    fn fleet_pace(&self, now: Micros, build: Build) -> Option<f64> {
         let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-        let before = self.k.kept_below(build).flatten().filter(late);
+        let before = pace_over(self.k.kept_below(build).flatten().filter(late), &self.k.figures, PACE_LEAST);
         let all = self.k.samples.values().flatten().filter(late);
-        let now = pace_over(before, &self.k.figures, PACE_LEAST);
-        now.or(pace_over(all, &self.k.figures, PACE_LEAST)).unwrap_or(if doubted { FLEET_SLOW } else { 1.0 })
+        before.or(pace_over(all, &self.k.figures, PACE_LEAST))
     }
 
     /// Takes the figures against which the build just named will be held.
@@ -773,8 +773,8 @@
         let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
         let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
         // Danger: while nearly all is refused there is little to judge by: a doubt stays until it is cleared.
-        let doubted = self.k.suspect_from.is_some();
-        let fleet = self.fleet_pace(now, build, doubted).min(trial_pace.unwrap_or(f64::MAX));
+        let unseen = if self.k.suspect_from.is_some() { 2.0 * FLEET_SLOW } else { 1.0 };
+        let fleet = self.fleet_pace(now, build).unwrap_or(unseen).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and reports may be false: own answers must agree.
         let slowed = trial_pace.is_some_and(|p| p > SLOW_RATIO);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
@@ -785,8 +785,7 @@
             worst = worst.max(Finding::Doubt);
         }
         if fleet > FLEET_UNEASY {
-            worst =
-                worst.max(if fleet > FLEET_SLOW || doubted { Finding::FleetSlow } else { Finding::Doubt });
+            worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
         // Danger: cold machines are slow: until all are warm a slow count only holds, and not at the end.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
@@ -866,7 +865,7 @@
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
         let wait = WINDOW.max(CLOCK_LAG + bake);
-        if (up as f64) < wanted.floor().max(1.0) {
+        if (up as f64) < (wanted - ROUNDING).ceil().max(1.0) {
             return (self.k.stage_from + self.k.boot + CLOCK_LAG + bake).max(newest + wait);
         }
         newest + wait
