A few witnesses never suffice for one of hundreds; slow cold counts hold at 1.75

Now a front that decides alone among hundreds needs machines enough for its certainty, a doubt stays unseen only where many must agree, and counts of cold machines hold at 1.75 until warm.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -13,17 +13,17 @@
 const MS: Micros = 1_000;
 const TICK: Micros = 50 * MS; // housekeeping period
 const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
-const CLOCK_LAG: Micros = 1_100 * MS; // a stage's clock starts about this long after its last start
+const CLOCK_LAG: Micros = 1_300 * MS; // a stage's clock starts so long after its last start seen, or sooner
 const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
-const ROUNDING: f64 = 1e-6; // a stage's share of the places is rounded up
 const EFFECT_STAGE: u8 = 2; // the third stage, from which requests with an effect may go to trial
 const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's that sends a build back
 const SLIGHT_MARGIN: f64 = 0.005; // the same for failures that are few but certain and must last
 const SPREAD: f64 = 0.25; // ...and must show on this part of the build's machines
 const SLOW_RATIO: f64 = 1.5; // median latency over the earlier build's that sends a build back
+const COLD_SLOW: f64 = 1.75; // the same, in the counts of cold machines, that holds 'on' back
 const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
 const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
 const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
@@ -690,7 +690,7 @@
         before.or(pace_over(all, &self.k.figures, PACE_LEAST))
     }
 
-    /// Takes the figures against which the build just named will be held.
+    /// Figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
         let lately = self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now);
         self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
@@ -772,8 +772,8 @@
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
         let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
-        // Danger: while nearly all is refused there is little to judge by: a doubt stays until it is cleared.
-        let unseen = if self.k.suspect_from.is_some() { 2.0 * FLEET_SLOW } else { 1.0 };
+        // Danger: while nearly all is refused nothing is seen: where many must agree a doubt stays meanwhile.
+        let unseen = if self.k.suspect_from.is_some() && z < SURE { 2.0 * FLEET_SLOW } else { 1.0 };
         let fleet = self.fleet_pace(now, build).unwrap_or(unseen).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and reports may be false: own answers must agree.
         let slowed = trial_pace.is_some_and(|p| p > SLOW_RATIO);
@@ -787,18 +787,18 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines are slow: until all are warm a slow count only holds, and not at the end.
+        // Danger: cold machines, and all in a trouble of links (then earlier ones fail too), are slow as well.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
-        // Failures on earlier machines too are a trouble of links or machines, and make answers slow as well.
+        let early = !last && now < warm + 2 * self.s.release.tally_every;
         let e = self.k.counted(self.counted_base(build), recent, |_| true);
         let calm = e.1 < BACK_MARGIN / 2.0 * e.0;
         if self.counted_out(now, build) {
             worst = Finding::Fault;
         } else if calm && !released && self.counted_pace(build, warm) > SLOW_RATIO {
             worst = worst.max(Finding::Slow);
-        } else if calm && !last && self.counted_pace(build, recent) > SLOW_RATIO {
+        } else if calm && early && self.counted_pace(build, recent) > COLD_SLOW {
             worst = worst.max(Finding::Doubt);
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
@@ -865,7 +865,7 @@
         let up = mine().filter(|m| m.e.state == MachineState::Ready).count();
         let bake = PATIENCE.max(self.s.release.least_stage.saturating_sub(BAKE_LEAD));
         let wait = WINDOW.max(CLOCK_LAG + bake);
-        if (up as f64) < (wanted - ROUNDING).ceil().max(1.0) {
+        if (up as f64) < wanted.floor().max(1.0) {
             return (self.k.stage_from + self.k.boot + CLOCK_LAG + bake).max(newest + wait);
         }
         newest + wait
@@ -970,9 +970,8 @@
     }
 }
 
-/// Median pace of the trial machines over that of earlier machines of the same kind and class, lately; that
-/// median's lower bound, as medians of 20 scattered answers alone differ by half too often; and the number
-/// of machines seen, the slowest left out of the figures where there are several.
+/// Median pace of the trial machines over that of earlier machines of the same kind and class, lately; its
+/// lower bound over machines; and their number. The slowest are left out where there are several.
 fn slowness(now: Micros, trial: &[&Sample], earlier: &[&Sample], z: f64) -> (f64, f64, usize) {
     // Danger: once the earlier machines are idle or gone, a busy moment of the new ones has no match.
     let last = earlier.iter().filter(|s| s.pace.is_some()).map(|s| s.at).max().unwrap_or(0);
@@ -987,12 +986,13 @@
     let order = ranked(&timed, |s| ratio(s).unwrap_or(1.0));
     let drop = if order.len() < 2 { 0 } else { order.len().div_ceil(SICK_PART) };
     let mut paces: Vec<f64> = without(&timed, &order[..drop]).into_iter().filter_map(ratio).collect();
-    if paces.len() < PACE_LEAST {
-        return (1.0, 1.0, order.len());
-    }
-    // Danger: slow links or sick machines come as whole machines: each is one witness, whatever it answers.
+    // Danger: slow links and sick machines come as whole machines: each is one witness, whatever it says; and
+    // where one of hundreds of fronts decides, a few witnesses never make it sure enough.
     let machines = machine_middles(&timed, &order[drop..], ratio);
     let n = machines.len() as f64;
-    let rank = (n / 2.0 - z * n.sqrt() / 2.0).max(0.0);
+    let rank = n / 2.0 - z * n.sqrt() / 2.0;
+    if paces.len() < PACE_LEAST || rank < 0.0 && z > CERTAIN {
+        return (1.0, 1.0, order.len());
+    }
     (median(&mut paces).unwrap_or(1.0), machines[rank as usize], order.len())
 }
