--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -14,7 +14,7 @@
 const TICK: Micros = 50 * MS; // housekeeping period
 const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
 const CLOCK_LAG: Micros = 1_300 * MS; // a stage's clock starts so long after its last start seen, or sooner
-const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
+const PATIENCE: Micros = 2_350 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
@@ -772,9 +772,7 @@
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = trial.iter().copied().filter(|s| s.at + PACE_SPAN > now);
         let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
-        // Danger: while nearly all is refused nothing is seen: where many must agree a doubt stays meanwhile.
-        let unseen = if self.k.suspect_from.is_some() && z < SURE { 2.0 * FLEET_SLOW } else { 1.0 };
-        let fleet = self.fleet_pace(now, build).unwrap_or(unseen).min(trial_pace.unwrap_or(f64::MAX));
+        let fleet = self.fleet_pace(now, build).unwrap_or(1.0).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and reports may be false: own answers must agree.
         let slowed = trial_pace.is_some_and(|p| p > SLOW_RATIO);
         text += &format!("pace {:.2} on {}, fleet {fleet:.2}", pace.0, pace.2);
@@ -787,7 +785,7 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines, and all in a trouble of links (then earlier ones fail too), are slow as well.
+        // Danger: cold machines, and all in a trouble of links (earlier ones fail too), are slow as well.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
