The platform's counts speak only while few attempts at earlier machines fail

Told from a bad class by the earlier machines, which fail as well. May hurt: a bad class amid link troubles is left to the fronts' own outcomes.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -13,8 +13,8 @@
 const MS: Micros = 1_000;
 const TICK: Micros = 50 * MS; // housekeeping period
 const WINDOW: Micros = 1_600 * MS; // waiting window after the newest start seen (the design starts from 3 s)
-const CLOCK_LAG: Micros = 1_300 * MS; // a stage's clock starts so long after its last start seen, or sooner
-const PATIENCE: Micros = 2_350 * MS; // least stage clock time before an 'on'
+const CLOCK_LAG: Micros = 1_100 * MS; // a stage's clock starts so long after its last start seen, or sooner
+const PATIENCE: Micros = 2_150 * MS; // least stage clock time before an 'on'
 const BAKE_LEAD: Micros = 250 * MS; // an 'on' is cast this long before the stage may end
 const BOOT_LIMIT: Micros = 8_000 * MS; // a stage whose machines are not all seen by then is taken as up...
 const BOOT_MARGIN: Micros = 500 * MS; // ...or this long after the longest boot seen in earlier stages
@@ -785,14 +785,15 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines, and all in a trouble of links (earlier ones fail too), are slow as well.
+        // Danger: cold machines are slow too. In a trouble of links earlier machines fail as well, and a class
+        // that is new to the build seems to be picked.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
         let early = !last && now < warm + 2 * self.s.release.tally_every;
         let e = self.k.counted(self.counted_base(build), recent, |_| true);
         let calm = e.1 < BACK_MARGIN / 2.0 * e.0;
-        if self.counted_out(now, build) {
+        if calm && self.counted_out(now, build) {
             worst = Finding::Fault;
         } else if calm && !released && self.counted_pace(build, warm) > SLOW_RATIO {
             worst = worst.max(Finding::Slow);
