--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -785,8 +785,8 @@
         if fleet > FLEET_UNEASY {
             worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
         }
-        // Danger: cold machines are slow too. In a trouble of links earlier machines fail as well, and a class
-        // that is new to the build seems to be picked.
+        // Danger: cold machines are slow too; in a trouble of links earlier machines fail as well, and a
+        // class that is new to the build seems to be picked.
         let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
