--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -66,7 +66,8 @@
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
 const QUEUE_TIMES: f64 = 3.0; // multiple of it up to which an attempt counts as queue
-const COLD_PART: f64 = 0.4; // part of a cold machine's bearable work that this front may send it
+const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
+const LOT_PART: f64 = 0.75; // ...and of that where lots decide, which scatter
 const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
@@ -243,7 +244,7 @@
         let mine = u64::from(m.e.machine) | u64::from(self.s.me) << 32;
         let lot = position(mine ^ (now / span) << 48);
         sent + r.work <= part
-            || sent == 0.0 && lot < (part / r.work).max(1.0 / f64::from(self.s.fronts.max(1)))
+            || sent == 0.0 && lot < (LOT_PART * part / r.work).max(1.0 / f64::from(self.s.fronts.max(1)))
     }
 
     /// Work that a warm machine serves (not: is sent), by size and time. With none left the last figure is
