--- a/crates/yarrowspoke-drill/src/host.rs
+++ b/crates/yarrowspoke-drill/src/host.rs
@@ -1,6 +1,5 @@
 //! Hosts many fronts in one process: reads batches, passes events on, writes replies.
 
-use crate::settings;
 use crate::wire::{Reader, Reply, WireError, BATCH_HEADER};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
@@ -104,7 +103,8 @@
         let seed = r.u64()?;
         let n = r.u32()? as usize;
         let json = r.bytes(n)?;
-        let settings = settings::parse(json).map_err(|source| WireError::Settings { at, source })?;
+        let settings =
+            yarrowspoke_settings::parse(json).map_err(|source| WireError::Settings { at, source })?.module;
         self.actions.clear();
         let actions = &mut self.actions;
         match catch_unwind(AssertUnwindSafe(|| Front::new(seed, settings, now, actions))) {
--- a/crates/yarrowspoke-drill/src/lib.rs
+++ b/crates/yarrowspoke-drill/src/lib.rs
@@ -1,5 +1,4 @@
 //! The adapter as a library, so that its framing and hosting can be tested without a process.
 
 pub mod host;
-pub mod settings;
 pub mod wire;
--- a/crates/yarrowspoke-drill/src/wire.rs
+++ b/crates/yarrowspoke-drill/src/wire.rs
@@ -60,7 +60,7 @@
         /// Position in the frame's body.
         at: usize,
         /// The reader's complaint.
-        source: serde_json::Error,
+        source: yarrowspoke_settings::SettingsError,
     },
     /// The stream failed.
     #[error("stream failed: {0}")]
--- /dev/null
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -0,0 +1,141 @@
+//! The configuration file, read into a typed value; an error names the field.
+
+use crate::net::list::{self, Listing};
+use crate::net::platform::{self, State};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use thiserror::Error;
+use yarrowspoke_settings::Settings;
+
+/// Why a configuration cannot be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("configuration {path}: {source}")]
+    File {
+        /// Where it should be.
+        path: String,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+    /// A field is missing or has no sense.
+    #[error("configuration field {field}: {why}")]
+    Field {
+        /// The field.
+        field: String,
+        /// What is wrong with it.
+        why: String,
+    },
+}
+
+impl ConfigError {
+    fn field(field: &str, why: impl ToString) -> Self {
+        Self::Field { field: field.to_owned(), why: why.to_string() }
+    }
+}
+
+/// Limits under which this front runs.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors that it may hold.
+    pub sockets: usize,
+}
+
+/// All that this front is told when it starts.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Limits of its machine.
+    pub limits: Limits,
+    /// Where peers' messages arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where each front of the tier is reached, by number.
+    pub peers: Vec<SocketAddr>,
+    /// Where all of them are reached at once.
+    pub peers_all: Option<SocketAddr>,
+    /// Where the platform is.
+    pub platform: Option<SocketAddr>,
+    /// State of the newest build as last told.
+    pub news: Option<State>,
+    /// The list of machines as last held.
+    pub known: Listing,
+    /// The settings that the simulator would hand over.
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    rollouts: Option<Rollouts>,
+    #[serde(default)]
+    known: serde_json::Value,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Rollouts {
+    address: SocketAddr,
+    news: Option<platform::StateFields>,
+}
+
+/// Reads the configuration file at `path`.
+pub fn load(path: &str) -> Result<Config, ConfigError> {
+    let bytes = std::fs::read(path).map_err(|source| ConfigError::File { path: path.to_owned(), source })?;
+    parse(&bytes)
+}
+
+/// Reads a configuration from its JSON text.
+pub fn parse(json: &[u8]) -> Result<Config, ConfigError> {
+    let reader = &mut serde_json::Deserializer::from_slice(json);
+    let file: File = serde_path_to_error::deserialize(reader).map_err(|e| {
+        let field = e.path().to_string();
+        ConfigError::field(&field, e.into_inner())
+    })?;
+    let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| ConfigError::field("seed", e))?;
+    let settings = yarrowspoke_settings::from_value(&file.settings).map_err(|e| {
+        let field = format!("settings.{}", e.path());
+        ConfigError::field(&field, e.into_inner())
+    })?;
+    if settings.module.classes.is_empty() {
+        return Err(ConfigError::field("settings.Classes", "at least one class is needed"));
+    }
+    let known = match &file.known {
+        serde_json::Value::Null => Listing::default(),
+        value => list::decode_value(value, &settings.names).map_err(|e| ConfigError::field("known", e))?,
+    };
+    let (platform, news) = file.rollouts.map_or((None, None), |r| (Some(r.address), r.news));
+    let news = match news {
+        Some(fields) => Some(State::try_from(fields).map_err(|e| ConfigError::field("rollouts.news", e))?),
+        None => None,
+    };
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        discovery: file.discovery,
+        seed,
+        limits: file.limits,
+        peer_listen: file.peer_listen,
+        peers: file.peers,
+        peers_all: file.peers_all,
+        platform,
+        news,
+        known,
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -0,0 +1,558 @@
+//! Drives the decision module: one clock, its timers, events in order, actions carried out.
+
+use crate::exchange::{Answer, Call, Exchange};
+use crate::net::list::{Discovery, Row};
+use crate::net::machines::{load_values, Machines, Progress, Reply};
+use crate::net::peers::Peers;
+use crate::net::platform::{self, Ballot};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use futures_lite::{future, FutureExt};
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use yarrowspoke::interface::{
+    Action, Arrival, Build, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState, Micros, News,
+    RequestId,
+};
+use yarrowspoke::Front;
+use yarrowspoke_settings::{Names, Settings};
+
+/// Inputs that may wait for the driver; who brings more waits himself.
+const INPUT_LIMIT: usize = 4_096;
+/// Inputs taken before the other tasks have their turn.
+const INPUTS_AT_ONCE: usize = 64;
+/// Votes that may be on their way together.
+const VOTE_LIMIT: usize = 8;
+/// Period of the sweep over kept connections.
+const SWEEP: Micros = 500_000;
+
+/// One clock for all: it goes forward evenly, and began at the Unix time of the start.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    begun: Instant,
+    base: Micros,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Self { begun: Instant::now(), base }
+    }
+
+    /// Microseconds, comparable with the start times in the list.
+    pub fn now(&self) -> Micros {
+        self.base + self.begun.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.begun + Duration::from_micros(at.saturating_sub(self.base))
+    }
+}
+
+/// What the peers' modules bring to the driver.
+pub enum Input {
+    /// A request has come.
+    Arrived(Rc<Exchange>),
+    /// Its client has left.
+    Left(RequestId),
+    /// An attempt has ended by itself.
+    Ended(RequestId, u16, Result<Reply, Ending>),
+    /// Discovery has told something, or failed.
+    List(ListKind, Vec<Row>),
+    /// The platform has told something, or answered a vote.
+    News(News),
+    /// A peer's message.
+    Message(u32, Vec<u8>),
+}
+
+/// What all client connections share with the driver.
+pub struct Hub {
+    /// The clock.
+    pub clock: Clock,
+    /// Where inputs go.
+    pub inputs: Sender<Input>,
+    /// Names behind positions.
+    pub names: Names,
+    /// Each class's deadline, for requests that state no budget.
+    pub budgets: Vec<Micros>,
+    /// The driver serves.
+    pub ready: Cell<bool>,
+    /// Client connections open.
+    pub clients: Rc<Cell<usize>>,
+    /// Most of them.
+    pub most_clients: usize,
+    next_id: Cell<RequestId>,
+    bad: Cell<u64>,
+    left: (Sender<()>, Receiver<()>),
+    stop: (Sender<()>, Receiver<()>),
+}
+
+/// A client connection's place among those allowed.
+pub struct Seat(Rc<Cell<usize>>, Sender<()>);
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+        let _ = self.1.try_send(());
+    }
+}
+
+impl Hub {
+    /// A hub, and where its inputs come out.
+    pub fn new(settings: &Settings, most_clients: usize) -> (Rc<Self>, Receiver<Input>) {
+        let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
+        let hub = Self {
+            clock: Clock::start(),
+            inputs,
+            names: settings.names.clone(),
+            budgets: settings.module.classes.iter().map(|c| c.deadline).collect(),
+            ready: Cell::new(false),
+            clients: Rc::default(),
+            most_clients,
+            next_id: Cell::new(1),
+            bad: Cell::new(0),
+            left: async_channel::bounded(1),
+            stop: async_channel::bounded(1),
+        };
+        (Rc::new(hub), receiver)
+    }
+
+    /// Takes a place for a client connection.
+    pub fn seat(&self) -> Seat {
+        self.clients.set(self.clients.get() + 1);
+        Seat(Rc::clone(&self.clients), self.left.0.clone())
+    }
+
+    /// Waits until a client connection has ended.
+    pub async fn client_left(&self) {
+        let _ = self.left.1.recv().await;
+    }
+
+    /// Begins the stop: what is there and what still comes is served, then connections end.
+    pub fn begin_stop(&self) {
+        self.stop.0.close();
+    }
+
+    /// Whether the stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.0.is_closed()
+    }
+
+    /// Waits for the stop to begin.
+    pub async fn stopped(&self) {
+        let _ = self.stop.1.recv().await;
+    }
+
+    /// Counts a request that could not be read or is none.
+    pub fn count_bad(&self) {
+        self.bad.set(self.bad.get() + 1);
+    }
+
+    /// A request just read.
+    pub fn exchange(&self, call: Call) -> Rc<Exchange> {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        Exchange::new(id, call, self.clock.now())
+    }
+}
+
+/// An attempt on its way; dropping its task closes its connection.
+struct Flight {
+    machine: MachineId,
+    build: Build,
+    sent: Micros,
+    progress: Rc<Cell<Progress>>,
+    _task: Task<()>,
+}
+
+struct Open {
+    exchange: Rc<Exchange>,
+    attempts: u16,
+    out: u16,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u16),
+    Overdue(RequestId),
+    Sweep,
+}
+
+/// Where the driver reaches everybody.
+pub struct Outside {
+    /// Runs the tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Machines.
+    pub machines: Rc<Machines>,
+    /// Discovery.
+    pub discovery: Rc<Discovery>,
+    /// The platform, if there is one.
+    pub platform: Option<SocketAddr>,
+    /// Peers, if there are any.
+    pub peers: Option<Rc<Peers>>,
+}
+
+/// What the module is still to be told after the event in hand.
+enum Follow {
+    Outcome { id: RequestId, attempt: u16, machine: MachineId, ending: Ending, took: Micros, load: Vec<f32> },
+    Probed(MachineId),
+    News(News),
+}
+
+/// Owns the decision module.
+pub struct Driver {
+    front: Front,
+    settings: Settings,
+    hub: Rc<Hub>,
+    outside: Outside,
+    open: BTreeMap<RequestId, Open>,
+    flights: BTreeMap<(RequestId, u16), Flight>,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    listed: BTreeMap<MachineId, (MachineState, Build)>,
+    news: Option<News>,
+    watch: Option<Task<()>>,
+    fetch: Option<Task<()>>,
+    votes: Rc<Cell<usize>>,
+    follow: VecDeque<Follow>,
+}
+
+impl Driver {
+    /// Starts the module and hands it what the configuration holds: the list and the newest build's state.
+    pub fn start(
+        seed: u64,
+        settings: Settings,
+        known: Vec<Row>,
+        news: Option<News>,
+        hub: Rc<Hub>,
+        outside: Outside,
+    ) -> Self {
+        let (now, mut actions) = (hub.clock.now(), Vec::new());
+        let front = Front::new(seed, settings.module.clone(), now, &mut actions);
+        let mut driver = Self {
+            front,
+            settings,
+            hub,
+            outside,
+            open: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            listed: BTreeMap::new(),
+            news: None,
+            watch: None,
+            fetch: None,
+            votes: Rc::default(),
+            follow: VecDeque::new(),
+        };
+        actions.into_iter().for_each(|a| driver.act(now, a));
+        driver.take(Input::List(ListKind::Cached, known));
+        if let Some(news) = news {
+            driver.take(Input::News(news));
+        }
+        driver.due(now + SWEEP, Due::Sweep);
+        driver.hub.ready.set(true);
+        driver
+    }
+
+    /// Serves for ever.
+    pub async fn run(mut self, inputs: Receiver<Input>) {
+        loop {
+            self.fire();
+            let next = self.timers.peek().map(|t| self.hub.clock.instant(t.0 .0));
+            let timer = async {
+                match next {
+                    Some(at) => Timer::at(at).await,
+                    None => future::pending().await,
+                };
+                None
+            };
+            if let Some(input) = future::or(async { inputs.recv().await.ok() }, timer).await {
+                self.take(input);
+                (1..INPUTS_AT_ONCE).map_while(|_| inputs.try_recv().ok()).for_each(|i| self.take(i));
+            }
+            future::yield_now().await;
+        }
+    }
+
+    fn due(&mut self, at: Micros, what: Due) {
+        self.timers.push(Reverse((at, what)));
+    }
+
+    fn fire(&mut self) {
+        let now = self.hub.clock.now();
+        while let Some(Reverse((_, due))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+            self.timers.pop();
+            match due {
+                Due::Module(name) => self.tell(Event::Timer { name }),
+                Due::Attempt(id, attempt) => self.expire(id, attempt),
+                Due::Overdue(id) => self.overdue(id),
+                Due::Sweep => {
+                    self.outside.machines.sweep(now);
+                    self.due(now + SWEEP, Due::Sweep);
+                }
+            }
+            self.follow_up();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(exchange) => self.arrived(exchange),
+            Input::Left(id) => self.left(id),
+            Input::Ended(id, attempt, Ok(reply)) => {
+                let report = reply.load.as_deref().unwrap_or_default();
+                let load = load_values(report, &self.settings.names.load_fields);
+                if reply.ending == Ending::Ok {
+                    if let Some(open) = self.open.get(&id) {
+                        open.exchange.answer(Answer::Served(reply.body));
+                    }
+                }
+                self.land(id, attempt, reply.ending, load);
+            }
+            Input::Ended(id, attempt, Err(ending)) => self.land(id, attempt, ending, Vec::new()),
+            Input::List(kind, rows) => self.list(kind, &rows),
+            Input::News(news) => self.told(news),
+            Input::Message(from, bytes) => self.tell(Event::Message { from, bytes: &bytes }),
+        }
+        self.follow_up();
+    }
+
+    fn arrived(&mut self, exchange: Rc<Exchange>) {
+        if exchange.is_over() {
+            return;
+        }
+        let (id, call) = (exchange.id, &exchange.call);
+        let arrival = Arrival {
+            id,
+            class: call.class,
+            remaining: exchange.deadline.saturating_sub(self.hub.clock.now()),
+            key: call.key,
+            tenant: call.tenant,
+            hint: call.hint,
+            repeat: call.repeat,
+        };
+        // Rule 1, last resort: should the module fail to answer, the client is told of the failure in time.
+        self.due(exchange.deadline + self.settings.module.answer_slack, Due::Overdue(id));
+        self.open.insert(id, Open { exchange, attempts: 0, out: 0 });
+        self.tell(Event::Request(arrival));
+        self.tidy(id);
+    }
+
+    fn left(&mut self, id: RequestId) {
+        if !self.open.contains_key(&id) {
+            return;
+        }
+        self.tell(Event::Withdrawn { id });
+        // An attempt lasts until the client stops waiting: nobody waits for these any more.
+        self.give_up(id);
+    }
+
+    fn give_up(&mut self, id: RequestId) {
+        let out: Vec<u16> = self.flights.range((id, 0)..=(id, u16::MAX)).map(|f| f.0 .1).collect();
+        out.into_iter().for_each(|attempt| self.land(id, attempt, Ending::Cancelled, Vec::new()));
+        self.tidy(id);
+    }
+
+    fn overdue(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        if open.exchange.answer(Answer::Failed) {
+            log::error!("request {id} had no final answer in time");
+            self.tell(Event::Withdrawn { id });
+        }
+        self.give_up(id);
+    }
+
+    fn list(&mut self, kind: ListKind, rows: &[Row]) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.listed.clear();
+            self.outside.machines.keep_only(rows);
+        }
+        for row in rows {
+            self.listed.insert(row.entry.machine, (row.entry.state, row.entry.build));
+            self.outside.machines.learn(row);
+        }
+        let entries: Vec<Entry> = rows.iter().map(|r| r.entry.clone()).collect();
+        self.tell(Event::List { kind, entries: &entries });
+        // An attempt still unwritten when its machine drains, leaves or comes back with another build.
+        let listed = std::mem::take(&mut self.listed);
+        self.recall(|f| listed.get(&f.machine) != Some(&(MachineState::Ready, f.build)));
+        self.listed = listed;
+    }
+
+    fn told(&mut self, news: News) {
+        let before = self.news;
+        self.tell(Event::News(news));
+        if news.ending != Ending::Ok {
+            return;
+        }
+        self.news = Some(news);
+        // An attempt still unwritten when its build's cap falls.
+        let fell = before.is_none_or(|b| b.build != news.build || news.cap < b.cap || b.phase != news.phase);
+        if fell {
+            self.recall(|f| f.build >= news.build);
+        }
+    }
+
+    /// Ends attempts that are not written yet and must not be any more: they have not run.
+    fn recall(&mut self, which: impl Fn(&Flight) -> bool) {
+        let unwritten = |f: &Flight| f.progress.get() < Progress::Written && which(f);
+        let ids: Vec<_> = self.flights.iter().filter(|f| unwritten(f.1)).map(|f| *f.0).collect();
+        for (id, attempt) in ids {
+            self.land(id, attempt, Ending::ConnectFailed, Vec::new());
+        }
+    }
+
+    fn expire(&mut self, id: RequestId, attempt: u16) {
+        let Some(flight) = self.flights.get(&(id, attempt)) else { return };
+        // Given up before its last byte was written, it cannot have run.
+        let written = flight.progress.get() == Progress::Written;
+        let ending = if written { Ending::Timeout } else { Ending::ConnectFailed };
+        self.land(id, attempt, ending, Vec::new());
+    }
+
+    /// An attempt has ended: its connection is closed unless it was given back before.
+    fn land(&mut self, id: RequestId, attempt: u16, ending: Ending, load: Vec<f32>) {
+        let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
+        if let Some(open) = self.open.get_mut(&id) {
+            open.out -= 1;
+        }
+        let (machine, took) = (flight.machine, self.hub.clock.now() - flight.sent);
+        self.follow.push_back(Follow::Outcome { id, attempt, machine, ending, took, load });
+    }
+
+    fn follow_up(&mut self) {
+        while let Some(follow) = self.follow.pop_front() {
+            match follow {
+                Follow::Outcome { id, attempt, machine, ending, took, load } => {
+                    let settled = self.open.get(&id).is_none_or(|o| o.exchange.is_over());
+                    let load = &load;
+                    self.tell(Event::Outcome(Ended { id, attempt, machine, ending, settled, took, load }));
+                    self.tidy(id);
+                }
+                Follow::Probed(machine) => {
+                    self.tell(Event::Probed { machine, ending: Ending::Moot, took: 0, load: &[] });
+                }
+                Follow::News(news) => self.tell(Event::News(news)),
+            }
+        }
+    }
+
+    /// Forgets a request that is over once its attempts have ended.
+    fn tidy(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.out == 0 && o.exchange.is_over()) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Hands one event to the module and carries out what it wants.
+    fn tell(&mut self, event: Event) {
+        let (now, mut actions) = (self.hub.clock.now(), Vec::new());
+        let front = &mut self.front;
+        // Danger: a defect met by one event must not end the requests of all others.
+        if catch_unwind(AssertUnwindSafe(|| front.handle(now, &event, &mut actions))).is_err() {
+            log::error!("decision module panicked on {event:?}");
+        }
+        actions.into_iter().for_each(|action| self.act(now, action));
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, machine, timeout } => self.send(now, id, machine, timeout),
+            Action::Refuse { id, backoff } => self.answer(id, Answer::Refused(backoff)),
+            Action::Fail { id } => self.answer(id, Answer::Failed),
+            Action::Cancel { id, attempt } => self.land(id, attempt, Ending::Cancelled, Vec::new()),
+            Action::Probe { machine } => self.follow.push_back(Follow::Probed(machine)),
+            Action::Watch(on) => {
+                let watch = Rc::clone(&self.outside.discovery).watch(self.hub.inputs.clone());
+                self.watch = on.then(|| self.outside.executor.spawn(watch));
+            }
+            Action::Fetch => {
+                let fetch = Rc::clone(&self.outside.discovery).fetch(self.hub.inputs.clone());
+                self.fetch = Some(self.outside.executor.spawn(fetch));
+            }
+            Action::Timer { name, after } => self.due(now + after, Due::Module(name)),
+            Action::Vote { build, stage, verdict } => self.vote(Ballot { build, stage, verdict }),
+            Action::Close { machine } => self.outside.machines.close_idle(machine),
+            Action::Tell { peer, bytes } => {
+                if let Some(peers) = &self.outside.peers {
+                    peers.tell(peer, &bytes);
+                }
+            }
+            Action::Log(text) => log::info!("module: {text}"),
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(open) = self.open.get(&id) {
+            open.exchange.answer(answer);
+        }
+        self.tidy(id);
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, machine: MachineId, timeout: Micros) {
+        let Some(open) = self.open.get_mut(&id) else {
+            log::error!("the module sent for request {id}, which is over");
+            return;
+        };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let exchange = Rc::clone(&open.exchange);
+        let late = exchange.is_over() || now >= exchange.deadline;
+        if late || u32::from(attempt) >= self.settings.module.max_attempts {
+            let (ending, load) = (Ending::Moot, Vec::new());
+            self.follow.push_back(Follow::Outcome { id, attempt, machine, ending, took: 0, load });
+            return;
+        }
+        open.out += 1;
+        let wait = exchange.deadline - now;
+        let wait = if timeout > 0 { wait.min(timeout) } else { wait };
+        self.due(now + wait, Due::Attempt(id, attempt));
+        let progress = Rc::new(Cell::new(Progress::Connecting));
+        let build = self.listed.get(&machine).map_or(0, |m| m.1);
+        let (machines, hub) = (Rc::clone(&self.outside.machines), Rc::clone(&self.hub));
+        let told = Rc::clone(&progress);
+        let task = self.outside.executor.spawn(async move {
+            let tried = machines.attempt(machine, &exchange, wait, &told, &hub.clock);
+            // A defect met by one attempt ends that attempt only.
+            let tried = AssertUnwindSafe(tried).catch_unwind().await;
+            let result = match tried {
+                Ok(Ok(reply)) => Ok(reply),
+                Ok(Err(e)) => {
+                    log::debug!("attempt {id}/{attempt}: {e}");
+                    Err(e.ending())
+                }
+                Err(_) if told.get() == Progress::Written => Err(Ending::Reset),
+                Err(_) => Err(Ending::ConnectFailed),
+            };
+            let _ = hub.inputs.send(Input::Ended(id, attempt, result)).await;
+        });
+        let flight = Flight { machine, build, sent: now, progress, _task: task };
+        self.flights.insert((id, attempt), flight);
+    }
+
+    fn vote(&mut self, ballot: Ballot) {
+        let room = self.votes.get() < VOTE_LIMIT;
+        let Some(address) = self.outside.platform.filter(|_| room) else {
+            let Ballot { build, stage, .. } = ballot;
+            let (phase, ending) = (yarrowspoke::interface::Phase::Trial, Ending::ConnectFailed);
+            let news = News { build, stage, phase, answer: true, ending, cap: 0.0, age: 0 };
+            self.follow.push_back(Follow::News(news));
+            return;
+        };
+        let (votes, inputs) = (Rc::clone(&self.votes), self.hub.inputs.clone());
+        let limit = self.settings.module.release.call_timeout;
+        votes.set(votes.get() + 1);
+        let cast = async move {
+            platform::vote(address, ballot, limit, inputs).await;
+            votes.set(votes.get() - 1);
+        };
+        self.outside.executor.spawn(cast).detach();
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -0,0 +1,110 @@
+//! One client request and its final answer: the only thing that client and server side share.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use yarrowspoke::interface::{Micros, RequestId};
+
+/// A request as a client sent it, decoded.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Method, passed on unchanged.
+    pub method: String,
+    /// Path and query, passed on unchanged.
+    pub target: String,
+    /// The client's id of it, passed on unchanged.
+    pub call_id: String,
+    /// Position of its class in the settings.
+    pub class: u8,
+    /// Position of its tenant in the settings; past their end if unknown.
+    pub tenant: u32,
+    /// How long the client waits.
+    pub budget: Micros,
+    /// Its subject; 0 = none.
+    pub key: u64,
+    /// The client's guess at the work.
+    pub hint: Option<Micros>,
+    /// Marked as a repeat.
+    pub repeat: bool,
+    /// The body, passed on unchanged.
+    pub body: Vec<u8>,
+}
+
+/// The final answer to a client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// A machine's answer.
+    Served(Vec<u8>),
+    /// Refused: trying again is harmless, after so long if it is not 0.
+    Refused(Micros),
+    /// Failed, without any promise.
+    Failed,
+}
+
+#[derive(Default)]
+struct Slot {
+    answer: Option<Answer>,
+    over: bool,
+    waker: Option<Waker>,
+}
+
+/// A request on its way, shared by the client's connection and by its attempts.
+pub struct Exchange {
+    /// The front's own number of it.
+    pub id: RequestId,
+    /// What was asked.
+    pub call: Call,
+    /// When its last byte was read.
+    pub arrived: Micros,
+    /// When the client stops waiting.
+    pub deadline: Micros,
+    slot: RefCell<Slot>,
+}
+
+impl Exchange {
+    /// A request that has just come.
+    pub fn new(id: RequestId, call: Call, arrived: Micros) -> Rc<Self> {
+        let deadline = arrived.saturating_add(call.budget);
+        Rc::new(Self { id, call, arrived, deadline, slot: RefCell::default() })
+    }
+
+    /// Gives the final answer; false if there was one already or the client has left.
+    pub fn answer(&self, answer: Answer) -> bool {
+        let mut slot = self.slot.borrow_mut();
+        if slot.over {
+            return false;
+        }
+        slot.over = true;
+        slot.answer = Some(answer);
+        if let Some(waker) = slot.waker.take() {
+            waker.wake();
+        }
+        true
+    }
+
+    /// The client has left; false if the answer was given before.
+    pub fn leave(&self) -> bool {
+        !std::mem::replace(&mut self.slot.borrow_mut().over, true)
+    }
+
+    /// Whether the request has its final answer or nobody waits for one.
+    pub fn is_over(&self) -> bool {
+        self.slot.borrow().over
+    }
+
+    /// Waits for the final answer.
+    pub async fn answered(&self) -> Answer {
+        poll_fn(|context| {
+            let mut slot = self.slot.borrow_mut();
+            match slot.answer.take() {
+                Some(answer) => Poll::Ready(answer),
+                None => {
+                    slot.waker = Some(context.waker().clone());
+                    Poll::Pending
+                }
+            }
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -0,0 +1,8 @@
+//! The real front as a library, so that its parts can be tested without a process.
+
+pub mod config;
+pub mod driver;
+pub mod exchange;
+pub mod logging;
+pub mod net;
+pub mod run;
--- /dev/null
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -0,0 +1,329 @@
+//! Clients: accepting, reading requests, writing final answers.
+
+use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
+use super::{read_some, within};
+use crate::driver::{Hub, Input};
+use crate::exchange::{Answer, Call, Exchange};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt, FutureExt, StreamExt};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::time::Duration;
+use yarrowspoke::interface::Micros;
+use yarrowspoke_settings::Names;
+
+/// Longest time from a request's first byte to its last.
+const REQUEST_WITHIN: Duration = Duration::from_secs(10);
+/// Longest time that an answer may take to be written out.
+const ANSWER_WITHIN: Duration = Duration::from_secs(10);
+/// How long a connection that ends is still read, so that the last answer is not lost to a reset.
+const LINGER: Duration = Duration::from_secs(1);
+/// Pause after accepting has failed.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// How long a connection that came during a stop may take to bring its request.
+const FIRST_WITHIN: Duration = Duration::from_millis(700);
+/// Longest budget believed.
+const LONGEST_BUDGET: f64 = 3_600.0;
+
+/// Accepts clients until the program ends.
+pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
+    let mut incoming = Box::pin(listener.incoming());
+    loop {
+        // At the limit accepting pauses until a client leaves; it does not spin.
+        while hub.clients.get() >= hub.most_clients {
+            hub.client_left().await;
+        }
+        match incoming.next().await {
+            Some(Ok(stream)) => {
+                let seat = hub.seat();
+                let served = AssertUnwindSafe(converse(stream, Rc::clone(&hub)));
+                executor
+                    .spawn(async move {
+                        // A defect met by one connection ends that connection only.
+                        if served.catch_unwind().await.is_err() {
+                            log::error!("client connection ended by a panic");
+                        }
+                        drop(seat);
+                    })
+                    .detach();
+            }
+            Some(Err(e)) => {
+                log::warn!("accept: {e}");
+                Timer::after(ACCEPT_AGAIN).await;
+            }
+            None => return,
+        }
+    }
+}
+
+/// What a client sent, decoded.
+enum Asked {
+    /// Whether the front is ready.
+    Ready,
+    /// A call; its body is still to come.
+    Call(Call),
+    /// Something that has no answer here, with its status.
+    Nothing(u16),
+}
+
+struct AskedHead {
+    method: String,
+    target: String,
+    keep: bool,
+    continues: bool,
+    call_id: Option<String>,
+    class: Option<String>,
+    tenant: Option<String>,
+    budget: Option<Micros>,
+    hint: Option<Micros>,
+    repeat: bool,
+}
+
+impl FromHead for AskedHead {
+    const UNSTATED: Framing = Framing::Length(0);
+
+    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+        let [method, target, version] = head.start;
+        let known = matches!(version, "HTTP/1.1" | "HTTP/1.0");
+        let plain = |b: u8| b.is_ascii_graphic();
+        if !known || method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) {
+            return Err(HttpError::StartLine);
+        }
+        if !target.starts_with('/') || !target.bytes().all(plain) {
+            return Err(HttpError::StartLine);
+        }
+        let call_id = head.field("x-call-id");
+        if call_id.is_some_and(|id| id.is_empty() || id.len() > 128 || !id.bytes().all(plain)) {
+            return Err(HttpError::Needs("X-Call-Id"));
+        }
+        let budget = head.field("x-budget").map(budget).transpose()?;
+        let owned = |name| head.field(name).map(str::to_owned);
+        Ok(Self {
+            method: method.to_owned(),
+            target: target.to_owned(),
+            keep: head.keeps_alive(version),
+            continues: head.field("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")),
+            call_id: call_id.map(str::to_owned),
+            class: owned("x-call-class"),
+            tenant: owned("x-caller"),
+            budget,
+            hint: head.field("x-call-cost").and_then(|v| v.parse().ok()),
+            repeat: head.field("x-again") == Some("1"),
+        })
+    }
+}
+
+fn budget(text: &str) -> Result<Micros, HttpError> {
+    let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
+    let seconds = seconds.ok_or(HttpError::Needs("X-Budget"))?;
+    Ok((seconds.min(LONGEST_BUDGET) * 1e6) as Micros)
+}
+
+impl AskedHead {
+    fn asked(self, body: Vec<u8>, names: &Names, budgets: &[Micros]) -> Asked {
+        let (path, query) = self.target.split_once('?').unwrap_or((&self.target, ""));
+        if path == "/up" {
+            return if self.method == "GET" { Asked::Ready } else { Asked::Nothing(405) };
+        }
+        let first = path[1..].split('/').next().unwrap_or("");
+        let class = self.class.as_deref().unwrap_or(first);
+        let Some(class) = names.classes.iter().position(|c| c == class) else { return Asked::Nothing(404) };
+        let Some(call_id) = self.call_id else { return Asked::Nothing(400) };
+        let tenant = self.tenant.and_then(|t| names.tenants.iter().position(|n| *n == t));
+        let key = query.split('&').find_map(|p| p.strip_prefix("key=")).map_or(0, key);
+        Asked::Call(Call {
+            class: class as u8,
+            tenant: tenant.map_or(u32::MAX, |t| t as u32),
+            budget: self.budget.unwrap_or(budgets[class]),
+            key,
+            hint: self.hint,
+            repeat: self.repeat,
+            call_id,
+            body,
+            method: self.method,
+            target: self.target,
+        })
+    }
+}
+
+/// A subject as the module counts it: a number as it stands, any other word by its hash; 0 = none.
+fn key(text: &str) -> u64 {
+    let hashed = || {
+        text.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    };
+    if text.is_empty() {
+        0
+    } else {
+        text.parse().unwrap_or_else(|_| hashed().max(1))
+    }
+}
+
+/// The bytes of a final answer.
+pub fn encode(answer: &Answer, keep: bool) -> Vec<u8> {
+    let (status, body): (_, &[u8]) = match answer {
+        Answer::Served(body) => ("200 OK", body),
+        Answer::Refused(_) => ("503 Service Unavailable", b"refused\n"),
+        Answer::Failed => ("502 Bad Gateway", b"failed\n"),
+    };
+    let mut head = Encoder::new(format_args!("HTTP/1.1 {status}"));
+    if let Answer::Refused(after) = answer {
+        if *after > 0 {
+            head = head.field("Retry-After", format_args!("{:.3}", *after as f64 / 1e6));
+        }
+    }
+    finish(head, body, keep)
+}
+
+fn plain(status: u16, keep: bool) -> Vec<u8> {
+    let text = match status {
+        200 => "OK",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        // What has not been read needs no promise, and this one gives none: it is no call.
+        503 => "Service Unavailable",
+        _ => "Bad Request",
+    };
+    finish(Encoder::new(format_args!("HTTP/1.1 {status} {text}")), text.as_bytes(), keep)
+}
+
+fn finish(head: Encoder, body: &[u8], keep: bool) -> Vec<u8> {
+    let head = head.field("Content-Length", format_args!("{}", body.len()));
+    let head = if keep { head } else { head.field("Connection", format_args!("close")) };
+    head.body(body)
+}
+
+struct Line {
+    stream: Async<TcpStream>,
+    decoder: Decoder<AskedHead>,
+}
+
+impl Line {
+    async fn read(&mut self) -> std::io::Result<usize> {
+        let decoder = &mut self.decoder;
+        read_some(&mut self.stream, |bytes| decoder.feed(bytes)).await
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> bool {
+        matches!(within(ANSWER_WITHIN, self.stream.write_all(bytes)).await, Some(Ok(())))
+    }
+
+    /// Ends the connection so that what was written last still arrives.
+    async fn end(mut self) {
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_ok() {
+            let drained =
+                async { while matches!(read_some(&mut self.stream, |_| ()).await, Ok(n) if n > 0) {} };
+            within(LINGER, drained).await;
+        }
+    }
+}
+
+enum Next {
+    Message(AskedHead, Vec<u8>),
+    Bad(u16),
+    End,
+}
+
+async fn converse(stream: Async<TcpStream>, hub: Rc<Hub>) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut line = Line { stream, decoder: Decoder::new(BODY_LIMIT) };
+    let mut served = 0u64;
+    loop {
+        let (head, body) = match next(&mut line, &hub, served == 0).await {
+            Next::Message(head, body) => (head, body),
+            Next::Bad(status) => {
+                hub.count_bad();
+                line.write(&plain(status, false)).await;
+                return line.end().await;
+            }
+            Next::End => return line.end().await,
+        };
+        served += 1;
+        let keeps = head.keep;
+        let written = match head.asked(body, &hub.names, &hub.budgets) {
+            Asked::Ready => {
+                let ready = hub.ready.get() && !hub.is_stopping();
+                line.write(&plain(if ready { 200 } else { 503 }, keeps)).await && keeps
+            }
+            Asked::Nothing(status) => {
+                hub.count_bad();
+                line.write(&plain(status, keeps)).await && keeps
+            }
+            Asked::Call(call) => {
+                let exchange = hub.exchange(call);
+                let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
+                let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
+                let keep = keeps && !hub.is_stopping();
+                line.write(&encode(&answer, keep)).await && keep
+            }
+        };
+        if !written {
+            return line.end().await;
+        }
+    }
+}
+
+/// The next whole request. Between requests a stop ends the connection; inside one it is read to its end.
+async fn next(line: &mut Line, hub: &Hub, fresh: bool) -> Next {
+    loop {
+        match line.decoder.message() {
+            Ok(Some((head, body))) => return Next::Message(head, body),
+            Ok(None) => {}
+            Err(e) => {
+                log::debug!("client: {e}");
+                return Next::Bad(e.status());
+            }
+        }
+        let idle = line.decoder.is_idle();
+        if line.decoder.waits_to_continue(|h| h.continues)
+            && !line.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
+        {
+            return Next::End;
+        }
+        let stopped = async {
+            hub.stopped().await;
+            if fresh {
+                Timer::after(FIRST_WITHIN).await;
+            }
+            None
+        };
+        // What has come wins over a stop: a request already there is served.
+        let read = if idle {
+            future::or(async { Some(line.read().await) }, stopped).await
+        } else {
+            match within(REQUEST_WITHIN, line.read()).await {
+                Some(read) => Some(read),
+                None => return Next::Bad(408),
+            }
+        };
+        match read {
+            Some(Ok(n)) if n > 0 => {}
+            _ => return Next::End,
+        }
+    }
+}
+
+/// The final answer, or `None` if the client closes its connection before.
+async fn answer_or_leave(line: &mut Line, exchange: &Rc<Exchange>, hub: &Hub) -> Option<Answer> {
+    let answered = async { Some(exchange.answered().await) };
+    let left = async {
+        // Bytes of a next request are kept; a flood of them is left in the socket.
+        while !line.decoder.is_full() {
+            match line.read().await {
+                Ok(n) if n > 0 => {}
+                _ => return None,
+            }
+        }
+        future::pending().await
+    };
+    let answer = future::or(answered, left).await;
+    if answer.is_none() && exchange.leave() {
+        let _ = hub.inputs.send(Input::Left(exchange.id)).await;
+    }
+    answer
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -0,0 +1,273 @@
+//! Discovery: the list of machines, asked for once or watched.
+
+use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
+use super::{read_some, within};
+use crate::driver::Input;
+use async_channel::Sender;
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use serde::Deserialize;
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use yarrowspoke::interface::{Entry, ListKind, MachineId, MachineState, Micros};
+use yarrowspoke_settings::Names;
+
+/// Most bytes of a list: thousands of machines, far beyond what one front needs.
+const LIST_LIMIT: usize = 1024 * 1024;
+/// How long after its wait an answer may take; the protocol counts it as told by then.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Longest wait that discovery grants.
+const LONGEST_HOLD: Duration = Duration::from_secs(60);
+
+/// A machine as listed.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Where it listens, as this front reaches it; a removed one may have none.
+    pub address: Option<SocketAddr>,
+    /// What the module is told.
+    pub entry: Entry,
+}
+
+/// An answer of discovery.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Version.
+    pub index: u64,
+    /// The whole list, not just what changed.
+    pub whole: bool,
+    /// Machines.
+    pub rows: Vec<Row>,
+    /// Lines that could not be read.
+    pub unread: usize,
+}
+
+/// Why a call gave nothing.
+#[derive(Debug, Error)]
+pub enum ListError {
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// No answer in time.
+    #[error("no answer in time")]
+    Late,
+    /// The answer is no HTTP.
+    #[error("answer: {0}")]
+    Http(#[from] HttpError),
+    /// The connection ended before the answer.
+    #[error("connection ended without an answer")]
+    Ended,
+    /// Another status than 200.
+    #[error("status {0}")]
+    Status(u16),
+    /// The list itself cannot be read.
+    #[error("list: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct WireRow {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: f64,
+    status: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+    #[serde(default)]
+    build: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Decodes a list from its text.
+pub fn decode(json: &[u8], names: &Names) -> Result<Listing, serde_json::Error> {
+    Ok(listing(serde_json::from_slice(json)?, names))
+}
+
+/// Decodes a list from JSON already taken apart.
+pub fn decode_value(value: &serde_json::Value, names: &Names) -> Result<Listing, serde_json::Error> {
+    Ok(listing(Wire::deserialize(value)?, names))
+}
+
+/// A line that cannot be read is left out, so that it does not take the others with it.
+fn listing(wire: Wire, names: &Names) -> Listing {
+    let all = wire.endpoints.len();
+    let read = |value| WireRow::deserialize(&value).ok().and_then(|r| row(&r, names));
+    let rows: Vec<Row> = wire.endpoints.into_iter().filter_map(read).collect();
+    Listing { index: wire.index, whole: wire.snapshot, unread: all - rows.len(), rows }
+}
+
+fn row(wire: &WireRow, names: &Names) -> Option<Row> {
+    let state = match wire.status.as_str() {
+        "up" => MachineState::Ready,
+        "draining" => MachineState::Draining,
+        "removed" => MachineState::Gone,
+        _ => return None,
+    };
+    let address: Option<SocketAddr> = wire.address.parse().ok();
+    if address.is_none() && state != MachineState::Gone {
+        return None;
+    }
+    let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
+    let entry = Entry {
+        machine: machine_id(&wire.name),
+        zone: place(&names.zones, &wire.zone).map_or(u16::MAX, |p| p as u16),
+        kind: place(&names.kinds, &wire.kind).map_or(u8::MAX, |p| p as u8),
+        build: wire.build as u16,
+        cell: wire.group as u16,
+        state,
+        weight: if wire.weight.is_finite() && wire.weight > 0.0 { wire.weight } else { 1.0 },
+        started: (wire.since_ms * 1_000.0) as Micros,
+    };
+    Some(Row { address, entry })
+}
+
+/// The number under which the module knows a machine: the same at every front, as its name is (FNV-1a).
+pub fn machine_id(name: &str) -> MachineId {
+    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+struct AnswerHead {
+    status: u16,
+    keep: bool,
+}
+
+impl FromHead for AnswerHead {
+    const UNSTATED: Framing = Framing::UntilClose;
+
+    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+        let status = super::machines::status(head)?;
+        Ok(Self { status, keep: head.keeps_alive(head.start[0]) })
+    }
+
+    fn interim(&self) -> bool {
+        self.status < 200
+    }
+}
+
+/// Discovery as this front asks it.
+pub struct Discovery {
+    address: SocketAddr,
+    names: Names,
+    hold: Duration,
+    index: Cell<u64>,
+}
+
+impl Discovery {
+    /// Discovery at `address`; `index` is the version held, `told_within` how long an unasked list stands.
+    pub fn new(address: SocketAddr, names: Names, index: u64, told_within: Micros) -> Rc<Self> {
+        // A call that waits must end, and the next begin, well before the list counts as told unasked.
+        let hold = super::span(told_within / 2).min(LONGEST_HOLD);
+        Rc::new(Self { address, names, hold, index: Cell::new(index) })
+    }
+
+    /// Asks once for the whole list.
+    pub async fn fetch(self: Rc<Self>, to: Sender<Input>) {
+        let answer = self.call(&mut None, "/discovery/hosts", ANSWER_WITHIN).await;
+        let input = match answer {
+            Ok(list) => Input::List(ListKind::Full, list.rows),
+            Err(e) => failed(&e),
+        };
+        let _ = to.send(input).await;
+    }
+
+    /// Watches the list until a call fails: the first call answers at once, further ones wait for news.
+    pub async fn watch(self: Rc<Self>, to: Sender<Input>) {
+        let (mut line, mut first) = (None, true);
+        loop {
+            let hold = if first { Duration::ZERO } else { self.hold };
+            let (from, wait) = (self.index.get(), hold.as_millis());
+            let target = format!("/discovery/hosts?from={from}&hold_ms={wait}");
+            let list = match self.call(&mut line, &target, hold + ANSWER_WITHIN).await {
+                Ok(list) => list,
+                Err(e) => {
+                    let _ = to.send(failed(&e)).await;
+                    return;
+                }
+            };
+            self.index.set(list.index);
+            if list.unread > 0 {
+                log::warn!("discovery: {} lines cannot be read", list.unread);
+            }
+            let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
+            if first || list.whole || !list.rows.is_empty() {
+                let _ = to.send(Input::List(kind, list.rows)).await;
+            }
+            first = false;
+        }
+    }
+
+    async fn call(
+        &self,
+        line: &mut Option<Async<TcpStream>>,
+        target: &str,
+        limit: Duration,
+    ) -> Result<Listing, ListError> {
+        let asked = async {
+            if let Some(kept) = line.take() {
+                // A kept connection may have been closed meanwhile; asking again is harmless.
+                match self.ask(kept, target).await {
+                    Err(ListError::Io(_) | ListError::Ended) => {}
+                    other => return other,
+                }
+            }
+            self.ask(Async::<TcpStream>::connect(self.address).await?, target).await
+        };
+        let (list, kept) = within(limit, asked).await.ok_or(ListError::Late)??;
+        *line = kept;
+        Ok(list)
+    }
+
+    async fn ask(
+        &self,
+        mut stream: Async<TcpStream>,
+        target: &str,
+    ) -> Result<(Listing, Option<Async<TcpStream>>), ListError> {
+        stream.get_ref().set_nodelay(true)?;
+        let request = Encoder::new(format_args!("GET {target} HTTP/1.1"))
+            .field("Host", format_args!("{}", self.address))
+            .body(&[]);
+        stream.write_all(&request).await?;
+        let mut decoder = Decoder::<AnswerHead>::new(LIST_LIMIT);
+        loop {
+            let n = read_some(&mut stream, |bytes| decoder.feed(bytes)).await?;
+            let message = if n == 0 { decoder.end()? } else { decoder.message()? };
+            if let Some((head, body)) = message {
+                if head.status != 200 {
+                    return Err(ListError::Status(head.status));
+                }
+                let keep = n > 0 && head.keep && decoder.is_idle();
+                return Ok((decode(&body, &self.names)?, keep.then_some(stream)));
+            }
+            if n == 0 {
+                return Err(ListError::Ended);
+            }
+        }
+    }
+}
+
+fn failed(why: &ListError) -> Input {
+    log::warn!("discovery: {why}");
+    Input::List(ListKind::Failed, Vec::new())
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -0,0 +1,338 @@
+//! Machines: kept connections and single attempts on them.
+//!
+//! An attempt is dropped to give it up, which closes its connection. Nothing is ever resent here.
+
+use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
+use super::list::Row;
+use super::{read_some, span, within};
+use crate::exchange::Exchange;
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use thiserror::Error;
+use yarrowspoke::interface::{Ending, MachineId, MachineState, Micros};
+use yarrowspoke_settings::Transport;
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// Not on a connection yet.
+    Connecting,
+    /// On a connection, its last byte not yet written.
+    Writing,
+    /// Its last byte is written: the machine may run it.
+    Written,
+}
+
+/// What broke an attempt.
+#[derive(Debug, Error)]
+pub enum Cause {
+    /// No more connections may be held.
+    #[error("no descriptor left")]
+    NoRoom,
+    /// The machine has no address.
+    #[error("no address")]
+    Unknown,
+    /// Not connected in time.
+    #[error("not connected in time")]
+    Late,
+    /// The socket failed.
+    #[error("socket: {0}")]
+    Io(#[from] io::Error),
+    /// The answer is no HTTP.
+    #[error("answer: {0}")]
+    Http(#[from] HttpError),
+    /// The connection ended without an answer.
+    #[error("ended without an answer")]
+    Ended,
+}
+
+/// A broken attempt, and how far it had come.
+#[derive(Debug, Error)]
+#[error("{progress:?}: {cause}")]
+pub struct AttemptError {
+    /// How far it had come.
+    pub progress: Progress,
+    /// What broke it.
+    pub cause: Cause,
+}
+
+impl AttemptError {
+    /// The outcome: before the last byte was written it has not run, afterwards nobody knows.
+    pub fn ending(&self) -> Ending {
+        match self.progress {
+            Progress::Connecting | Progress::Writing => Ending::ConnectFailed,
+            Progress::Written => Ending::Reset,
+        }
+    }
+}
+
+/// A machine's answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// The outcome that it stands for.
+    pub ending: Ending,
+    /// The load report as it came.
+    pub load: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+struct ReplyHead {
+    status: u16,
+    rejected: bool,
+    load: Option<String>,
+    keep: bool,
+}
+
+/// The status of an answer's first line.
+pub fn status(head: &RawHead) -> Result<u16, HttpError> {
+    let [version, code, _] = head.start;
+    let digits = code.len() == 3 && code.bytes().all(|b| b.is_ascii_digit());
+    if !version.starts_with("HTTP/1.") || !digits {
+        return Err(HttpError::StartLine);
+    }
+    code.parse().map_err(|_| HttpError::StartLine)
+}
+
+impl FromHead for ReplyHead {
+    const UNSTATED: Framing = Framing::UntilClose;
+
+    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+        Ok(Self {
+            status: status(head)?,
+            rejected: head.field("x-rejected") == Some("1"),
+            load: head.field("x-load-report").map(str::to_owned),
+            keep: head.keeps_alive(head.start[0]),
+        })
+    }
+
+    fn interim(&self) -> bool {
+        self.status < 200
+    }
+
+    fn bodiless(&self) -> bool {
+        self.status < 200 || matches!(self.status, 204 | 304)
+    }
+}
+
+impl ReplyHead {
+    fn ending(&self) -> Ending {
+        match self.status {
+            200 => Ending::Ok,
+            503 | 504 if self.rejected => Ending::Full,
+            _ => Ending::Error,
+        }
+    }
+}
+
+/// Reads a load report into the order of the settings' fields; empty unless all are there.
+pub fn load_values(report: &str, fields: &[String]) -> Vec<f32> {
+    let value = |name: &String| {
+        let mut pairs = report.split(',').filter_map(|p| p.split_once('='));
+        let (_, value) = pairs.find(|(n, _)| n.trim() == name)?;
+        value.trim().parse::<f32>().ok().filter(|v| v.is_finite())
+    };
+    fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+}
+
+/// One descriptor of those set aside for machines.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Line {
+    stream: Async<TcpStream>,
+    _slot: Slot,
+}
+
+struct Idle {
+    line: Line,
+    since: Micros,
+}
+
+impl Idle {
+    /// Nothing came and nothing ended while it lay idle.
+    fn is_sound(&self) -> bool {
+        let peeked = self.line.stream.get_ref().peek(&mut [0; 1]);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    address: Option<SocketAddr>,
+    build: u16,
+    started: Micros,
+    idle: VecDeque<Idle>,
+}
+
+/// All machines listed, with the connections kept to them.
+pub struct Machines {
+    hosts: RefCell<BTreeMap<MachineId, Host>>,
+    held: Rc<Cell<usize>>,
+    most: usize,
+    transport: Transport,
+}
+
+impl Machines {
+    /// No machine yet; at most `most` connections to all of them.
+    pub fn new(most: usize, transport: Transport) -> Rc<Self> {
+        Rc::new(Self { hosts: RefCell::default(), held: Rc::default(), most, transport })
+    }
+
+    /// Takes in a line of the list. Danger: an address may return with another machine or build behind it,
+    /// so what was kept to the old one is closed.
+    pub fn learn(&self, row: &Row) {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.entry(row.entry.machine).or_default();
+        let same =
+            host.address == row.address && (host.build, host.started) == (row.entry.build, row.entry.started);
+        if !same || row.entry.state != MachineState::Ready {
+            host.idle.clear();
+        }
+        (host.address, host.build, host.started) = (row.address, row.entry.build, row.entry.started);
+        if row.entry.state == MachineState::Gone {
+            hosts.remove(&row.entry.machine);
+        }
+    }
+
+    /// Forgets machines that a whole list no longer holds.
+    pub fn keep_only(&self, rows: &[Row]) {
+        self.hosts.borrow_mut().retain(|id, _| rows.iter().any(|r| r.entry.machine == *id));
+    }
+
+    /// Closes idle connections to a machine.
+    pub fn close_idle(&self, machine: MachineId) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&machine) {
+            host.idle.clear();
+        }
+    }
+
+    /// Closes connections that the machine would soon close itself, and those that ended.
+    pub fn sweep(&self, now: Micros) {
+        let limit = self.idle_limit();
+        for host in self.hosts.borrow_mut().values_mut() {
+            host.idle.retain(|i| now < i.since.saturating_add(limit) && i.is_sound());
+        }
+    }
+
+    /// How long a connection is kept idle: a quarter less than the machine keeps it.
+    fn idle_limit(&self) -> Micros {
+        if self.transport.idle == 0 {
+            Micros::MAX
+        } else {
+            self.transport.idle / 4 * 3
+        }
+    }
+
+    /// A kept connection that is still sound, the newest first.
+    fn kept(&self, machine: MachineId, now: Micros) -> Option<Line> {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.get_mut(&machine)?;
+        while let Some(idle) = host.idle.pop_back() {
+            if now < idle.since.saturating_add(self.idle_limit()) && idle.is_sound() {
+                return Some(idle.line);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, machine: MachineId, address: SocketAddr, line: Line, now: Micros) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&machine) {
+            if host.address == Some(address) {
+                host.idle.push_back(Idle { line, since: now });
+            }
+        }
+    }
+
+    /// A descriptor for a new connection; at the limit the connection that was idle longest makes room.
+    fn slot(&self) -> Result<Slot, Cause> {
+        if self.held.get() >= self.most {
+            let mut hosts = self.hosts.borrow_mut();
+            let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty());
+            let oldest = oldest.min_by_key(|h| h.idle.front().map(|i| i.since));
+            oldest.and_then(|h| h.idle.pop_front()).ok_or(Cause::NoRoom)?;
+        }
+        self.held.set(self.held.get() + 1);
+        Ok(Slot(Rc::clone(&self.held)))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Line, Cause> {
+        let slot = self.slot()?;
+        let connecting = Async::<TcpStream>::connect(address);
+        let stream = match self.transport.connect_timeout {
+            0 => connecting.await?,
+            limit => within(span(limit), connecting).await.ok_or(Cause::Late)??,
+        };
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Line { stream, _slot: slot })
+    }
+
+    /// Makes one attempt; `progress` tells at any moment how far it has come.
+    pub async fn attempt(
+        &self,
+        machine: MachineId,
+        exchange: &Exchange,
+        wait: Micros,
+        progress: &Cell<Progress>,
+        clock: &crate::driver::Clock,
+    ) -> Result<Reply, AttemptError> {
+        let tried = self.exchange(machine, exchange, wait, progress, clock).await;
+        tried.map_err(|cause| AttemptError { progress: progress.get(), cause })
+    }
+
+    async fn exchange(
+        &self,
+        machine: MachineId,
+        exchange: &Exchange,
+        wait: Micros,
+        progress: &Cell<Progress>,
+        clock: &crate::driver::Clock,
+    ) -> Result<Reply, Cause> {
+        let address = self.hosts.borrow().get(&machine).and_then(|h| h.address).ok_or(Cause::Unknown)?;
+        let begun = clock.now();
+        let mut line = match self.kept(machine, begun) {
+            Some(line) => line,
+            None => self.connect(address).await?,
+        };
+        progress.set(Progress::Writing);
+        let left = wait.saturating_sub(clock.now() - begun);
+        line.stream.write_all(&encode(exchange, address, left)).await?;
+        progress.set(Progress::Written);
+        let mut decoder = Decoder::<ReplyHead>::new(BODY_LIMIT);
+        loop {
+            let n = read_some(&mut line.stream, |bytes| decoder.feed(bytes)).await?;
+            let message = if n == 0 { decoder.end()? } else { decoder.message()? };
+            if let Some((head, body)) = message {
+                if n > 0 && head.keep && decoder.is_idle() {
+                    self.keep(machine, address, line, clock.now());
+                }
+                return Ok(Reply { ending: head.ending(), load: head.load, body });
+            }
+            if n == 0 {
+                return Err(Cause::Ended);
+            }
+        }
+    }
+}
+
+fn encode(exchange: &Exchange, address: SocketAddr, wait: Micros) -> Vec<u8> {
+    let call = &exchange.call;
+    let head = Encoder::new(format_args!("{} {} HTTP/1.1", call.method, call.target))
+        .field("Host", format_args!("{address}"))
+        .field("X-Call-Id", format_args!("{}", call.call_id))
+        .field("X-Budget", format_args!("{:.6}", wait as f64 / 1e6));
+    // A request without a body has no length to state.
+    let bodied = !call.body.is_empty() || call.method != "GET";
+    let head = if bodied { head.field("Content-Length", format_args!("{}", call.body.len())) } else { head };
+    head.body(&call.body)
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -0,0 +1,280 @@
+//! The platform: votes and what it tells, in lines of words.
+
+use super::{read_some, span, within};
+use crate::driver::Input;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::AsyncWriteExt;
+use serde::Deserialize;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use thiserror::Error;
+use yarrowspoke::interface::{Build, Ending, Micros, News, Phase, Verdict};
+
+/// Most bytes of a line.
+const LINE_LIMIT: usize = 8 * 1024;
+/// Signs of life come every second; a connection without any for this long is given up.
+const SILENCE: Duration = Duration::from_millis(3_500);
+/// Pause before the next connection after one has failed.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// State of the newest build, as the platform words it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct State {
+    /// The newest build.
+    pub build: Build,
+    /// Its stage.
+    pub stage: u8,
+    /// Its phase.
+    pub phase: Phase,
+    /// The cap.
+    pub cap: f64,
+    /// How long it has stood so.
+    pub age: Micros,
+}
+
+impl State {
+    /// The module's event for it.
+    pub fn news(&self, answer: bool) -> News {
+        let Self { build, stage, phase, cap, age } = *self;
+        News { build, stage, phase, answer, ending: Ending::Ok, cap, age }
+    }
+}
+
+/// The same as the configuration holds it.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct StateFields {
+    revision: Build,
+    wave: u8,
+    state: String,
+    max_share: f64,
+    age_ms: f64,
+}
+
+impl TryFrom<StateFields> for State {
+    type Error = LineError;
+
+    fn try_from(f: StateFields) -> Result<Self, LineError> {
+        let phase = phase(&f.state).ok_or(LineError::Value("State"))?;
+        if !(0.0..=1.0).contains(&f.max_share) {
+            return Err(LineError::Value("MaxShare"));
+        }
+        Ok(Self { build: f.revision, stage: f.wave, phase, cap: f.max_share, age: micros(f.age_ms) })
+    }
+}
+
+/// Why a line cannot be read.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum LineError {
+    /// A value is missing or has no sense.
+    #[error("{0} is missing or cannot be read")]
+    Value(&'static str),
+    /// The line has another shape.
+    #[error("no such line")]
+    Shape,
+    /// The line is over its limit.
+    #[error("line too long")]
+    TooLong,
+}
+
+/// Why the platform did not carry a call out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Too many calls.
+    Limit,
+    /// Not the present build or stage.
+    Moot,
+    /// It failed.
+    Error,
+    /// No such call, or a field is wrong.
+    Malformed,
+}
+
+/// A line that the platform wrote.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Line {
+    /// A sign of life.
+    Alive,
+    /// Told unasked: the newest build's state.
+    Progress(State),
+    /// Told unasked: something this version does not know.
+    Other,
+    /// A call was carried out; a vote's answer holds the state.
+    Done(Option<State>),
+    /// A call was not carried out.
+    Refused(Refusal),
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms * 1_000.0) as Micros
+}
+
+fn phase(word: &str) -> Option<Phase> {
+    Some(match word {
+        "canary" => Phase::Trial,
+        "reverting" => Phase::GoingBack,
+        "stable" => Phase::Released,
+        "reverted" => Phase::Withdrawn,
+        _ => return None,
+    })
+}
+
+/// Decodes one line, without its ending.
+pub fn decode(line: &[u8]) -> Result<Line, LineError> {
+    let text = std::str::from_utf8(line).map_err(|_| LineError::Shape)?;
+    let mut words = text.split(' ').filter(|w| !w.is_empty());
+    match (words.next(), words.next()) {
+        (Some("*"), None) => Ok(Line::Alive),
+        (Some("*"), Some("progress")) => state(words).map(Line::Progress),
+        (Some("*"), Some(_)) => Ok(Line::Other),
+        (Some("OK"), None) => Ok(Line::Done(None)),
+        (Some("OK"), Some(first)) => state(std::iter::once(first).chain(words)).map(|s| Line::Done(Some(s))),
+        (Some("ERR"), Some(why)) => Ok(Line::Refused(match why {
+            "limit" => Refusal::Limit,
+            "moot" => Refusal::Moot,
+            "malformed" => Refusal::Malformed,
+            _ => Refusal::Error,
+        })),
+        _ => Err(LineError::Shape),
+    }
+}
+
+fn state<'a>(mut words: impl Iterator<Item = &'a str>) -> Result<State, LineError> {
+    let build = words.next().and_then(|w| w.parse().ok()).ok_or(LineError::Value("Revision"))?;
+    let stage = words.next().and_then(|w| w.parse().ok()).ok_or(LineError::Value("Wave"))?;
+    let phase = words.next().and_then(phase).ok_or(LineError::Value("State"))?;
+    let share = words.next().and_then(|w| w.parse().ok()).filter(|s| (0.0..=1.0).contains(s));
+    let cap = share.ok_or(LineError::Value("MaxShare"))?;
+    let age = words.next().and_then(|w| w.parse::<f64>().ok()).filter(|a| a.is_finite() && *a >= 0.0);
+    Ok(State { build, stage, phase, cap, age: micros(age.ok_or(LineError::Value("AgeMs"))?) })
+}
+
+/// Turns bytes into lines.
+#[derive(Default)]
+pub struct LineDecoder {
+    buffer: Vec<u8>,
+}
+
+impl LineDecoder {
+    /// Takes bytes as they came.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole line without its ending; over-long ones are an error.
+    pub fn line(&mut self) -> Result<Option<Vec<u8>>, LineError> {
+        let Some(end) = self.buffer.iter().position(|b| *b == b'\n') else {
+            let over = self.buffer.len() > LINE_LIMIT;
+            return if over { Err(LineError::TooLong) } else { Ok(None) };
+        };
+        if end > LINE_LIMIT {
+            return Err(LineError::TooLong);
+        }
+        let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
+        line.pop();
+        if line.last() == Some(&b'\r') {
+            line.pop();
+        }
+        Ok(Some(line))
+    }
+}
+
+/// A vote to cast.
+#[derive(Clone, Copy, Debug)]
+pub struct Ballot {
+    /// The build.
+    pub build: Build,
+    /// The stage meant.
+    pub stage: u8,
+    /// The verdict.
+    pub verdict: Verdict,
+}
+
+impl Ballot {
+    /// The line that casts it.
+    pub fn encode(&self) -> String {
+        let verdict = match self.verdict {
+            Verdict::None => "abstain",
+            Verdict::On => "promote",
+            Verdict::Hold => "pause",
+            Verdict::Back => "abort",
+        };
+        format!("BALLOT {} {} {verdict}\r\n", self.build, self.stage)
+    }
+}
+
+/// Casts a vote on a connection of its own and tells how that went; `limit` comes from the settings.
+pub async fn vote(address: SocketAddr, ballot: Ballot, limit: Micros, to: Sender<Input>) {
+    let written = std::cell::Cell::new(false);
+    let answer = within(span(limit), cast(address, ballot, &written)).await;
+    let ending = match answer {
+        Some(Ok(Line::Done(Some(state)))) => {
+            let _ = to.send(Input::News(state.news(true))).await;
+            return;
+        }
+        Some(Ok(Line::Refused(why))) => match why {
+            Refusal::Limit => Ending::Full,
+            Refusal::Moot => Ending::Moot,
+            Refusal::Error | Refusal::Malformed => Ending::Error,
+        },
+        // Before its last byte is written a call is not carried out; afterwards nobody knows.
+        _ if written.get() => Ending::Timeout,
+        _ => Ending::ConnectFailed,
+    };
+    log::info!("vote {ballot:?}: {ending:?}");
+    let phase = Phase::Trial;
+    let Ballot { build, stage, .. } = ballot;
+    let news = News { build, stage, phase, answer: true, ending, cap: 0.0, age: 0 };
+    let _ = to.send(Input::News(news)).await;
+}
+
+async fn cast(address: SocketAddr, ballot: Ballot, written: &std::cell::Cell<bool>) -> std::io::Result<Line> {
+    let mut stream = Async::<TcpStream>::connect(address).await?;
+    stream.get_ref().set_nodelay(true)?;
+    stream.write_all(ballot.encode().as_bytes()).await?;
+    written.set(true);
+    let mut lines = LineDecoder::default();
+    loop {
+        if read_some(&mut stream, |bytes| lines.feed(bytes)).await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        if let Some(line) = lines.line().map_err(std::io::Error::other)? {
+            return decode(&line).map_err(std::io::Error::other);
+        }
+    }
+}
+
+/// Listens to what the platform tells, for ever: a connection that ends or falls silent is replaced.
+pub async fn listen(address: SocketAddr, to: Sender<Input>) {
+    loop {
+        let Err(e) = notified(address, &to).await;
+        log::warn!("platform: {e}");
+        Timer::after(AGAIN).await;
+    }
+}
+
+async fn notified(address: SocketAddr, to: &Sender<Input>) -> std::io::Result<std::convert::Infallible> {
+    let silent = || std::io::Error::from(std::io::ErrorKind::TimedOut);
+    let connected = within(SILENCE, Async::<TcpStream>::connect(address)).await;
+    let mut stream = connected.ok_or_else(silent)??;
+    stream.get_ref().set_nodelay(true)?;
+    stream.write_all(b"NOTIFY\r\n").await?;
+    let mut lines = LineDecoder::default();
+    loop {
+        let read = within(SILENCE, read_some(&mut stream, |bytes| lines.feed(bytes))).await;
+        if read.ok_or_else(silent)?? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        while let Some(line) = lines.line().map_err(std::io::Error::other)? {
+            match decode(&line) {
+                Ok(Line::Progress(state)) => {
+                    let _ = to.send(Input::News(state.news(false))).await;
+                }
+                Ok(Line::Refused(why)) => log::warn!("platform: refused: {why:?}"),
+                Ok(Line::Alive | Line::Other | Line::Done(_)) => {}
+                Err(e) => log::warn!("platform: line left out: {e}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -0,0 +1,71 @@
+//! Puts the parts together and runs them until the program is told to stop.
+
+use crate::config::Config;
+use crate::driver::{Driver, Hub, Outside};
+use crate::net::list::Discovery;
+use crate::net::machines::Machines;
+use crate::net::peers::Peers;
+use crate::net::{clients, platform};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Descriptors kept for standard streams, the reactor, the listener, peers, discovery and the platform.
+const RESERVED: usize = 48;
+/// New connections keep coming for a while after a stop has begun.
+const STILL_COMING: Duration = Duration::from_millis(700);
+/// How often a stop looks whether all clients have gone.
+const STOP_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs a front to its end.
+pub fn run(config: Config) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(serve(config, Rc::clone(&executor))))
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let each = config.limits.sockets.saturating_sub(RESERVED).max(2) / 2;
+    let (hub, inputs) = Hub::new(&config.settings, each);
+    let module = &config.settings.module;
+    let names = config.settings.names.clone();
+    let peers = match config.peer_listen.filter(|_| module.peers) {
+        Some(listen) => Some(Peers::bind(listen, config.peers, config.peers_all)?),
+        None => None,
+    };
+    let outside = Outside {
+        executor: Rc::clone(&executor),
+        machines: Machines::new(each, config.settings.transport),
+        discovery: Discovery::new(config.discovery, names, config.known.index, module.ask_within),
+        platform: config.platform,
+        peers: peers.clone(),
+    };
+    let (news, rows) = (config.news.map(|s| s.news(false)), config.known.rows);
+    let driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
+    if let Some(address) = config.platform {
+        executor.spawn(platform::listen(address, hub.inputs.clone())).detach();
+    }
+    if let Some(peers) = peers {
+        executor.spawn(peers.listen(hub.inputs.clone())).detach();
+    }
+    executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
+    log::info!("{} serves on {}", config.name, config.listen);
+    let stop = async {
+        signals.next().await;
+        log::info!("stopping: {} client connections", hub.clients.get());
+        hub.begin_stop();
+        Timer::after(STILL_COMING).await;
+        while hub.clients.get() > 0 {
+            Timer::after(STOP_CHECK).await;
+        }
+        log::info!("stopped");
+    };
+    future::or(driver.run(inputs), stop).await;
+    Ok(())
+}
--- a/crates/yarrowspoke-drill/src/settings.rs
+++ b/crates/yarrowspoke-settings/src/lib.rs
@@ -5,9 +5,49 @@
 use serde::Deserialize;
 use yarrowspoke::interface as api;
 
+/// Settings that cannot be read; it names the field.
+pub type SettingsError = serde_path_to_error::Error<serde_json::Error>;
+
+/// All that the settings object tells.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What the decision module is told.
+    pub module: api::Settings,
+    /// Names behind the positions that the module counts in.
+    pub names: Names,
+    /// Figures of the transport, of which the module knows nothing.
+    pub transport: Transport,
+}
+
+/// Names in the order of the settings' lists.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+    /// Fields of a load report.
+    pub load_fields: Vec<String>,
+}
+
+/// Figures of the transport, in microseconds; 0 = not said.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Transport {
+    /// A machine closes connections that have stood idle for so long.
+    pub idle: u64,
+    /// A connection not established within this time has failed.
+    pub connect_timeout: u64,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Bounds {
+    conn_idle_us: u64,
+    connect_timeout_us: u64,
     max_attempts: u32,
     max_retry_after_us: u64,
     may_cancel: bool,
@@ -26,6 +66,7 @@
     dedup_scope: String,
     effect: String,
     late_worth: f64,
+    name: String,
     streamed: bool,
     window_us: u64,
     worth: f64,
@@ -79,6 +120,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Tenant {
+    name: String,
     quota_rps: f64,
     share: f64,
 }
@@ -95,6 +137,8 @@
     bounds: Bounds,
     classes: Vec<Class>,
     domain: Domain,
+    host_types: Vec<String>,
+    localities: Vec<String>,
     me: u32,
     membership_mode: String,
     over_share_worth: f64,
@@ -107,10 +151,35 @@
     zone: u16,
 }
 
-/// Reads an instance's settings.
-pub fn parse(json: &[u8]) -> Result<api::Settings, serde_json::Error> {
-    let env: Env = serde_json::from_slice(json)?;
-    Ok(api::Settings {
+/// Reads an instance's settings from their JSON text.
+pub fn parse(json: &[u8]) -> Result<Settings, SettingsError> {
+    read(&mut serde_json::Deserializer::from_slice(json))
+}
+
+/// Reads an instance's settings from JSON already taken apart.
+pub fn from_value(value: &serde_json::Value) -> Result<Settings, SettingsError> {
+    read(value)
+}
+
+fn read<'de, D>(from: D) -> Result<Settings, serde_path_to_error::Error<D::Error>>
+where
+    D: serde::Deserializer<'de>,
+{
+    let env: Env = serde_path_to_error::deserialize(from)?;
+    let names = Names {
+        classes: env.classes.iter().map(|c| c.name.clone()).collect(),
+        tenants: env.tenants.iter().map(|t| t.name.clone()).collect(),
+        zones: env.localities.clone(),
+        kinds: env.host_types.clone(),
+        load_fields: env.report.fields.clone(),
+    };
+    let transport =
+        Transport { idle: env.bounds.conn_idle_us, connect_timeout: env.bounds.connect_timeout_us };
+    Ok(Settings { module: module(env), names, transport })
+}
+
+fn module(env: Env) -> api::Settings {
+    api::Settings {
         classes: env.classes.iter().map(class).collect(),
         tenants: env.tenants.iter().map(tenant).collect(),
         me: env.me,
@@ -141,7 +210,7 @@
         ask_within: env.safety.ask_within_us,
         cross_zone_price: env.prices.cross_zone,
         release: release(env.domain),
-    })
+    }
 }
 
 fn class(c: &Class) -> api::Class {
