--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -88,19 +88,43 @@
     pub clients: Rc<Cell<usize>>,
     /// Most of them.
     pub most_clients: usize,
+    /// Longest wait for a new connection's first bytes since it was last told.
+    pub first_bytes: Cell<Micros>,
+    /// Those that have brought no request yet, and those between two requests.
+    pub idle: [Rc<Cell<usize>>; 2],
     next_id: Cell<RequestId>,
     bad: Cell<u64>,
     left: (Sender<()>, Receiver<()>),
+    room: (Sender<()>, Receiver<()>),
     stop: (Sender<()>, Receiver<()>),
 }
 
+/// Counts its holder for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A client connection's place among those allowed.
-pub struct Seat(Rc<Cell<usize>>, Sender<()>);
+pub struct Seat {
+    _counted: Counted,
+    left: Sender<()>,
+}
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-        let _ = self.1.try_send(());
+        let _ = self.left.try_send(());
     }
 }
 
@@ -116,9 +140,12 @@
             ready: Cell::new(false),
             clients: Rc::default(),
             most_clients,
+            first_bytes: Cell::new(0),
+            idle: Default::default(),
             next_id: Cell::new(1),
             bad: Cell::new(0),
             left: async_channel::bounded(1),
+            room: async_channel::bounded(1),
             stop: async_channel::bounded(1),
         };
         (Rc::new(hub), receiver)
@@ -126,8 +153,7 @@
 
     /// Takes a place for a client connection.
     pub fn seat(&self) -> Seat {
-        self.clients.set(self.clients.get() + 1);
-        Seat(Rc::clone(&self.clients), self.left.0.clone())
+        Seat { _counted: Counted::new(&self.clients), left: self.left.0.clone() }
     }
 
     /// Waits until a client connection has ended.
@@ -135,6 +161,26 @@
         let _ = self.left.1.recv().await;
     }
 
+    /// Places grow short: connections end with their next answer, which costs no client a request.
+    pub fn is_crowded(&self) -> bool {
+        self.clients.get() >= self.most_clients / 4 * 3
+    }
+
+    /// Asks one idle client connection to end, the longest idle first; it may be the next to become idle.
+    pub fn ask_for_room(&self) {
+        let _ = self.room.0.try_send(());
+    }
+
+    /// Waits until this idle connection is asked to make room.
+    pub async fn asked_for_room(&self) {
+        let _ = self.room.1.recv().await;
+    }
+
+    /// No more room is needed.
+    pub fn room_found(&self) {
+        let _ = self.room.1.try_recv();
+    }
+
     /// Begins the stop: what is there and what still comes is served, then connections end.
     pub fn begin_stop(&self) {
         self.stop.0.close();
@@ -281,6 +327,24 @@
         }
     }
 
+    /// At a limit, tells what holds the places.
+    fn report(&self) {
+        let (clients, (held, idle)) = (self.hub.clients.get(), self.outside.machines.usage());
+        if clients < self.hub.most_clients && held < self.outside.machines.most() {
+            return;
+        }
+        let unsent = self.flights.values().filter(|f| f.progress.get() < Progress::Written).count();
+        let [fresh, kept] = self.hub.idle.each_ref().map(|c| c.get());
+        let first = self.hub.first_bytes.take();
+        let waiting = self.open.values().filter(|o| !o.exchange.is_over()).count();
+        let (out, seats) = (self.flights.len(), self.hub.most_clients);
+        log::warn!(
+            "at a limit: clients {clients} of {seats} ({fresh} new, {kept} kept idle, \
+             first bytes up to {first} us), requests waiting {waiting}, attempts out {out} \
+             ({unsent} unsent), connections to machines {held} ({idle} idle)"
+        );
+    }
+
     fn due(&mut self, at: Micros, what: Due) {
         self.timers.push(Reverse((at, what)));
     }
@@ -295,6 +359,7 @@
                 Due::Overdue(id) => self.overdue(id),
                 Due::Sweep => {
                     self.outside.machines.sweep(now);
+                    self.report();
                     self.due(now + SWEEP, Due::Sweep);
                 }
             }
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
 use super::{read_some, within};
-use crate::driver::{Hub, Input};
+use crate::driver::{Counted, Hub, Input};
 use crate::exchange::{Answer, Call, Exchange};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -24,6 +24,8 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// How long a connection that came during a stop may take to bring its request.
 const FIRST_WITHIN: Duration = Duration::from_millis(700);
+/// Least time that a kept connection stands idle before it ends to make room.
+const IDLE_LEAST: Duration = Duration::from_millis(200);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
@@ -31,10 +33,13 @@
 pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
     let mut incoming = Box::pin(listener.incoming());
     loop {
-        // At the limit accepting pauses until a client leaves; it does not spin.
+        // At the limit accepting pauses until a client leaves; it does not spin. Danger: clients keep the
+        // connections of a busy moment, and idle ones would shut out those that bring requests.
         while hub.clients.get() >= hub.most_clients {
+            hub.ask_for_room();
             hub.client_left().await;
         }
+        hub.room_found();
         match incoming.next().await {
             Some(Ok(stream)) => {
                 let seat = hub.seat();
@@ -213,8 +218,9 @@
         matches!(within(ANSWER_WITHIN, self.stream.write_all(bytes)).await, Some(Ok(())))
     }
 
-    /// Ends the connection so that what was written last still arrives.
-    async fn end(mut self) {
+    /// Ends the connection so that an answer given in the midst of a request still arrives. Danger: this
+    /// holds a place; where the whole request was read the connection is simply dropped, which loses nothing.
+    async fn end_midway(mut self) {
         if self.stream.get_ref().shutdown(Shutdown::Write).is_ok() {
             let drained =
                 async { while matches!(read_some(&mut self.stream, |_| ()).await, Ok(n) if n > 0) {} };
@@ -239,9 +245,9 @@
             Next::Bad(status) => {
                 hub.count_bad();
                 line.write(&plain(status, false)).await;
-                return line.end().await;
+                return line.end_midway().await;
             }
-            Next::End => return line.end().await,
+            Next::End => return,
         };
         served += 1;
         let keeps = head.keep;
@@ -258,12 +264,12 @@
                 let exchange = hub.exchange(call);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
-                let keep = keeps && !hub.is_stopping();
+                let keep = keeps && !hub.is_stopping() && !hub.is_crowded();
                 line.write(&encode(&answer, keep)).await && keep
             }
         };
         if !written {
-            return line.end().await;
+            return;
         }
     }
 }
@@ -292,9 +298,22 @@
             }
             None
         };
-        // What has come wins over a stop: a request already there is served.
+        let yields = async {
+            // Danger: a request on its way here is lost to its client if its connection ends now; so only
+            // those yield on which nothing has come for a while.
+            Timer::after(if fresh { FIRST_WITHIN } else { IDLE_LEAST }).await;
+            hub.asked_for_room().await;
+            None
+        };
+        // What has come wins over a stop and over others' needs: a request already there is served.
         let read = if idle {
-            future::or(async { Some(line.read().await) }, stopped).await
+            let _counted = Counted::new(&hub.idle[usize::from(!fresh)]);
+            let since = hub.clock.now();
+            let read = future::or(async { Some(line.read().await) }, future::or(stopped, yields)).await;
+            if fresh {
+                hub.first_bytes.set(hub.first_bytes.get().max(hub.clock.now() - since));
+            }
+            read
         } else {
             match within(REQUEST_WITHIN, line.read()).await {
                 Some(read) => Some(read),
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -217,6 +217,16 @@
         }
     }
 
+    /// Connections held to all machines, and those of them that are idle.
+    pub fn usage(&self) -> (usize, usize) {
+        (self.held.get(), self.hosts.borrow().values().map(|h| h.idle.len()).sum())
+    }
+
+    /// Most connections that may be held.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// Closes connections that the machine would soon close itself, and those that ended.
     pub fn sweep(&self, now: Micros) {
         let limit = self.idle_limit();
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -17,6 +17,8 @@
 
 /// Descriptors kept for standard streams, the reactor, the listener, peers, discovery and the platform.
 const RESERVED: usize = 48;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
 /// New connections keep coming for a while after a stop has begun.
 const STILL_COMING: Duration = Duration::from_millis(700);
 /// How often a stop looks whether all clients have gone.
@@ -31,8 +33,13 @@
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
-    let each = config.limits.sockets.saturating_sub(RESERVED).max(2) / 2;
-    let (hub, inputs) = Hub::new(&config.settings, each);
+    // Danger: the standard library's queue of connections not yet accepted overflows in a burst, and a client
+    // whose connection finds no place there comes again only after a second.
+    rustix::net::listen(&listener, BACKLOG)?;
+    let places = config.limits.sockets.saturating_sub(RESERVED).max(5);
+    // Refusals need a client's place only, so there are more of those.
+    let for_clients = places * 3 / 5;
+    let (hub, inputs) = Hub::new(&config.settings, for_clients);
     let module = &config.settings.module;
     let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
@@ -41,11 +48,12 @@
     };
     let outside = Outside {
         executor: Rc::clone(&executor),
-        machines: Machines::new(each, config.settings.transport),
+        machines: Machines::new(places - for_clients, config.settings.transport),
         discovery: Discovery::new(config.discovery, names, config.known.index, module.ask_within),
         platform: config.platform,
         peers: peers.clone(),
     };
+    let about = format!("settings: {:?} {:?}", config.settings.module, config.settings.transport);
     let (news, rows) = (config.news.map(|s| s.news(false)), config.known.rows);
     let driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
     if let Some(address) = config.platform {
@@ -55,6 +63,7 @@
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
     }
     executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
+    log::info!("{about}");
     log::info!("{} serves on {}", config.name, config.listen);
     let stop = async {
         signals.next().await;
