--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -161,11 +161,6 @@
         let _ = self.left.1.recv().await;
     }
 
-    /// Places grow short: connections end with their next answer, which costs no client a request.
-    pub fn is_crowded(&self) -> bool {
-        self.clients.get() >= self.most_clients / 4 * 3
-    }
-
     /// Asks one idle client connection to end, the longest idle first; it may be the next to become idle.
     pub fn ask_for_room(&self) {
         let _ = self.room.0.try_send(());
@@ -330,7 +325,7 @@
     /// At a limit, tells what holds the places.
     fn report(&self) {
         let (clients, (held, idle)) = (self.hub.clients.get(), self.outside.machines.usage());
-        if clients < self.hub.most_clients && held < self.outside.machines.most() {
+        if clients < self.hub.most_clients && held - idle < self.outside.machines.most() {
             return;
         }
         let unsent = self.flights.values().filter(|f| f.progress.get() < Progress::Written).count();
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -24,8 +24,8 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// How long a connection that came during a stop may take to bring its request.
 const FIRST_WITHIN: Duration = Duration::from_millis(700);
-/// Least time that a kept connection stands idle before it ends to make room.
-const IDLE_LEAST: Duration = Duration::from_millis(200);
+/// Least time that a connection stands idle before it ends to make room.
+const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
@@ -264,7 +264,7 @@
                 let exchange = hub.exchange(call);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
-                let keep = keeps && !hub.is_stopping() && !hub.is_crowded();
+                let keep = keeps && !hub.is_stopping();
                 line.write(&encode(&answer, keep)).await && keep
             }
         };
@@ -299,9 +299,10 @@
             None
         };
         let yields = async {
-            // Danger: a request on its way here is lost to its client if its connection ends now; so only
-            // those yield on which nothing has come for a while.
-            Timer::after(if fresh { FIRST_WITHIN } else { IDLE_LEAST }).await;
+            // Danger: a request on its way here finds its connection gone, and clients that must connect anew
+            // for each request fill all places with connections still to bring one. So only those yield on
+            // which nothing has come for a good while of a busy moment.
+            Timer::after(IDLE_LEAST).await;
             hub.asked_for_room().await;
             None
         };
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -16,9 +16,7 @@
 use std::time::Duration;
 
 /// Descriptors kept for standard streams, the reactor, the listener, peers, discovery and the platform.
-const RESERVED: usize = 48;
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1_024;
+const RESERVED: usize = 28;
 /// New connections keep coming for a while after a stop has begun.
 const STILL_COMING: Duration = Duration::from_millis(700);
 /// How often a stop looks whether all clients have gone.
@@ -33,12 +31,9 @@
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
-    // Danger: the standard library's queue of connections not yet accepted overflows in a burst, and a client
-    // whose connection finds no place there comes again only after a second.
-    rustix::net::listen(&listener, BACKLOG)?;
     let places = config.limits.sockets.saturating_sub(RESERVED).max(5);
     // Refusals need a client's place only, so there are more of those.
-    let for_clients = places * 3 / 5;
+    let for_clients = places * 2 / 3;
     let (hub, inputs) = Hub::new(&config.settings, for_clients);
     let module = &config.settings.module;
     let names = config.settings.names.clone();
