--- /dev/null
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -0,0 +1,148 @@
+//! Starts the program with stand-ins around it, on free ports, and speaks to it as a client.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use yarrowspoke_toy::{read_message, Behaviour, Discovery, Machine, Message, Platform};
+
+/// Far longer than anything here takes: a test that waits so long has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+static NEXT: AtomicUsize = AtomicUsize::new(0);
+
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn free_port() -> SocketAddr {
+    TcpListener::bind(any_port()).unwrap().local_addr().unwrap()
+}
+
+/// Waits until `done`.
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < PATIENCE, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A front with its surroundings.
+pub struct World {
+    pub listen: SocketAddr,
+    pub discovery: Discovery,
+    pub platform: Platform,
+    pub machines: Vec<Machine>,
+    pub front: Child,
+}
+
+impl World {
+    /// A front among as many machines as there are behaviours, all on build 41, released.
+    pub fn start(behaviours: &[Behaviour]) -> Self {
+        Self::with_sockets(behaviours, 1024)
+    }
+
+    /// The same with a limit on descriptors.
+    pub fn with_sockets(behaviours: &[Behaviour], sockets: usize) -> Self {
+        let discovery = Discovery::start(any_port()).unwrap();
+        let platform = Platform::start(any_port(), "41 0 stable 1.0 60000").unwrap();
+        let machines: Vec<_> = behaviours.iter().map(|b| Machine::start(any_port(), *b).unwrap()).collect();
+        for (n, machine) in machines.iter().enumerate() {
+            discovery.list(&format!("s-{n}"), machine.address, "up", 41);
+        }
+        let listen = free_port();
+        let config = include_str!("../../../../examples/config.json")
+            .replace("127.0.0.1:5000", &listen.to_string())
+            .replace("127.0.0.1:8500", &discovery.address.to_string())
+            .replace("127.0.0.1:6400", &platform.address.to_string())
+            .replace(r#""sockets": 1024"#, &format!(r#""sockets": {sockets}"#))
+            .replace(r#"{"index": 0, "snapshot": true, "endpoints": []}"#, &discovery.snapshot());
+        let front = spawn(&config);
+        let world = Self { listen, discovery, platform, machines, front };
+        until("the front is ready", || {
+            let Ok(stream) = TcpStream::connect(world.listen) else { return false };
+            Client::over(stream).ask("GET /up HTTP/1.1\r\n\r\n").is_some_and(|a| a.start().contains(" 200 "))
+        });
+        world
+    }
+
+    pub fn client(&self) -> Client {
+        Client::over(TcpStream::connect(self.listen).unwrap())
+    }
+
+    /// Sends SIGTERM to the front.
+    pub fn stop(&self) {
+        assert!(Command::new("kill").arg(self.front.id().to_string()).status().unwrap().success());
+    }
+
+    /// Requests that all machines got.
+    pub fn seen(&self) -> usize {
+        self.machines.iter().map(|m| m.seen().len()).sum()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.front.kill();
+        let _ = self.front.wait();
+    }
+}
+
+/// Starts the program with this configuration.
+pub fn spawn(config: &str) -> Child {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("yarrowspoke-test-{}-{number}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_yarrowspoke"))
+        .env("PROXY_CONFIG", path)
+        .stderr(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// A client on one connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn over(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Self { stream, reader }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        // The front may have answered and closed already.
+        let _ = self.stream.write_all(bytes);
+    }
+
+    /// The next answer; `None` if the connection ended.
+    pub fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.reader).ok().flatten()
+    }
+
+    pub fn ask(&mut self, request: &str) -> Option<Message> {
+        self.send(request.as_bytes());
+        self.answer()
+    }
+
+    /// True once the front has closed the connection and nothing more came.
+    pub fn is_closed(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 1]), Ok(0))
+    }
+}
+
+/// A safe call.
+pub fn get(id: &str, budget: &str) -> String {
+    format!("GET /article/7?q=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: {id}\r\nX-Call-Class: article\r\nX-Caller: acme\r\nX-Budget: {budget}\r\n\r\n")
+}
+
+/// A call with an effect.
+pub fn post(id: &str, budget: &str) -> String {
+    format!("POST /comment HTTP/1.1\r\nHost: h\r\nX-Call-Id: {id}\r\nX-Call-Class: comment\r\nX-Caller: acme\r\nX-Budget: {budget}\r\nContent-Length: 5\r\n\r\nhello")
+}
