One budget of descriptors for both sides, idle clients asked to yield a little before the limit

Lines at fault: the fixed split in run.rs, and yielding only once nothing is left, in net/clients.rs. Now each side has a most (70 and 40 %) and both a sum; from 90 % of the client places on, or 95 % of all, each accepted connection asks one idle one to yield; while everything is in use a machine connection that has served is not kept.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -5,6 +5,7 @@
 use crate::net::machines::{load_values, Machines, Progress, Reply};
 use crate::net::peers::Peers;
 use crate::net::platform::{self, Ballot};
+use crate::places::Places;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -84,53 +85,20 @@
     pub budgets: Vec<Micros>,
     /// The driver serves.
     pub ready: Cell<bool>,
-    /// Client connections open.
-    pub clients: Rc<Cell<usize>>,
-    /// Most of them.
-    pub most_clients: usize,
+    /// Descriptors.
+    pub places: Rc<Places>,
     /// Longest wait for a new connection's first bytes since it was last told.
     pub first_bytes: Cell<Micros>,
-    /// Those that have brought no request yet, and those between two requests.
+    /// Client connections that have brought no request yet, and those between two requests.
     pub idle: [Rc<Cell<usize>>; 2],
     next_id: Cell<RequestId>,
     bad: Cell<u64>,
-    left: (Sender<()>, Receiver<()>),
-    room: (Sender<()>, Receiver<()>),
     stop: (Sender<()>, Receiver<()>),
 }
 
-/// Counts its holder for as long as it lives.
-pub struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    /// Counts one more.
-    pub fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// A client connection's place among those allowed.
-pub struct Seat {
-    _counted: Counted,
-    left: Sender<()>,
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        let _ = self.left.try_send(());
-    }
-}
-
 impl Hub {
     /// A hub, and where its inputs come out.
-    pub fn new(settings: &Settings, most_clients: usize) -> (Rc<Self>, Receiver<Input>) {
+    pub fn new(settings: &Settings, places: Rc<Places>) -> (Rc<Self>, Receiver<Input>) {
         let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
         let hub = Self {
             clock: Clock::start(),
@@ -138,44 +106,16 @@
             names: settings.names.clone(),
             budgets: settings.module.classes.iter().map(|c| c.deadline).collect(),
             ready: Cell::new(false),
-            clients: Rc::default(),
-            most_clients,
+            places,
             first_bytes: Cell::new(0),
             idle: Default::default(),
             next_id: Cell::new(1),
             bad: Cell::new(0),
-            left: async_channel::bounded(1),
-            room: async_channel::bounded(1),
             stop: async_channel::bounded(1),
         };
         (Rc::new(hub), receiver)
     }
 
-    /// Takes a place for a client connection.
-    pub fn seat(&self) -> Seat {
-        Seat { _counted: Counted::new(&self.clients), left: self.left.0.clone() }
-    }
-
-    /// Waits until a client connection has ended.
-    pub async fn client_left(&self) {
-        let _ = self.left.1.recv().await;
-    }
-
-    /// Asks one idle client connection to end, the longest idle first; it may be the next to become idle.
-    pub fn ask_for_room(&self) {
-        let _ = self.room.0.try_send(());
-    }
-
-    /// Waits until this idle connection is asked to make room.
-    pub async fn asked_for_room(&self) {
-        let _ = self.room.1.recv().await;
-    }
-
-    /// No more room is needed.
-    pub fn room_found(&self) {
-        let _ = self.room.1.try_recv();
-    }
-
     /// Begins the stop: what is there and what still comes is served, then connections end.
     pub fn begin_stop(&self) {
         self.stop.0.close();
@@ -324,19 +264,20 @@
 
     /// At a limit, tells what holds the places.
     fn report(&self) {
-        let (clients, (held, idle)) = (self.hub.clients.get(), self.outside.machines.usage());
-        if clients < self.hub.most_clients && held - idle < self.outside.machines.most() {
+        let (((clients, held), (seats, lines)), idle) =
+            ((self.hub.places.held(), self.hub.places.most()), self.outside.machines.idle());
+        if clients < seats && held - idle < lines && !self.hub.places.is_full() {
             return;
         }
         let unsent = self.flights.values().filter(|f| f.progress.get() < Progress::Written).count();
         let [fresh, kept] = self.hub.idle.each_ref().map(|c| c.get());
         let first = self.hub.first_bytes.take();
         let waiting = self.open.values().filter(|o| !o.exchange.is_over()).count();
-        let (out, seats) = (self.flights.len(), self.hub.most_clients);
+        let out = self.flights.len();
         log::warn!(
             "at a limit: clients {clients} of {seats} ({fresh} new, {kept} kept idle, \
              first bytes up to {first} us), requests waiting {waiting}, attempts out {out} \
-             ({unsent} unsent), connections to machines {held} ({idle} idle)"
+             ({unsent} unsent), connections to machines {held} of {lines} ({idle} idle)"
         );
     }
 
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod exchange;
 pub mod logging;
 pub mod net;
+pub mod places;
 pub mod run;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -2,8 +2,9 @@
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
 use super::{read_some, within};
-use crate::driver::{Counted, Hub, Input};
+use crate::driver::{Hub, Input};
 use crate::exchange::{Answer, Call, Exchange};
+use crate::places::Counted;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt, FutureExt, StreamExt};
@@ -33,16 +34,21 @@
 pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
     let mut incoming = Box::pin(listener.incoming());
     loop {
-        // At the limit accepting pauses until a client leaves; it does not spin. Danger: clients keep the
-        // connections of a busy moment, and idle ones would shut out those that bring requests.
-        while hub.clients.get() >= hub.most_clients {
-            hub.ask_for_room();
-            hub.client_left().await;
+        // At the limit accepting pauses until a place is given back; it does not spin. Danger: clients keep the
+        // connections of a busy moment, and idle ones would shut out those that bring requests: they are asked
+        // to yield a little before.
+        if hub.places.is_short() {
+            hub.places.ask_to_yield();
+        } else {
+            hub.places.at_ease();
+        }
+        if !hub.places.client_fits() {
+            hub.places.freed().await;
+            continue;
         }
-        hub.room_found();
         match incoming.next().await {
             Some(Ok(stream)) => {
-                let seat = hub.seat();
+                let place = hub.places.client();
                 let served = AssertUnwindSafe(converse(stream, Rc::clone(&hub)));
                 executor
                     .spawn(async move {
@@ -50,7 +56,7 @@
                         if served.catch_unwind().await.is_err() {
                             log::error!("client connection ended by a panic");
                         }
-                        drop(seat);
+                        drop(place);
                     })
                     .detach();
             }
@@ -303,7 +309,7 @@
             // for each request fill all places with connections still to bring one. So only those yield on
             // which nothing has come for a good while of a busy moment.
             Timer::after(IDLE_LEAST).await;
-            hub.asked_for_room().await;
+            hub.places.asked_to_yield().await;
             None
         };
         // What has come wins over a stop and over others' needs: a request already there is served.
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -6,6 +6,7 @@
 use super::list::Row;
 use super::{read_some, span, within};
 use crate::exchange::Exchange;
+use crate::places::{Place, Places};
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use std::cell::{Cell, RefCell};
@@ -140,18 +141,9 @@
     fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
 }
 
-/// One descriptor of those set aside for machines.
-struct Slot(Rc<Cell<usize>>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 struct Line {
     stream: Async<TcpStream>,
-    _slot: Slot,
+    _place: Place,
 }
 
 struct Idle {
@@ -178,15 +170,14 @@
 /// All machines listed, with the connections kept to them.
 pub struct Machines {
     hosts: RefCell<BTreeMap<MachineId, Host>>,
-    held: Rc<Cell<usize>>,
-    most: usize,
+    places: Rc<Places>,
     transport: Transport,
 }
 
 impl Machines {
-    /// No machine yet; at most `most` connections to all of them.
-    pub fn new(most: usize, transport: Transport) -> Rc<Self> {
-        Rc::new(Self { hosts: RefCell::default(), held: Rc::default(), most, transport })
+    /// No machine yet.
+    pub fn new(places: Rc<Places>, transport: Transport) -> Rc<Self> {
+        Rc::new(Self { hosts: RefCell::default(), places, transport })
     }
 
     /// Takes in a line of the list. Danger: an address may return with another machine or build behind it,
@@ -217,14 +208,9 @@
         }
     }
 
-    /// Connections held to all machines, and those of them that are idle.
-    pub fn usage(&self) -> (usize, usize) {
-        (self.held.get(), self.hosts.borrow().values().map(|h| h.idle.len()).sum())
-    }
-
-    /// Most connections that may be held.
-    pub fn most(&self) -> usize {
-        self.most
+    /// Connections that are idle.
+    pub fn idle(&self) -> usize {
+        self.hosts.borrow().values().map(|h| h.idle.len()).sum()
     }
 
     /// Closes connections that the machine would soon close itself, and those that ended.
@@ -258,33 +244,34 @@
 
     fn keep(&self, machine: MachineId, address: SocketAddr, line: Line, now: Micros) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(&machine) {
-            if host.address == Some(address) {
+            // While everything is in use a connection that has served gives its place to a client.
+            if host.address == Some(address) && !self.places.is_full() {
                 host.idle.push_back(Idle { line, since: now });
             }
         }
     }
 
-    /// A descriptor for a new connection; at the limit the connection that was idle longest makes room.
-    fn slot(&self) -> Result<Slot, Cause> {
-        if self.held.get() >= self.most {
-            let mut hosts = self.hosts.borrow_mut();
-            let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty());
-            let oldest = oldest.min_by_key(|h| h.idle.front().map(|i| i.since));
-            oldest.and_then(|h| h.idle.pop_front()).ok_or(Cause::NoRoom)?;
+    /// A place for a new connection; at the limit the connection that was idle longest makes room.
+    fn place(&self) -> Result<Place, Cause> {
+        if let Some(place) = self.places.machine() {
+            return Ok(place);
         }
-        self.held.set(self.held.get() + 1);
-        Ok(Slot(Rc::clone(&self.held)))
+        let mut hosts = self.hosts.borrow_mut();
+        let oldest = hosts.values_mut().filter(|h| !h.idle.is_empty());
+        let oldest = oldest.min_by_key(|h| h.idle.front().map(|i| i.since));
+        drop(oldest.and_then(|h| h.idle.pop_front()));
+        self.places.machine().ok_or(Cause::NoRoom)
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Line, Cause> {
-        let slot = self.slot()?;
+        let place = self.place()?;
         let connecting = Async::<TcpStream>::connect(address);
         let stream = match self.transport.connect_timeout {
             0 => connecting.await?,
             limit => within(span(limit), connecting).await.ok_or(Cause::Late)??,
         };
         stream.get_ref().set_nodelay(true)?;
-        Ok(Line { stream, _slot: slot })
+        Ok(Line { stream, _place: place })
     }
 
     /// Makes one attempt; `progress` tells at any moment how far it has come.
--- /dev/null
+++ b/crates/yarrowspoke-front/src/places.rs
@@ -0,0 +1,148 @@
+//! Descriptors: one budget for both sides, counted as they are taken and given back.
+
+use async_channel::{Receiver, Sender};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Counts its holder for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A descriptor held; its end is told to whoever waits for one.
+pub struct Place {
+    counted: Option<Counted>,
+    freed: Sender<()>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.counted = None;
+        let _ = self.freed.try_send(());
+    }
+}
+
+/// The budget. Danger: with fixed halves one side runs out while the other has plenty; with none a rush of
+/// clients leaves no connection on which to serve them. So each side has a most, and both have a sum.
+pub struct Places {
+    total: usize,
+    most_clients: usize,
+    most_machines: usize,
+    clients: Rc<Cell<usize>>,
+    machines: Rc<Cell<usize>>,
+    freed: (Sender<()>, Receiver<()>),
+    yields: (Sender<()>, Receiver<()>),
+}
+
+impl Places {
+    /// A budget of `total` descriptors. Refusals need a client's place only, so there are more of those.
+    pub fn new(total: usize) -> Rc<Self> {
+        let total = total.max(10);
+        Rc::new(Self {
+            total,
+            most_clients: total * 7 / 10,
+            most_machines: total * 4 / 10,
+            clients: Rc::default(),
+            machines: Rc::default(),
+            freed: async_channel::bounded(1),
+            yields: async_channel::bounded(1),
+        })
+    }
+
+    /// Client and machine connections now held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.clients.get(), self.machines.get())
+    }
+
+    /// The most of each.
+    pub fn most(&self) -> (usize, usize) {
+        (self.most_clients, self.most_machines)
+    }
+
+    fn used(&self) -> usize {
+        self.clients.get() + self.machines.get()
+    }
+
+    /// Whether everything is in use.
+    pub fn is_full(&self) -> bool {
+        self.used() >= self.total
+    }
+
+    /// Whether client places are nearly used up: idle ones should yield before new ones must wait.
+    pub fn is_short(&self) -> bool {
+        self.clients.get() >= self.most_clients * 9 / 10 || self.used() >= self.total * 19 / 20
+    }
+
+    fn place(&self, count: &Rc<Cell<usize>>) -> Place {
+        Place { counted: Some(Counted::new(count)), freed: self.freed.0.clone() }
+    }
+
+    /// Whether one more client connection may be accepted.
+    pub fn client_fits(&self) -> bool {
+        self.clients.get() < self.most_clients && !self.is_full()
+    }
+
+    /// A place for a client connection that was accepted.
+    pub fn client(&self) -> Place {
+        self.place(&self.clients)
+    }
+
+    /// A place for a connection to a machine, if there is one.
+    pub fn machine(&self) -> Option<Place> {
+        let fits = self.machines.get() < self.most_machines && !self.is_full();
+        fits.then(|| self.place(&self.machines))
+    }
+
+    /// Waits until some place has been given back.
+    pub async fn freed(&self) {
+        let _ = self.freed.1.recv().await;
+    }
+
+    /// Asks one idle client connection to end, the longest idle first; it may be the next to become idle.
+    pub fn ask_to_yield(&self) {
+        let _ = self.yields.0.try_send(());
+    }
+
+    /// Waits until this idle connection is asked to end.
+    pub async fn asked_to_yield(&self) {
+        let _ = self.yields.1.recv().await;
+    }
+
+    /// Takes back what was asked.
+    pub fn at_ease(&self) {
+        let _ = self.yields.1.try_recv();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_side_has_a_most_and_both_have_a_sum() {
+        let places = Places::new(100);
+        let mut clients: Vec<_> =
+            std::iter::from_fn(|| places.client_fits().then(|| places.client())).collect();
+        assert_eq!((clients.len(), places.is_short()), (70, true));
+        let machines: Vec<_> = std::iter::from_fn(|| places.machine()).collect();
+        assert_eq!(machines.len(), 30);
+        assert!(places.is_full());
+        clients.truncate(50);
+        let more: Vec<_> = std::iter::from_fn(|| places.machine()).collect();
+        assert_eq!((more.len(), places.held()), (10, (50, 40)));
+        drop((clients, machines, more));
+        assert_eq!(places.held(), (0, 0));
+    }
+}
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -6,6 +6,7 @@
 use crate::net::machines::Machines;
 use crate::net::peers::Peers;
 use crate::net::{clients, platform};
+use crate::places::Places;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -31,10 +32,8 @@
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
-    let places = config.limits.sockets.saturating_sub(RESERVED).max(5);
-    // Refusals need a client's place only, so there are more of those.
-    let for_clients = places * 2 / 3;
-    let (hub, inputs) = Hub::new(&config.settings, for_clients);
+    let places = Places::new(config.limits.sockets.saturating_sub(RESERVED));
+    let (hub, inputs) = Hub::new(&config.settings, Rc::clone(&places));
     let module = &config.settings.module;
     let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
@@ -43,7 +42,7 @@
     };
     let outside = Outside {
         executor: Rc::clone(&executor),
-        machines: Machines::new(places - for_clients, config.settings.transport),
+        machines: Machines::new(Rc::clone(&places), config.settings.transport),
         discovery: Discovery::new(config.discovery, names, config.known.index, module.ask_within),
         platform: config.platform,
         peers: peers.clone(),
@@ -62,10 +61,10 @@
     log::info!("{} serves on {}", config.name, config.listen);
     let stop = async {
         signals.next().await;
-        log::info!("stopping: {} client connections", hub.clients.get());
+        log::info!("stopping: {} client connections", places.held().0);
         hub.begin_stop();
         Timer::after(STILL_COMING).await;
-        while hub.clients.get() > 0 {
+        while places.held().0 > 0 {
             Timer::after(STOP_CHECK).await;
         }
         log::info!("stopped");
