A request that aged in the queue of connections is counted from then, not from its reading

So accepting had paused, and requests that waited there were given their whole budget from their reading on, past the 55 ms that the rule leaves. Lines at fault: Hub::exchange and the accept loop in net/clients.rs. Now the first request of a connection accepted after a pause loses the time since the pause began. The new test fails without it.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -136,11 +136,11 @@
         self.bad.set(self.bad.get() + 1);
     }
 
-    /// A request just read.
-    pub fn exchange(&self, call: Call) -> Rc<Exchange> {
+    /// A request just read, which came `aged` before.
+    pub fn exchange(&self, call: Call, aged: Micros) -> Rc<Exchange> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        Exchange::new(id, call, self.clock.now())
+        Exchange::new(id, call, self.clock.now().saturating_sub(aged))
     }
 }
 
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -55,7 +55,7 @@
     pub id: RequestId,
     /// What was asked.
     pub call: Call,
-    /// When its last byte was read.
+    /// When its last byte came.
     pub arrived: Micros,
     /// When the client stops waiting.
     pub deadline: Micros,
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -33,6 +33,8 @@
 /// Accepts clients until the program ends.
 pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
     let mut incoming = Box::pin(listener.incoming());
+    // Since when connections may have waited to be accepted; `None` once all that waited were.
+    let mut paused: Option<Micros> = None;
     loop {
         // At the limit accepting pauses until a place is given back; it does not spin. Danger: clients keep the
         // connections of a busy moment, and idle ones would shut out those that bring requests: they are asked
@@ -43,13 +45,22 @@
             hub.places.at_ease();
         }
         if !hub.places.client_fits() {
+            paused.get_or_insert(hub.clock.now());
             hub.places.freed().await;
             continue;
         }
-        match incoming.next().await {
+        let next = match future::poll_once(incoming.next()).await {
+            Some(next) => next,
+            None => {
+                paused = None;
+                incoming.next().await
+            }
+        };
+        match next {
             Some(Ok(stream)) => {
                 let place = hub.places.client();
-                let served = AssertUnwindSafe(converse(stream, Rc::clone(&hub)));
+                let waited = paused.map_or(0, |since| hub.clock.now() - since);
+                let served = AssertUnwindSafe(converse(stream, Rc::clone(&hub), waited));
                 executor
                     .spawn(async move {
                         // A defect met by one connection ends that connection only.
@@ -241,7 +252,9 @@
     End,
 }
 
-async fn converse(stream: Async<TcpStream>, hub: Rc<Hub>) {
+/// Serves one connection. `waited` is how long it may have waited to be accepted: its first request aged so long
+/// unread. Danger: counted from its reading alone, such a request is answered after its client has gone.
+async fn converse(stream: Async<TcpStream>, hub: Rc<Hub>, waited: Micros) {
     let _ = stream.get_ref().set_nodelay(true);
     let mut line = Line { stream, decoder: Decoder::new(BODY_LIMIT) };
     let mut served = 0u64;
@@ -267,7 +280,8 @@
                 line.write(&plain(status, keeps)).await && keeps
             }
             Asked::Call(call) => {
-                let exchange = hub.exchange(call);
+                let aged = if served == 1 { waited } else { 0 };
+                let exchange = hub.exchange(call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
                 let keep = keeps && !hub.is_stopping();
--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -5,6 +5,7 @@
 use common::{free_port, get, post, spawn, until, World};
 use std::io::Read;
 use std::net::Shutdown;
+use std::time::Duration;
 use yarrowspoke_toy::Behaviour;
 
 #[test]
@@ -162,6 +163,23 @@
     }
 }
 
+#[test]
+fn a_request_that_aged_unread_is_not_taken_for_a_fresh_one() {
+    // Danger: work for a client that has gone, and an answer after its time.
+    let world = World::with_sockets(&[Behaviour::Serve], 60);
+    let mut halfway: Vec<_> = (0..40).map(|_| world.client()).collect();
+    halfway.iter_mut().for_each(|c| c.send(b"GET /article HTTP/1.1\r\n"));
+    let mut late = world.client();
+    late.send(get("late", "0.3").as_bytes());
+    std::thread::sleep(Duration::from_millis(800));
+    drop(halfway);
+    let answer = late.answer().unwrap();
+    assert!(answer.start().contains(" 503 "), "{answer:?}");
+    assert_eq!(world.seen(), 0);
+    // On the same connection the next one is fresh.
+    assert!(late.ask(&get("next", "5.0")).unwrap().start().contains(" 200 "));
+}
+
 #[test]
 fn a_stop_answers_all_and_ends_kept_connections_between_requests() {
     let mut world = World::start(&[Behaviour::Hang, Behaviour::Hang]);
