Yielding is paced, new connections get their time, and one that has just answered may yield

Cause: each yield makes a client connect anew, which asks for the next yield, and new connections yielded after 100 ms while their first bytes came after 100 to 163. Now a connection that has just answered takes the request to yield, one in 2 ms. Lines at fault: the accept loop and the wait before yielding in net/clients.rs.

--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -23,10 +23,12 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// Pause after accepting has failed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
-/// How long a connection that came during a stop may take to bring its request.
+/// How long a new connection may take to bring its request during a stop or while its place is wanted.
 const FIRST_WITHIN: Duration = Duration::from_millis(700);
 /// Least time that a connection stands idle before it ends to make room.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
+/// Least time between two connections that are asked to yield.
+const YIELD_PACE: Duration = Duration::from_millis(2);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
@@ -35,18 +37,25 @@
     let mut incoming = Box::pin(listener.incoming());
     // Since when connections may have waited to be accepted; `None` once all that waited were.
     let mut paused: Option<Micros> = None;
+    let mut next_yield = 0;
     loop {
         // At the limit accepting pauses until a place is given back; it does not spin. Danger: clients keep the
         // connections of a busy moment, and idle ones would shut out those that bring requests: they are asked
         // to yield a little before.
         if hub.places.is_short() {
-            hub.places.ask_to_yield();
+            // Danger: a client whose connection yielded connects anew, which asks for the next to yield. Paced,
+            // this stays a small part of the connections and cannot feed itself.
+            let now = hub.clock.now();
+            if now >= next_yield {
+                hub.places.ask_to_yield();
+                next_yield = now + YIELD_PACE.as_micros() as Micros;
+            }
         } else {
             hub.places.at_ease();
         }
         if !hub.places.client_fits() {
             paused.get_or_insert(hub.clock.now());
-            hub.places.freed().await;
+            within(YIELD_PACE, hub.places.freed()).await;
             continue;
         }
         let next = match future::poll_once(incoming.next()).await {
@@ -284,7 +293,7 @@
                 let exchange = hub.exchange(call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
-                let keep = keeps && !hub.is_stopping();
+                let keep = keeps && !hub.is_stopping() && !hub.places.must_yield();
                 line.write(&encode(&answer, keep)).await && keep
             }
         };
@@ -322,7 +331,7 @@
             // Danger: a request on its way here finds its connection gone, and clients that must connect anew
             // for each request fill all places with connections still to bring one. So only those yield on
             // which nothing has come for a good while of a busy moment.
-            Timer::after(IDLE_LEAST).await;
+            Timer::after(if fresh { FIRST_WITHIN } else { IDLE_LEAST }).await;
             hub.places.asked_to_yield().await;
             None
         };
