--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -28,7 +28,7 @@
 /// Least time that a connection stands idle before it ends to make room.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// Least time between two connections that are asked to yield.
-const YIELD_PACE: Duration = Duration::from_millis(2);
+const YIELD_PACE: Duration = Duration::from_millis(4);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
@@ -293,7 +293,7 @@
                 let exchange = hub.exchange(call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
-                let keep = keeps && !hub.is_stopping() && !hub.places.must_yield();
+                let keep = keeps && !hub.is_stopping();
                 line.write(&encode(&answer, keep)).await && keep
             }
         };
