--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -28,7 +28,7 @@
 /// Least time that a connection stands idle before it ends to make room.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// Least time between two connections that are asked to yield.
-const YIELD_PACE: Duration = Duration::from_millis(4);
+const YIELD_PACE: Duration = Duration::from_millis(1);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
