--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -4,6 +4,7 @@
 use crate::net::platform::{self, State};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::Path;
 use thiserror::Error;
 use yarrowspoke_settings::Settings;
 
@@ -39,6 +40,20 @@
 pub struct Limits {
     /// File descriptors that it may hold.
     pub sockets: usize,
+    /// Memory in MB.
+    #[serde(default = "ample")]
+    pub memory_mb: usize,
+}
+
+fn ample() -> usize {
+    192
+}
+
+impl Limits {
+    /// Bytes that large bodies may hold together: an eighth of the memory.
+    pub fn bodies(&self) -> usize {
+        self.memory_mb * (1024 * 1024 / 8)
+    }
 }
 
 /// All that this front is told when it starts.
@@ -94,9 +109,35 @@
     news: Option<platform::StateFields>,
 }
 
+impl Config {
+    /// Where the parties are that a front may be told to reach elsewhere while it runs.
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            discovery: self.discovery,
+            platform: self.platform,
+            peers: self.peers.clone(),
+            peers_all: self.peers_all,
+        }
+    }
+}
+
+/// What a new configuration changes in a front that runs; all else holds from its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Where the platform is.
+    pub platform: Option<SocketAddr>,
+    /// Where each front of the tier is reached, by number.
+    pub peers: Vec<SocketAddr>,
+    /// Where all of them are reached at once.
+    pub peers_all: Option<SocketAddr>,
+}
+
 /// Reads the configuration file at `path`.
-pub fn load(path: &str) -> Result<Config, ConfigError> {
-    let bytes = std::fs::read(path).map_err(|source| ConfigError::File { path: path.to_owned(), source })?;
+pub fn load(path: &Path) -> Result<Config, ConfigError> {
+    let named = || path.display().to_string();
+    let bytes = std::fs::read(path).map_err(|source| ConfigError::File { path: named(), source })?;
     parse(&bytes)
 }
 
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -1,11 +1,12 @@
 //! Drives the decision module: one clock, its timers, events in order, actions carried out.
 
-use crate::exchange::{Answer, Call, Exchange};
+use crate::config::Addresses;
+use crate::exchange::{Answer, Call, CallIds, Exchange};
 use crate::net::list::{Discovery, Row};
 use crate::net::machines::{load_values, Machines, Progress, Reply};
 use crate::net::peers::Peers;
 use crate::net::platform::{self, Ballot};
-use crate::places::Places;
+use crate::places::{Places, Store};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -18,8 +19,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke::interface::{
-    Action, Arrival, Build, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState, Micros, News,
-    RequestId,
+    Action, Arrival, Build, Class, Effect, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState,
+    Micros, News, RequestId,
 };
 use yarrowspoke::Front;
 use yarrowspoke_settings::{Names, Settings};
@@ -71,6 +72,27 @@
     News(News),
     /// A peer's message.
     Message(u32, Vec<u8>),
+    /// A new configuration names other addresses.
+    Moved(Addresses),
+}
+
+/// What the protocol ties to a class.
+pub struct ClassFacts {
+    /// Its deadline, for requests that state no budget.
+    pub deadline: Micros,
+    /// Its method, where the protocol names one.
+    pub method: Option<&'static str>,
+}
+
+impl ClassFacts {
+    fn of(class: &Class) -> Self {
+        let method = match class.effect {
+            Effect::Repeatable => Some("GET"),
+            Effect::Once => Some("POST"),
+            Effect::ByKey => None,
+        };
+        Self { deadline: class.deadline, method }
+    }
 }
 
 /// What all client connections share with the driver.
@@ -81,8 +103,12 @@
     pub inputs: Sender<Input>,
     /// Names behind positions.
     pub names: Names,
-    /// Each class's deadline, for requests that state no budget.
-    pub budgets: Vec<Micros>,
+    /// What the protocol ties to each class.
+    pub classes: Vec<ClassFacts>,
+    /// Ids of calls.
+    pub ids: CallIds,
+    /// Room for large bodies.
+    pub store: Store,
     /// The driver serves.
     pub ready: Cell<bool>,
     /// Descriptors.
@@ -97,14 +123,16 @@
 }
 
 impl Hub {
-    /// A hub, and where its inputs come out.
-    pub fn new(settings: &Settings, places: Rc<Places>) -> (Rc<Self>, Receiver<Input>) {
+    /// A hub, and where its inputs come out; large bodies together hold `bodies` bytes at most.
+    pub fn new(settings: &Settings, places: Rc<Places>, bodies: usize) -> (Rc<Self>, Receiver<Input>) {
         let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
         let hub = Self {
             clock: Clock::start(),
             inputs,
             names: settings.names.clone(),
-            budgets: settings.module.classes.iter().map(|c| c.deadline).collect(),
+            classes: settings.module.classes.iter().map(ClassFacts::of).collect(),
+            ids: CallIds::default(),
+            store: Store::new(bodies),
             ready: Cell::new(false),
             places,
             first_bytes: Cell::new(0),
@@ -201,6 +229,7 @@
     news: Option<News>,
     watch: Option<Task<()>>,
     fetch: Option<Task<()>>,
+    _listens: Option<Task<()>>,
     votes: Rc<Cell<usize>>,
     follow: VecDeque<Follow>,
 }
@@ -229,9 +258,11 @@
             news: None,
             watch: None,
             fetch: None,
+            _listens: None,
             votes: Rc::default(),
             follow: VecDeque::new(),
         };
+        driver.listen();
         actions.into_iter().for_each(|a| driver.act(now, a));
         driver.take(Input::List(ListKind::Cached, known));
         if let Some(news) = news {
@@ -321,6 +352,7 @@
             Input::List(kind, rows) => self.list(kind, &rows),
             Input::News(news) => self.told(news),
             Input::Message(from, bytes) => self.tell(Event::Message { from, bytes: &bytes }),
+            Input::Moved(addresses) => self.moved(addresses),
         }
         self.follow_up();
     }
@@ -470,14 +502,8 @@
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.land(id, attempt, Ending::Cancelled, Vec::new()),
             Action::Probe { machine } => self.follow.push_back(Follow::Probed(machine)),
-            Action::Watch(on) => {
-                let watch = Rc::clone(&self.outside.discovery).watch(self.hub.inputs.clone());
-                self.watch = on.then(|| self.outside.executor.spawn(watch));
-            }
-            Action::Fetch => {
-                let fetch = Rc::clone(&self.outside.discovery).fetch(self.hub.inputs.clone());
-                self.fetch = Some(self.outside.executor.spawn(fetch));
-            }
+            Action::Watch(on) => self.watch(on),
+            Action::Fetch => self.fetch(),
             Action::Timer { name, after } => self.due(now + after, Due::Module(name)),
             Action::Vote { build, stage, verdict } => self.vote(Ballot { build, stage, verdict }),
             Action::Close { machine } => self.outside.machines.close_idle(machine),
@@ -490,6 +516,41 @@
         }
     }
 
+    fn watch(&mut self, on: bool) {
+        let watch = Rc::clone(&self.outside.discovery).watch(self.hub.inputs.clone());
+        self.watch = on.then(|| self.outside.executor.spawn(watch));
+    }
+
+    fn fetch(&mut self) {
+        let fetch = Rc::clone(&self.outside.discovery).fetch(self.hub.inputs.clone());
+        self.fetch = Some(self.outside.executor.spawn(fetch));
+    }
+
+    fn listen(&mut self) {
+        let inputs = &self.hub.inputs;
+        let listen = self.outside.platform.map(|address| platform::listen(address, inputs.clone()));
+        self._listens = listen.map(|l| self.outside.executor.spawn(l));
+    }
+
+    /// What the module has asked for goes on at the new addresses at once. Danger: the old ones answer nothing
+    /// new, and what is told only at the new ones counts as told. A vote on its way ends where it began.
+    fn moved(&mut self, to: Addresses) {
+        if let Some(peers) = &self.outside.peers {
+            peers.moved(to.peers, to.peers_all);
+        }
+        if self.outside.discovery.moved(to.discovery) {
+            if self.watch.is_some() {
+                self.watch(true);
+            }
+            if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
+                self.fetch();
+            }
+        }
+        if std::mem::replace(&mut self.outside.platform, to.platform) != to.platform {
+            self.listen();
+        }
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(open) = self.open.get(&id) {
             open.exchange.answer(answer);
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -1,7 +1,9 @@
 //! One client request and its final answer: the only thing that client and server side share.
 
 use std::cell::RefCell;
+use std::collections::{HashSet, VecDeque};
 use std::future::poll_fn;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use yarrowspoke::interface::{Micros, RequestId};
@@ -31,6 +33,52 @@
     pub body: Vec<u8>,
 }
 
+/// Ids of the calls that are open, and of the last ones that were answered.
+#[derive(Default)]
+pub struct CallIds {
+    seen: Rc<RefCell<Seen>>,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Open ones and answered ones alike.
+    all: HashSet<u64>,
+    /// Answered ones, in the order of their answers.
+    answered: VecDeque<u64>,
+}
+
+/// Answered ids that are remembered.
+const ANSWERED_KEPT: usize = 4_096;
+
+/// An id in use, until dropped.
+pub struct OpenId {
+    seen: Rc<RefCell<Seen>>,
+    id: u64,
+}
+
+impl CallIds {
+    /// Takes an id into use; `None` if it is open or was answered lately, as ids are fresh on every request.
+    pub fn open(&self, call_id: &str) -> Option<OpenId> {
+        let mut hasher = DefaultHasher::new();
+        call_id.hash(&mut hasher);
+        let id = hasher.finish();
+        let fresh = self.seen.borrow_mut().all.insert(id);
+        fresh.then(|| OpenId { seen: Rc::clone(&self.seen), id })
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        let mut seen = self.seen.borrow_mut();
+        seen.answered.push_back(self.id);
+        if seen.answered.len() > ANSWERED_KEPT {
+            if let Some(old) = seen.answered.pop_front() {
+                seen.all.remove(&old);
+            }
+        }
+    }
+}
+
 /// The final answer to a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -1,5 +1,6 @@
 //! The yarrowspoke front: reads its configuration, serves, and ends when told to.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use yarrowspoke_front::{config, logging, run};
 
@@ -8,9 +9,9 @@
         eprintln!("yarrowspoke: logging cannot start: {e}");
         return ExitCode::FAILURE;
     }
-    let path = std::env::var("PROXY_CONFIG").unwrap_or_default();
+    let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").unwrap_or_default());
     let ended = match config::load(&path) {
-        Ok(config) => run::run(config).map_err(|e| e.to_string()),
+        Ok(config) => run::run(config, path).map_err(|e| e.to_string()),
         Err(e) => Err(e.to_string()),
     };
     match ended {
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -2,25 +2,36 @@
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
 use super::{read_some, within};
-use crate::driver::{Hub, Input};
+use crate::driver::{ClassFacts, Hub, Input};
 use crate::exchange::{Answer, Call, Exchange};
-use crate::places::Counted;
+use crate::places::{Counted, Room};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt, FutureExt, StreamExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use yarrowspoke::interface::Micros;
 use yarrowspoke_settings::Names;
 
-/// Longest time from a request's first byte to its last.
-const REQUEST_WITHIN: Duration = Duration::from_secs(10);
+/// Longest time from a request's first byte, or from the connection's beginning, to its last byte. The operators
+/// owe whoever sends something else a close or an error within 3 s.
+const REQUEST_WITHIN: Duration = Duration::from_millis(2_000);
+/// How long a connection may stand between two requests.
+const IDLE_WITHIN: Duration = Duration::from_secs(4);
 /// Longest time that an answer may take to be written out.
-const ANSWER_WITHIN: Duration = Duration::from_secs(10);
-/// How long a connection that ends is still read, so that the last answer is not lost to a reset.
-const LINGER: Duration = Duration::from_secs(1);
+const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+/// How long a connection that ends is still read, so that the last answer is not lost to a reset: while it still
+/// brings something, and in all.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: Duration = Duration::from_secs(5);
+/// Bytes of such a connection that are read at full speed, those read at once from then on, and the pause between.
+const LINGER_FREE: usize = 128 * 1024;
+const LINGER_CHUNK: usize = 64 * 1024;
+const LINGER_PACE: Duration = Duration::from_millis(2);
+/// Body bytes that need no room in the store for bodies.
+const SMALL_BODY: usize = 4 * 1024;
 /// Pause after accepting has failed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// How long a new connection may take to bring its request during a stop or while its place is wanted.
@@ -29,6 +40,9 @@
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// Least time between two connections that are asked to yield.
 const YIELD_PACE: Duration = Duration::from_millis(1);
+/// Pause before the next request of one who has repeated an id. Danger: some send the same again as soon as it is
+/// turned away, and would fill the processor.
+const AGAIN_PACE: Duration = Duration::from_millis(10);
 /// Longest budget believed.
 const LONGEST_BUDGET: f64 = 3_600.0;
 
@@ -113,7 +127,11 @@
 }
 
 impl FromHead for AskedHead {
-    const UNSTATED: Framing = Framing::Length(0);
+    const STRICT: bool = true;
+
+    fn unstated(&self) -> Option<Framing> {
+        Some(Framing::Length(0))
+    }
 
     fn from_head(head: &RawHead) -> Result<Self, HttpError> {
         let [method, target, version] = head.start;
@@ -125,11 +143,11 @@
         if !target.starts_with('/') || !target.bytes().all(plain) {
             return Err(HttpError::StartLine);
         }
-        let call_id = head.field("x-call-id");
+        let call_id = head.sole("x-call-id")?;
         if call_id.is_some_and(|id| id.is_empty() || id.len() > 128 || !id.bytes().all(plain)) {
             return Err(HttpError::Needs("X-Call-Id"));
         }
-        let budget = head.field("x-budget").map(budget).transpose()?;
+        let budget = head.sole("x-budget")?.map(budget).transpose()?;
         let owned = |name| head.field(name).map(str::to_owned);
         Ok(Self {
             method: method.to_owned(),
@@ -137,7 +155,7 @@
             keep: head.keeps_alive(version),
             continues: head.field("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")),
             call_id: call_id.map(str::to_owned),
-            class: owned("x-call-class"),
+            class: head.sole("x-call-class")?.map(str::to_owned),
             tenant: owned("x-caller"),
             budget,
             hint: head.field("x-call-cost").and_then(|v| v.parse().ok()),
@@ -153,21 +171,32 @@
 }
 
 impl AskedHead {
-    fn asked(self, body: Vec<u8>, names: &Names, budgets: &[Micros]) -> Asked {
+    /// Danger: what a machine can't use costs it work, and may run as something else than was meant. So a call
+    /// whose parts contradict each other goes to none.
+    fn asked(self, body: Vec<u8>, names: &Names, classes: &[ClassFacts]) -> Asked {
         let (path, query) = self.target.split_once('?').unwrap_or((&self.target, ""));
         if path == "/up" {
             return if self.method == "GET" { Asked::Ready } else { Asked::Nothing(405) };
         }
         let first = path[1..].split('/').next().unwrap_or("");
-        let class = self.class.as_deref().unwrap_or(first);
-        let Some(class) = names.classes.iter().position(|c| c == class) else { return Asked::Nothing(404) };
+        let Some(class) = names.classes.iter().position(|c| c == first) else { return Asked::Nothing(404) };
+        let facts = &classes[class];
+        if self.class.is_some_and(|c| c != first) {
+            return Asked::Nothing(400);
+        }
+        if facts.method.is_some_and(|m| m != self.method) {
+            return Asked::Nothing(405);
+        }
+        if self.method == "GET" && !body.is_empty() {
+            return Asked::Nothing(400);
+        }
         let Some(call_id) = self.call_id else { return Asked::Nothing(400) };
         let tenant = self.tenant.and_then(|t| names.tenants.iter().position(|n| *n == t));
         let key = query.split('&').find_map(|p| p.strip_prefix("key=")).map_or(0, key);
         Asked::Call(Call {
             class: class as u8,
             tenant: tenant.map_or(u32::MAX, |t| t as u32),
-            budget: self.budget.unwrap_or(budgets[class]),
+            budget: self.budget.unwrap_or(facts.deadline),
             key,
             hint: self.hint,
             repeat: self.repeat,
@@ -213,6 +242,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
@@ -232,6 +262,8 @@
 struct Line {
     stream: Async<TcpStream>,
     decoder: Decoder<AskedHead>,
+    /// Room taken in the store for bodies.
+    room: Option<Room>,
 }
 
 impl Line {
@@ -244,14 +276,27 @@
         matches!(within(ANSWER_WITHIN, self.stream.write_all(bytes)).await, Some(Ok(())))
     }
 
-    /// Ends the connection so that an answer given in the midst of a request still arrives. Danger: this
-    /// holds a place; where the whole request was read the connection is simply dropped, which loses nothing.
+    /// Ends the connection so that an answer given in the midst of a request still arrives. Danger: what is left
+    /// unread resets the connection, and an error on its way to a client that still sends is lost with it; but
+    /// one that sends without end must not take the processor, nor a place for long.
     async fn end_midway(mut self) {
-        if self.stream.get_ref().shutdown(Shutdown::Write).is_ok() {
-            let drained =
-                async { while matches!(read_some(&mut self.stream, |_| ()).await, Ok(n) if n > 0) {} };
-            within(LINGER, drained).await;
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
         }
+        let drained = async {
+            let mut taken = 0;
+            while taken < LINGER_FREE {
+                match within(LINGER, read_some(&mut self.stream, |_| ())).await {
+                    Some(Ok(n)) if n > 0 => taken += n,
+                    _ => return,
+                }
+            }
+            let mut chunk = vec![0; LINGER_CHUNK];
+            while matches!(within(LINGER, self.stream.read(&mut chunk)).await, Some(Ok(n)) if n > 0) {
+                Timer::after(LINGER_PACE).await;
+            }
+        };
+        within(LINGER_MOST, drained).await;
     }
 }
 
@@ -265,21 +310,23 @@
 /// unread. Danger: counted from its reading alone, such a request is answered after its client has gone.
 async fn converse(stream: Async<TcpStream>, hub: Rc<Hub>, waited: Micros) {
     let _ = stream.get_ref().set_nodelay(true);
-    let mut line = Line { stream, decoder: Decoder::new(BODY_LIMIT) };
+    let mut line = Line { stream, decoder: Decoder::new(BODY_LIMIT), room: None };
     let mut served = 0u64;
     loop {
         let (head, body) = match next(&mut line, &hub, served == 0).await {
             Next::Message(head, body) => (head, body),
-            Next::Bad(status) => {
-                hub.count_bad();
-                line.write(&plain(status, false)).await;
-                return line.end_midway().await;
-            }
+            Next::Bad(status) => return refuse(line, &hub, status).await,
             Next::End => return,
         };
         served += 1;
         let keeps = head.keep;
-        let written = match head.asked(body, &hub.names, &hub.budgets) {
+        let asked = match head.asked(body, &hub.names, &hub.classes) {
+            // Danger: one who sends on before the answer did not mean what was read, and what hides behind a
+            // wrong length may be another's request.
+            Asked::Call(_) if line.decoder.has_more() => return refuse(line, &hub, 400).await,
+            asked => asked,
+        };
+        let written = match asked {
             Asked::Ready => {
                 let ready = hub.ready.get() && !hub.is_stopping();
                 line.write(&plain(if ready { 200 } else { 503 }, keeps)).await && keeps
@@ -289,10 +336,24 @@
                 line.write(&plain(status, keeps)).await && keeps
             }
             Asked::Call(call) => {
+                // Danger: two answers to one id are taken for each other, and an effect may happen twice.
+                let Some(_open) = hub.ids.open(&call.call_id) else {
+                    hub.count_bad();
+                    if !line.write(&plain(409, keeps)).await || !keeps {
+                        return;
+                    }
+                    Timer::after(AGAIN_PACE).await;
+                    continue;
+                };
                 let aged = if served == 1 { waited } else { 0 };
                 let exchange = hub.exchange(call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
-                let Some(answer) = answer_or_leave(&mut line, &exchange, &hub).await else { return };
+                let answer = match answer_or_leave(&mut line, &exchange, &hub).await {
+                    Wait::Answer(answer) => answer,
+                    Wait::Left => return,
+                    Wait::MoreCame => return refuse(line, &hub, 400).await,
+                };
+                line.room = None;
                 let keep = keeps && !hub.is_stopping();
                 line.write(&encode(&answer, keep)).await && keep
             }
@@ -303,8 +364,20 @@
     }
 }
 
+/// Answers what cannot be read with an error, and ends the connection.
+async fn refuse(mut line: Line, hub: &Hub, status: u16) {
+    hub.count_bad();
+    line.room = None;
+    if line.write(&plain(status, false)).await {
+        line.end_midway().await;
+    }
+}
+
 /// The next whole request. Between requests a stop ends the connection; inside one it is read to its end.
 async fn next(line: &mut Line, hub: &Hub, fresh: bool) -> Next {
+    let begun = Instant::now();
+    // A new connection owes its request from its beginning, a kept one from the request's first byte.
+    let mut due = fresh.then(|| begun + REQUEST_WITHIN);
     loop {
         match line.decoder.message() {
             Ok(Some((head, body))) => return Next::Message(head, body),
@@ -315,6 +388,13 @@
             }
         }
         let idle = line.decoder.is_idle();
+        let needed = line.decoder.expects();
+        if needed > SMALL_BODY && line.room.is_none() {
+            line.room = hub.store.take(needed);
+            if line.room.is_none() {
+                return Next::Bad(503);
+            }
+        }
         if line.decoder.waits_to_continue(|h| h.continues)
             && !line.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
         {
@@ -339,40 +419,54 @@
         let read = if idle {
             let _counted = Counted::new(&hub.idle[usize::from(!fresh)]);
             let since = hub.clock.now();
-            let read = future::or(async { Some(line.read().await) }, future::or(stopped, yields)).await;
+            let until = due.unwrap_or(begun + IDLE_WITHIN);
+            let ends = async {
+                Timer::at(until).await;
+                None
+            };
+            let others = future::or(ends, future::or(stopped, yields));
+            let read = future::or(async { Some(line.read().await) }, others).await;
             if fresh {
                 hub.first_bytes.set(hub.first_bytes.get().max(hub.clock.now() - since));
             }
             read
         } else {
-            match within(REQUEST_WITHIN, line.read()).await {
+            let left = due.map_or(REQUEST_WITHIN, |d| d.saturating_duration_since(Instant::now()));
+            match within(left, line.read()).await {
                 Some(read) => Some(read),
                 None => return Next::Bad(408),
             }
         };
         match read {
-            Some(Ok(n)) if n > 0 => {}
+            Some(Ok(n)) if n > 0 => due = due.or_else(|| Some(Instant::now() + REQUEST_WITHIN)),
             _ => return Next::End,
         }
     }
 }
 
-/// The final answer, or `None` if the client closes its connection before.
-async fn answer_or_leave(line: &mut Line, exchange: &Rc<Exchange>, hub: &Hub) -> Option<Answer> {
-    let answered = async { Some(exchange.answered().await) };
+/// How the wait for a final answer ended.
+enum Wait {
+    Answer(Answer),
+    Left,
+    /// The client has sent on, which nobody does who waits for an answer.
+    MoreCame,
+}
+
+/// The final answer, unless the client closes its connection or sends something else before.
+async fn answer_or_leave(line: &mut Line, exchange: &Rc<Exchange>, hub: &Hub) -> Wait {
+    let answered = async { Wait::Answer(exchange.answered().await) };
     let left = async {
-        // Bytes of a next request are kept; a flood of them is left in the socket.
-        while !line.decoder.is_full() {
+        loop {
             match line.read().await {
-                Ok(n) if n > 0 => {}
-                _ => return None,
+                Ok(n) if n > 0 && line.decoder.has_more() => return Wait::MoreCame,
+                Ok(n) if n > 0 => line.decoder.skip_blank(),
+                _ => return Wait::Left,
             }
         }
-        future::pending().await
     };
-    let answer = future::or(answered, left).await;
-    if answer.is_none() && exchange.leave() {
+    let ended = future::or(answered, left).await;
+    if !matches!(ended, Wait::Answer(_)) && exchange.leave() {
         let _ = hub.inputs.send(Input::Left(exchange.id)).await;
     }
-    answer
+    ended
 }
--- a/crates/yarrowspoke-front/src/net/http.rs
+++ b/crates/yarrowspoke-front/src/net/http.rs
@@ -12,6 +12,10 @@
 pub const FIELD_LIMIT: usize = 64;
 /// Most bytes of a line that states a chunk's size.
 const CHUNK_LINE_LIMIT: usize = 256;
+/// Most interim messages before a final one.
+const INTERIM_LIMIT: u32 = 16;
+/// Room that a decoder keeps between messages.
+const KEPT_ROOM: usize = 1024;
 
 /// What is wrong with a message.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -34,6 +38,9 @@
     /// The body's framing cannot be followed.
     #[error("body framing cannot be read")]
     Framing,
+    /// More interim messages than anybody needs.
+    #[error("too many interim messages")]
+    Interims,
     /// The connection ended inside the message.
     #[error("message cut short")]
     Truncated,
@@ -63,6 +70,15 @@
         self.fields.iter().find(|f| f.0.eq_ignore_ascii_case(name)).map(|f| f.1)
     }
 
+    /// The only field of this name. Danger: of two, each reader may believe another.
+    pub fn sole(&self, name: &'static str) -> Result<Option<&'a str>, HttpError> {
+        let mut named = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
+        match (named.next(), named.next()) {
+            (first, None) => Ok(first.map(|f| f.1)),
+            _ => Err(HttpError::Needs(name)),
+        }
+    }
+
     /// Whether a field that lists words holds this one.
     fn lists(&self, name: &str, word: &str) -> bool {
         let of_name = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
@@ -79,7 +95,7 @@
 
     /// The stated framing of the body, if any is stated.
     fn framing(&self) -> Result<Option<Framing>, HttpError> {
-        let coded = self.field("transfer-encoding");
+        let coded = self.sole("transfer-encoding").map_err(|_| HttpError::Framing)?;
         let mut lengths = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case("content-length"));
         let length = lengths.next().map(|f| f.1);
         // Danger: two readers that disagree on where a message ends take bytes of one for another.
@@ -113,8 +129,11 @@
 pub trait FromHead: Sized {
     /// Decodes the head.
     fn from_head(head: &RawHead) -> Result<Self, HttpError>;
-    /// How a body without stated framing ends.
-    const UNSTATED: Framing;
+    /// Whether a field whose value cannot be read spoils the head; else it counts as absent, unless the
+    /// framing hangs on it.
+    const STRICT: bool;
+    /// How a body without stated framing ends; `None` if it must be stated.
+    fn unstated(&self) -> Option<Framing>;
     /// Whether the message is only an interim one, to be skipped.
     fn interim(&self) -> bool {
         false
@@ -133,6 +152,9 @@
     body: Vec<u8>,
     trailer: bool,
     continued: bool,
+    interims: u32,
+    /// Bytes of lines between chunks and of the trailer.
+    between: usize,
     body_limit: usize,
 }
 
@@ -140,7 +162,8 @@
     /// A decoder for bodies up to `body_limit`.
     pub fn new(body_limit: usize) -> Self {
         let (buffer, body) = (Vec::new(), Vec::new());
-        Self { buffer, searched: 0, begun: None, body, trailer: false, continued: false, body_limit }
+        let (begun, trailer, continued) = (None, false, false);
+        Self { buffer, searched: 0, begun, body, trailer, continued, interims: 0, between: 0, body_limit }
     }
 
     /// Takes bytes as they came.
@@ -153,15 +176,31 @@
         self.buffer.is_empty() && self.begun.is_none()
     }
 
+    /// True if bytes of a further message are there.
+    pub fn has_more(&self) -> bool {
+        !self.buffer.iter().all(|b| matches!(b, b'\r' | b'\n'))
+    }
+
+    /// Most bytes that the body of the message begun may still bring.
+    pub fn expects(&self) -> usize {
+        match self.begun.as_ref().map(|b| b.1) {
+            Some(Framing::Length(n)) => n,
+            Some(_) => self.body_limit,
+            None => 0,
+        }
+    }
+
     /// True if a head has come whose sender, by `asks`, waits for leave to send the body; asked once.
     pub fn waits_to_continue(&mut self, asks: impl Fn(&T) -> bool) -> bool {
         let waits = self.begun.as_ref().is_some_and(|b| asks(&b.0)) && self.buffer.is_empty();
         waits && !std::mem::replace(&mut self.continued, true)
     }
 
-    /// True if so much is waiting unread that no more should be taken in.
-    pub fn is_full(&self) -> bool {
-        self.buffer.len() > HEAD_LIMIT + self.body_limit
+    /// Forgets empty lines between messages.
+    pub fn skip_blank(&mut self) {
+        if !self.has_more() {
+            self.consume(self.buffer.len());
+        }
     }
 
     /// The next whole message, if it has come.
@@ -187,8 +226,14 @@
             }
             let Some(message) = self.take() else { return Ok(None) };
             if !message.0.interim() {
+                self.interims = 0;
                 return Ok(Some(message));
             }
+            // Danger: a sender of interim messages without end would hold its reader for ever.
+            self.interims += 1;
+            if self.interims > INTERIM_LIMIT {
+                return Err(HttpError::Interims);
+            }
         }
     }
 
@@ -202,7 +247,7 @@
     }
 
     fn take(&mut self) -> Option<(T, Vec<u8>)> {
-        (self.trailer, self.continued) = (false, false);
+        (self.trailer, self.continued, self.between) = (false, false, 0);
         let body = std::mem::take(&mut self.body);
         self.begun.take().map(|(head, _)| (head, body))
     }
@@ -210,6 +255,9 @@
     fn consume(&mut self, n: usize) {
         self.buffer.drain(..n);
         self.searched = 0;
+        if self.buffer.is_empty() {
+            self.buffer.shrink_to(KEPT_ROOM);
+        }
     }
 
     fn read_head(&mut self) -> Result<bool, HttpError> {
@@ -228,16 +276,19 @@
         if end > HEAD_LIMIT {
             return Err(HttpError::HeadTooLarge);
         }
-        let raw = split_head(&self.buffer[..end])?;
+        let raw = split_head(&self.buffer[..end], T::STRICT)?;
         let head = T::from_head(&raw)?;
         let framing = match raw.framing()? {
             _ if head.bodiless() => Framing::Length(0),
             Some(framing) => framing,
-            None => T::UNSTATED,
+            None => head.unstated().ok_or(HttpError::Framing)?,
         };
         if matches!(framing, Framing::Length(n) if n > self.body_limit) {
             return Err(HttpError::BodyTooLarge);
         }
+        if let Framing::Length(n) = framing {
+            self.buffer.reserve_exact((end + 4 + n).saturating_sub(self.buffer.len()));
+        }
         self.begun = Some((head, framing));
         self.consume(end + 4);
         Ok(true)
@@ -261,6 +312,11 @@
                 let over = line_end.is_some() || self.buffer.len() > CHUNK_LINE_LIMIT + 1;
                 return if over { Err(HttpError::Framing) } else { Ok(false) };
             };
+            // Danger: lines between chunks, and a trailer, may go on without end.
+            self.between += line_end + 2;
+            if self.between > HEAD_LIMIT + self.body_limit {
+                return Err(HttpError::Framing);
+            }
             if self.trailer {
                 self.consume(line_end + 2);
                 if line_end == 0 {
@@ -295,27 +351,43 @@
     }
 }
 
-fn split_head(bytes: &[u8]) -> Result<RawHead<'_>, HttpError> {
-    let text = std::str::from_utf8(bytes).map_err(|_| HttpError::Field)?;
-    let mut lines = text.split("\r\n");
-    let mut parts = lines.next().unwrap_or("").splitn(3, ' ');
+fn split_head(bytes: &[u8], strict: bool) -> Result<RawHead<'_>, HttpError> {
+    let mut rest = Some(bytes);
+    let mut line = || {
+        let all = rest?;
+        let end = all.windows(2).position(|w| w == b"\r\n");
+        rest = end.map(|at| &all[at + 2..]);
+        Some(&all[..end.unwrap_or(all.len())])
+    };
+    let first = line().and_then(|l| std::str::from_utf8(l).ok()).ok_or(HttpError::StartLine)?;
+    let mut parts = first.splitn(3, ' ');
     let mut part = || parts.next().unwrap_or("");
     let start = [part(), part(), part()];
     let mut fields = Vec::new();
-    for line in lines {
-        let (name, value) = line.split_once(':').ok_or(HttpError::Field)?;
-        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|b| b < b' ' && b != b'\t') {
-            return Err(HttpError::Field);
-        }
+    while let Some(line) = line() {
+        let colon = line.iter().position(|b| *b == b':').ok_or(HttpError::Field)?;
+        let (name, value) = (&line[..colon], &line[colon + 1..]);
+        let token = |b: &u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(b);
+        let name = std::str::from_utf8(name).ok().filter(|n| !n.is_empty() && n.as_bytes().iter().all(token));
+        let name = name.ok_or(HttpError::Field)?;
         if fields.len() == FIELD_LIMIT {
             return Err(HttpError::HeadTooLarge);
         }
-        fields.push((name, value.trim_matches([' ', '\t'])));
+        let legible = !value.iter().any(|b| *b < b' ' && *b != b'\t' || *b == 0x7f);
+        match std::str::from_utf8(value) {
+            Ok(value) if legible => fields.push((name, value.trim_matches([' ', '\t']))),
+            // Danger: a good answer must not be lost to a report that cannot be read, but where it ends must be
+            // beyond doubt.
+            _ if !strict && !FRAMING_FIELDS.iter().any(|f| name.eq_ignore_ascii_case(f)) => {}
+            _ => return Err(HttpError::Field),
+        }
     }
     Ok(RawHead { start, fields })
 }
 
+/// Fields that say where a message and its connection end.
+const FRAMING_FIELDS: [&str; 3] = ["content-length", "transfer-encoding", "connection"];
+
 /// Encodes messages, each into one buffer that is written at once.
 pub struct Encoder {
     bytes: Vec<u8>,
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -19,6 +19,10 @@
 const LIST_LIMIT: usize = 1024 * 1024;
 /// How long after its wait an answer may take; the protocol counts it as told by then.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Longest pause within an answer; one that stops in its midst is only a part.
+const PAUSE_WITHIN: Duration = Duration::from_millis(150);
+/// Spoilt answers in a row after which a call has failed.
+const SPOILT_LIMIT: u32 = 4;
 /// Longest wait that discovery grants.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
@@ -59,6 +63,12 @@
     /// The connection ended before the answer.
     #[error("connection ended without an answer")]
     Ended,
+    /// The answer stopped in its midst.
+    #[error("only a part of an answer")]
+    Part,
+    /// Lines of the list cannot be read.
+    #[error("{} lines of the list cannot be read", .0.unread)]
+    Unread(Listing),
     /// Another status than 200.
     #[error("status {0}")]
     Status(u16),
@@ -67,6 +77,13 @@
     Json(#[from] serde_json::Error),
 }
 
+impl ListError {
+    /// The answer came and cannot be used; a call that failed before is not spoilt but refused.
+    fn is_spoilt(&self) -> bool {
+        matches!(self, Self::Http(_) | Self::Part | Self::Unread(_) | Self::Json(_))
+    }
+}
+
 #[derive(Deserialize)]
 struct Wire {
     index: u64,
@@ -129,11 +146,20 @@
     if address.is_none() && state != MachineState::Gone {
         return None;
     }
-    let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
+    // Danger: other bytes in the place of a word make a machine of no zone or kind, or one that never was.
+    let place = |all: &[String], name: &str| match all.iter().position(|n| n == name) {
+        None if name.is_empty() || all.is_empty() => Some(usize::MAX),
+        at => at,
+    };
+    let whole = |n: f64| (0.0..=f64::from(u16::MAX)).contains(&n) && n.fract() == 0.0;
+    let named = !wire.name.is_empty() && wire.name.bytes().all(|b| b.is_ascii_graphic());
+    if !named || !whole(wire.build) || !whole(wire.group) {
+        return None;
+    }
     let entry = Entry {
         machine: machine_id(&wire.name),
-        zone: place(&names.zones, &wire.zone).map_or(u16::MAX, |p| p as u16),
-        kind: place(&names.kinds, &wire.kind).map_or(u8::MAX, |p| p as u8),
+        zone: place(&names.zones, &wire.zone)?.min(usize::from(u16::MAX)) as u16,
+        kind: place(&names.kinds, &wire.kind)?.min(usize::from(u8::MAX)) as u8,
         build: wire.build as u16,
         cell: wire.group as u16,
         state,
@@ -154,7 +180,11 @@
 }
 
 impl FromHead for AnswerHead {
-    const UNSTATED: Framing = Framing::UntilClose;
+    const STRICT: bool = false;
+
+    fn unstated(&self) -> Option<Framing> {
+        (!self.keep).then_some(Framing::UntilClose)
+    }
 
     fn from_head(head: &RawHead) -> Result<Self, HttpError> {
         let status = super::machines::status(head)?;
@@ -168,7 +198,7 @@
 
 /// Discovery as this front asks it.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     names: Names,
     hold: Duration,
     index: Cell<u64>,
@@ -179,7 +209,12 @@
     pub fn new(address: SocketAddr, names: Names, index: u64, told_within: Micros) -> Rc<Self> {
         // A call that waits must end, and the next begin, well before the list counts as told unasked.
         let hold = super::span(told_within / 2).min(LONGEST_HOLD);
-        Rc::new(Self { address, names, hold, index: Cell::new(index) })
+        Rc::new(Self { address: Cell::new(address), names, hold, index: Cell::new(index) })
+    }
+
+    /// Discovery is at `address` from now on; false if it was before.
+    pub fn moved(&self, address: SocketAddr) -> bool {
+        self.address.replace(address) != address
     }
 
     /// Asks once for the whole list.
@@ -207,9 +242,6 @@
                 }
             };
             self.index.set(list.index);
-            if list.unread > 0 {
-                log::warn!("discovery: {} lines cannot be read", list.unread);
-            }
             let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
             if first || list.whole || !list.rows.is_empty() {
                 let _ = to.send(Input::List(kind, list.rows)).await;
@@ -218,11 +250,34 @@
         }
     }
 
+    /// One call, made again where its answer comes spoilt. Danger: a watch that stops at noise goes without
+    /// the list for seconds, and what is told meanwhile counts as told; so it is asked again at once, from the
+    /// version held.
     async fn call(
         &self,
         line: &mut Option<Async<TcpStream>>,
         target: &str,
         limit: Duration,
+    ) -> Result<Listing, ListError> {
+        let mut spoilt = 0;
+        loop {
+            match self.call_once(line, target, limit).await {
+                Err(e) if e.is_spoilt() && spoilt < SPOILT_LIMIT => {
+                    spoilt += 1;
+                    log::warn!("discovery: {e}; asked again");
+                }
+                // Lines that stay unreadable must not take the others with them, nor remove what they name.
+                Err(ListError::Unread(list)) => return Ok(Listing { whole: false, ..list }),
+                ended => return ended,
+            }
+        }
+    }
+
+    async fn call_once(
+        &self,
+        line: &mut Option<Async<TcpStream>>,
+        target: &str,
+        limit: Duration,
     ) -> Result<Listing, ListError> {
         let asked = async {
             if let Some(kept) = line.take() {
@@ -232,7 +287,7 @@
                     other => return other,
                 }
             }
-            self.ask(Async::<TcpStream>::connect(self.address).await?, target).await
+            self.ask(Async::<TcpStream>::connect(self.address.get()).await?, target).await
         };
         let (list, kept) = within(limit, asked).await.ok_or(ListError::Late)??;
         *line = kept;
@@ -246,19 +301,28 @@
     ) -> Result<(Listing, Option<Async<TcpStream>>), ListError> {
         stream.get_ref().set_nodelay(true)?;
         let request = Encoder::new(format_args!("GET {target} HTTP/1.1"))
-            .field("Host", format_args!("{}", self.address))
+            .field("Host", format_args!("{}", self.address.get()))
             .body(&[]);
         stream.write_all(&request).await?;
         let mut decoder = Decoder::<AnswerHead>::new(LIST_LIMIT);
         loop {
-            let n = read_some(&mut stream, |bytes| decoder.feed(bytes)).await?;
+            let begun = !decoder.is_idle();
+            let reading = read_some(&mut stream, |bytes| decoder.feed(bytes));
+            let n = match begun {
+                true => within(PAUSE_WITHIN, reading).await.ok_or(ListError::Part)??,
+                false => reading.await?,
+            };
             let message = if n == 0 { decoder.end()? } else { decoder.message()? };
             if let Some((head, body)) = message {
                 if head.status != 200 {
                     return Err(ListError::Status(head.status));
                 }
                 let keep = n > 0 && head.keep && decoder.is_idle();
-                return Ok((decode(&body, &self.names)?, keep.then_some(stream)));
+                let list = decode(&body, &self.names)?;
+                if list.unread > 0 {
+                    return Err(ListError::Unread(list));
+                }
+                return Ok((list, keep.then_some(stream)));
             }
             if n == 0 {
                 return Err(ListError::Ended);
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -97,11 +97,16 @@
     if !version.starts_with("HTTP/1.") || !digits {
         return Err(HttpError::StartLine);
     }
-    code.parse().map_err(|_| HttpError::StartLine)
+    code.parse().ok().filter(|c| (100..600).contains(c)).ok_or(HttpError::StartLine)
 }
 
 impl FromHead for ReplyHead {
-    const UNSTATED: Framing = Framing::UntilClose;
+    const STRICT: bool = false;
+
+    /// Danger: an answer cut off by a machine's death looks whole where only the connection's end marks its own.
+    fn unstated(&self) -> Option<Framing> {
+        (!self.keep).then_some(Framing::UntilClose)
+    }
 
     fn from_head(head: &RawHead) -> Result<Self, HttpError> {
         Ok(Self {
--- a/crates/yarrowspoke-front/src/net/peers.rs
+++ b/crates/yarrowspoke-front/src/net/peers.rs
@@ -3,6 +3,7 @@
 use crate::driver::Input;
 use async_channel::Sender;
 use async_io::Async;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
@@ -12,8 +13,8 @@
 /// The other fronts of the tier.
 pub struct Peers {
     socket: Async<UdpSocket>,
-    each: Vec<SocketAddr>,
-    all: Option<SocketAddr>,
+    each: RefCell<Vec<SocketAddr>>,
+    all: Cell<Option<SocketAddr>>,
 }
 
 impl Peers {
@@ -24,14 +25,20 @@
         all: Option<SocketAddr>,
     ) -> std::io::Result<Rc<Self>> {
         let socket = Async::<UdpSocket>::bind(listen)?;
-        Ok(Rc::new(Self { socket, each, all }))
+        Ok(Rc::new(Self { socket, each: RefCell::new(each), all: Cell::new(all) }))
+    }
+
+    /// From now on they are reached elsewhere.
+    pub fn moved(&self, each: Vec<SocketAddr>, all: Option<SocketAddr>) {
+        self.each.replace(each);
+        self.all.set(all);
     }
 
     /// Sends to one front or to all; what cannot be sent at once is lost, as datagrams may be.
     pub fn tell(&self, peer: Option<u16>, bytes: &[u8]) {
         let to = match peer {
-            Some(n) => self.each.get(usize::from(n)).copied(),
-            None => self.all,
+            Some(n) => self.each.borrow().get(usize::from(n)).copied(),
+            None => self.all.get(),
         };
         let sent = match to {
             Some(to) if bytes.len() <= DATAGRAM_LIMIT => self.socket.get_ref().send_to(bytes, to),
@@ -48,7 +55,8 @@
         loop {
             match self.socket.recv_from(&mut bytes).await {
                 Ok((n, from)) if n <= DATAGRAM_LIMIT => {
-                    if let Some(peer) = self.each.iter().position(|p| *p == from) {
+                    let known = self.each.borrow().iter().position(|p| *p == from);
+                    if let Some(peer) = known {
                         let _ = to.send(Input::Message(peer as u32, bytes[..n].to_vec())).await;
                     }
                 }
--- a/crates/yarrowspoke-front/src/net/platform.rs
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -14,9 +14,11 @@
 /// Most bytes of a line.
 const LINE_LIMIT: usize = 8 * 1024;
 /// Signs of life come every second; a connection without any for this long is given up.
-const SILENCE: Duration = Duration::from_millis(3_500);
-/// Pause before the next connection after one has failed.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Pause before the next connection after one has failed...
 const AGAIN: Duration = Duration::from_millis(500);
+/// ...and if something had been told on it, as after a line that was spoilt.
+const AGAIN_SOON: Duration = Duration::from_millis(20);
 
 /// State of the newest build, as the platform words it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -127,14 +129,15 @@
     match (words.next(), words.next()) {
         (Some("*"), None) => Ok(Line::Alive),
         (Some("*"), Some("progress")) => state(words).map(Line::Progress),
-        (Some("*"), Some(_)) => Ok(Line::Other),
+        (Some("*"), Some("metrics" | "complaint")) => Ok(Line::Other),
         (Some("OK"), None) => Ok(Line::Done(None)),
         (Some("OK"), Some(first)) => state(std::iter::once(first).chain(words)).map(|s| Line::Done(Some(s))),
         (Some("ERR"), Some(why)) => Ok(Line::Refused(match why {
             "limit" => Refusal::Limit,
             "moot" => Refusal::Moot,
             "malformed" => Refusal::Malformed,
-            _ => Refusal::Error,
+            "error" => Refusal::Error,
+            _ => return Err(LineError::Value("ERR")),
         })),
         _ => Err(LineError::Shape),
     }
@@ -147,7 +150,11 @@
     let share = words.next().and_then(|w| w.parse().ok()).filter(|s| (0.0..=1.0).contains(s));
     let cap = share.ok_or(LineError::Value("MaxShare"))?;
     let age = words.next().and_then(|w| w.parse::<f64>().ok()).filter(|a| a.is_finite() && *a >= 0.0);
-    Ok(State { build, stage, phase, cap, age: micros(age.ok_or(LineError::Value("AgeMs"))?) })
+    let age = micros(age.ok_or(LineError::Value("AgeMs"))?);
+    match words.next() {
+        None => Ok(State { build, stage, phase, cap, age }),
+        Some(_) => Err(LineError::Shape),
+    }
 }
 
 /// Turns bytes into lines.
@@ -248,13 +255,21 @@
 /// Listens to what the platform tells, for ever: a connection that ends or falls silent is replaced.
 pub async fn listen(address: SocketAddr, to: Sender<Input>) {
     loop {
-        let Err(e) = notified(address, &to).await;
+        let mut told = false;
+        let Err(e) = notified(address, &to, &mut told).await;
         log::warn!("platform: {e}");
-        Timer::after(AGAIN).await;
+        // Danger: what is told while nobody listens is not told again, so a connection that worked is replaced
+        // soon; one that told nothing is tried at leisure.
+        Timer::after(if told { AGAIN_SOON } else { AGAIN }).await;
     }
 }
 
-async fn notified(address: SocketAddr, to: &Sender<Input>) -> std::io::Result<std::convert::Infallible> {
+/// Listens on one connection until it fails; `told` says whether anything could be read there.
+async fn notified(
+    address: SocketAddr,
+    to: &Sender<Input>,
+    told: &mut bool,
+) -> std::io::Result<std::convert::Infallible> {
     let silent = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let connected = within(SILENCE, Async::<TcpStream>::connect(address)).await;
     let mut stream = connected.ok_or_else(silent)??;
@@ -267,13 +282,15 @@
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
         while let Some(line) = lines.line().map_err(std::io::Error::other)? {
-            match decode(&line) {
-                Ok(Line::Progress(state)) => {
+            // Danger: behind a line that cannot be read nothing more comes, or nothing to be trusted: the
+            // connection is spent, and the next one tells the state anew.
+            match decode(&line).map_err(std::io::Error::other)? {
+                Line::Progress(state) => {
+                    *told = true;
                     let _ = to.send(Input::News(state.news(false))).await;
                 }
-                Ok(Line::Refused(why)) => log::warn!("platform: refused: {why:?}"),
-                Ok(Line::Alive | Line::Other | Line::Done(_)) => {}
-                Err(e) => log::warn!("platform: line left out: {e}"),
+                Line::Refused(why) => log::warn!("platform: refused: {why:?}"),
+                Line::Alive | Line::Other | Line::Done(_) => {}
             }
         }
     }
--- a/crates/yarrowspoke-front/src/places.rs
+++ b/crates/yarrowspoke-front/src/places.rs
@@ -126,10 +126,52 @@
     }
 }
 
+/// Memory for large bodies, taken before they are read and given back by dropping the room. Danger: bodies are
+/// bounded one by one, but a few hundred of them together are more than a small front has.
+pub struct Store {
+    left: Rc<Cell<usize>>,
+}
+
+/// Bytes held in a store.
+pub struct Room {
+    left: Rc<Cell<usize>>,
+    size: usize,
+}
+
+impl Store {
+    /// A store of `size` bytes.
+    pub fn new(size: usize) -> Self {
+        Self { left: Rc::new(Cell::new(size)) }
+    }
+
+    /// Room for `size` bytes, if there is some.
+    pub fn take(&self, size: usize) -> Option<Room> {
+        let rest = self.left.get().checked_sub(size)?;
+        self.left.set(rest);
+        Some(Room { left: Rc::clone(&self.left), size })
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.left.set(self.left.get() + self.size);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_store_gives_no_more_than_it_has_and_takes_back_what_is_dropped() {
+        let store = Store::new(100);
+        let first = store.take(60);
+        assert!(first.is_some() && store.take(41).is_none());
+        assert!(store.take(40).is_some());
+        drop(first);
+        assert!(store.take(100).is_some());
+    }
+
     #[test]
     fn each_side_has_a_most_and_both_have_a_sum() {
         let places = Places::new(100);
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -1,11 +1,11 @@
 //! Puts the parts together and runs them until the program is told to stop.
 
-use crate::config::Config;
-use crate::driver::{Driver, Hub, Outside};
+use crate::config::{self, Config};
+use crate::driver::{Driver, Hub, Input, Outside};
+use crate::net::clients;
 use crate::net::list::Discovery;
 use crate::net::machines::Machines;
 use crate::net::peers::Peers;
-use crate::net::{clients, platform};
 use crate::places::Places;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -13,6 +13,7 @@
 use futures_lite::{future, StreamExt};
 use std::io;
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,17 +24,18 @@
 /// How often a stop looks whether all clients have gone.
 const STOP_CHECK: Duration = Duration::from_millis(20);
 
-/// Runs a front to its end.
-pub fn run(config: Config) -> io::Result<()> {
+/// Runs a front to its end; `path` is where its configuration is read again.
+pub fn run(config: Config, path: PathBuf) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, Rc::clone(&executor))))
+    async_io::block_on(executor.run(serve(config, path, Rc::clone(&executor))))
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+async fn serve(config: Config, path: PathBuf, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let reloads = Signals::new([Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
     let places = Places::new(config.limits.sockets.saturating_sub(RESERVED));
-    let (hub, inputs) = Hub::new(&config.settings, Rc::clone(&places));
+    let (hub, inputs) = Hub::new(&config.settings, Rc::clone(&places), config.limits.bodies());
     let module = &config.settings.module;
     let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
@@ -50,12 +52,10 @@
     let about = format!("settings: {:?} {:?}", config.settings.module, config.settings.transport);
     let (news, rows) = (config.news.map(|s| s.news(false)), config.known.rows);
     let driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
-    if let Some(address) = config.platform {
-        executor.spawn(platform::listen(address, hub.inputs.clone())).detach();
-    }
     if let Some(peers) = peers {
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
     }
+    executor.spawn(reload(reloads, path, Rc::clone(&hub))).detach();
     executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
     log::info!("{about}");
     log::info!("{} serves on {}", config.name, config.listen);
@@ -72,3 +72,22 @@
     future::or(driver.run(inputs), stop).await;
     Ok(())
 }
+
+/// Reads the configuration again whenever told to. Danger: a signal that nobody handles ends the program, and a
+/// file caught half written must not take addresses away that still serve. So it is read as one whole or not
+/// at all; requests, the module's state and kept connections stay.
+async fn reload(mut told: Signals, path: PathBuf, hub: Rc<Hub>) {
+    while told.next().await.is_some() {
+        match read_again(&path) {
+            Ok(addresses) => {
+                log::info!("configuration read again: {addresses:?}");
+                let _ = hub.inputs.send(Input::Moved(addresses)).await;
+            }
+            Err(e) => log::error!("the old configuration stays: {e}"),
+        }
+    }
+}
+
+fn read_again(path: &Path) -> Result<config::Addresses, config::ConfigError> {
+    config::load(path).map(|c| c.addresses())
+}
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
     pub platform: Platform,
     pub machines: Vec<Machine>,
     pub front: Child,
+    config: String,
+    path: PathBuf,
 }
 
 impl World {
@@ -58,8 +61,8 @@
             .replace("127.0.0.1:6400", &platform.address.to_string())
             .replace(r#""sockets": 1024"#, &format!(r#""sockets": {sockets}"#))
             .replace(r#"{"index": 0, "snapshot": true, "endpoints": []}"#, &discovery.snapshot());
-        let front = spawn(&config);
-        let world = Self { listen, discovery, platform, machines, front };
+        let (front, path) = spawn_at(&config);
+        let world = Self { listen, discovery, platform, machines, front, config, path };
         until("the front is ready", || {
             let Ok(stream) = TcpStream::connect(world.listen) else { return false };
             Client::over(stream).ask("GET /up HTTP/1.1\r\n\r\n").is_some_and(|a| a.start().contains(" 200 "))
@@ -76,6 +79,20 @@
         assert!(Command::new("kill").arg(self.front.id().to_string()).status().unwrap().success());
     }
 
+    /// Replaces the configuration and sends SIGHUP to the front.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).unwrap();
+        let kill = Command::new("kill").args(["-HUP", &self.front.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+
+    /// The front's configuration, with discovery and platform elsewhere.
+    pub fn config_with(&self, discovery: &Discovery, platform: &Platform) -> String {
+        self.config
+            .replace(&self.discovery.address.to_string(), &discovery.address.to_string())
+            .replace(&self.platform.address.to_string(), &platform.address.to_string())
+    }
+
     /// Requests that all machines got.
     pub fn seen(&self) -> usize {
         self.machines.iter().map(|m| m.seen().len()).sum()
@@ -91,16 +108,21 @@
 
 /// Starts the program with this configuration.
 pub fn spawn(config: &str) -> Child {
+    spawn_at(config).0
+}
+
+fn spawn_at(config: &str) -> (Child, PathBuf) {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let name = format!("yarrowspoke-test-{}-{number}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_yarrowspoke"))
-        .env("PROXY_CONFIG", path)
+    let front = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"))
+        .env("PROXY_CONFIG", &path)
         .stderr(Stdio::piped())
         .stdout(Stdio::null())
         .spawn()
-        .unwrap()
+        .unwrap();
+    (front, path)
 }
 
 /// A client on one connection.
@@ -137,6 +159,11 @@
     }
 }
 
+/// An id that no other call has.
+pub fn fresh() -> String {
+    format!("fresh-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A safe call.
 pub fn get(id: &str, budget: &str) -> String {
     format!("GET /article/7?q=1 HTTP/1.1\r\nHost: h\r\nX-Call-Id: {id}\r\nX-Call-Class: article\r\nX-Caller: acme\r\nX-Budget: {budget}\r\n\r\n")
--- a/crates/yarrowspoke-front/tests/parsers.rs
+++ b/crates/yarrowspoke-front/tests/parsers.rs
@@ -16,7 +16,11 @@
 }
 
 impl FromHead for Head {
-    const UNSTATED: Framing = Framing::Length(0);
+    const STRICT: bool = true;
+
+    fn unstated(&self) -> Option<Framing> {
+        Some(Framing::Length(0))
+    }
 
     fn from_head(head: &RawHead) -> Result<Self, HttpError> {
         let start = head.start.iter().map(|s| (*s).to_owned()).collect();
@@ -156,10 +160,17 @@
     assert_eq!(decode(b"OK 42 1 canary 0.28 310"), Ok(Line::Done(Some(state))));
     assert_eq!(decode(b"ERR limit"), Ok(Line::Refused(Refusal::Limit)));
     assert_eq!(decode(b"ERR moot"), Ok(Line::Refused(Refusal::Moot)));
-    assert_eq!(decode(b"* something new"), Ok(Line::Other));
-    for bad in
-        ["OK 42 1 canary 1.5 310", "OK 42 1 lost 0.5 310", "OK 42", "* progress 42 1 canary 0.2 -1", "HELLO"]
-    {
+    assert_eq!(decode(b"* metrics 42 0 1"), Ok(Line::Other));
+    for bad in [
+        "OK 42 1 canary 1.5 310",
+        "OK 42 1 lost 0.5 310",
+        "OK 42",
+        "* progress 42 1 canary 0.2 -1",
+        "HELLO",
+        "* prog",
+        "ERR lim",
+        "OK 42 1 canary 0.28 310 7",
+    ] {
         assert!(decode(bad.as_bytes()).is_err(), "{bad}");
     }
     let ballot = Ballot { build: 42, stage: 1, verdict: Verdict::On };
--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::{free_port, get, post, spawn, until, World};
+use common::{any_port, free_port, fresh, get, post, spawn, until, World};
 use std::io::Read;
 use std::net::Shutdown;
 use std::time::Duration;
-use yarrowspoke_toy::Behaviour;
+use yarrowspoke_toy::{Behaviour, Discovery, Platform};
 
 #[test]
 fn a_call_is_passed_on_and_its_answer_comes_back_unchanged() {
@@ -77,6 +77,13 @@
         ("GET /article HTTP/2.0\r\n\r\n", " 400 "),
         ("GET /article HTTP/1.1\r\nno colon\r\n\r\n", " 400 "),
         ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\nX-Budget: soon\r\n\r\n", " 400 "),
+        ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\nX-Budget: -1\r\n\r\n", " 400 "),
+        ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\nX-Call-Id: e2\r\n\r\n", " 400 "),
+        ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\nX-Call-Class: comment\r\n\r\n", " 400 "),
+        ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\nContent-Length: 2\r\n\r\nhi", " 400 "),
+        ("GET /article HTTP/1.1\r\nX-Call-Id: e\r\n\r\nGET /article HTTP/1.1\r\n", " 400 "),
+        ("POST /article HTTP/1.1\r\nX-Call-Id: e\r\n\r\n", " 405 "),
+        ("GET /comment HTTP/1.1\r\nX-Call-Id: e\r\n\r\n", " 405 "),
         ("GET /article HTTP/1.1\r\n\r\n", " 400 "),
         ("GET /nothing HTTP/1.1\r\nX-Call-Id: e\r\n\r\n", " 404 "),
         (&long, " 431 "),
@@ -84,14 +91,14 @@
     ] {
         let answer = world.client().ask(bad).unwrap();
         assert!(answer.start().contains(status), "{bad:.40}: {answer:?}");
-        let answer = good.ask(&get("f", "1.0")).unwrap();
+        let answer = good.ask(&get(&fresh(), "1.0")).unwrap();
         assert_eq!(answer.body, b"/article/7?q=1|");
     }
     // One that stops in the midst of a request holds nobody up either.
     let mut halfway = world.client();
     halfway.send(b"POST /comment HTTP/1.1\r\nX-Call-Id: g\r\nContent-Length: 5\r\n\r\nhe");
-    assert!(good.ask(&get("h", "1.0")).unwrap().start().contains(" 200 "));
-    assert_eq!(world.machines[0].seen().len(), 9);
+    assert!(good.ask(&get(&fresh(), "1.0")).unwrap().start().contains(" 200 "));
+    assert_eq!(world.machines[0].seen().len(), 16);
 }
 
 #[test]
@@ -109,7 +116,7 @@
     let world = World::start(&[Behaviour::Serve, Behaviour::Serve]);
     let mut client = world.client();
     until("both machines serve", || {
-        client.ask(&get("j", "1.0")).unwrap();
+        client.ask(&get(&fresh(), "1.0")).unwrap();
         world.machines.iter().all(|m| !m.seen().is_empty())
     });
     // The front watches: the first call answers at once, the next waits for news.
@@ -117,11 +124,11 @@
     world.discovery.list("s-0", world.machines[0].address, "draining", 41);
     // The watch that follows the change shows that the front has read it.
     until("the change is read", || world.discovery.watches() >= 3);
-    let answer = client.ask(&get("k", "1.0")).unwrap();
+    let answer = client.ask(&get(&fresh(), "1.0")).unwrap();
     assert!(answer.start().contains(" 200 "));
     let before = world.machines[0].seen().len();
     for _ in 0..30 {
-        client.ask(&get("l", "1.0")).unwrap();
+        client.ask(&get(&fresh(), "1.0")).unwrap();
     }
     assert_eq!(world.machines[0].seen().len(), before);
 }
@@ -141,12 +148,12 @@
     let mut client = world.client();
     until("the front listens", || world.platform.calls().iter().any(|c| c == "NOTIFY"));
     // Enough calls that the earlier build is known, then a new one whose machine fails them.
-    (0..60).for_each(|_| assert!(client.ask(&get("m", "1.0")).is_some()));
+    (0..60).for_each(|_| assert!(client.ask(&get(&fresh(), "1.0")).is_some()));
     world.machines[1].behave(Behaviour::Fail);
     world.discovery.list("s-1", world.machines[1].address, "up", 42);
     world.platform.tell("42 0 canary 1.0 0");
     until("the build is voted back", || {
-        client.ask(&get("n", "1.0")).unwrap();
+        client.ask(&get(&fresh(), "1.0")).unwrap();
         world.platform.breathe();
         world.platform.calls().iter().any(|c| c == "BALLOT 42 0 abort")
     });
@@ -222,3 +229,184 @@
         assert!(text.contains(&format!("field {field}:")), "{field}: {text}");
     }
 }
+
+#[test]
+fn a_new_configuration_moves_watch_votes_and_news_and_keeps_all_else() {
+    // Danger: a signal that nobody handles ends the front, and what it holds with it.
+    let world = World::start(&[Behaviour::Hang, Behaviour::Serve]);
+    until("the front listens", || world.platform.calls().iter().any(|c| c == "NOTIFY"));
+    let mut kept = world.client();
+    kept.send(post("held", "8.0").as_bytes());
+    until("a request is out", || world.seen() == 1);
+    let hanging = usize::from(world.machines[0].seen().is_empty());
+    let (discovery, platform) = (
+        Discovery::start(any_port()).unwrap(),
+        Platform::start(any_port(), "41 0 stable 1.0 60000").unwrap(),
+    );
+    for (n, machine) in world.machines.iter().enumerate() {
+        discovery.list(&format!("s-{n}"), machine.address, "up", 41);
+    }
+    // A file that cannot be used changes nothing.
+    world.reload("{\"listen\": ");
+    world.reload(&world.config_with(&discovery, &platform).replace("8c1f30d27a5be964", "xyz"));
+    assert!(world.client().ask("GET /up HTTP/1.1\r\n\r\n").unwrap().start().contains(" 200 "));
+    assert_eq!((discovery.watches(), platform.calls().len()), (0, 0));
+    world.reload(&world.config_with(&discovery, &platform));
+    until("the watch is at the new address", || discovery.watches() >= 2);
+    until("the news come from the new address", || platform.calls().iter().any(|c| c == "NOTIFY"));
+    // What the new discovery tells counts.
+    let before = discovery.watches();
+    let fresh_machine = yarrowspoke_toy::Machine::start(any_port(), Behaviour::Serve).unwrap();
+    world.machines[0].behave(Behaviour::Serve);
+    discovery.list("s-9", fresh_machine.address, "up", 41);
+    discovery.list(&format!("s-{}", 1 - hanging), world.machines[1 - hanging].address, "draining", 41);
+    until("the change is read", || discovery.watches() >= before + 2);
+    let mut client = world.client();
+    until("the new machine serves", || {
+        client.ask(&get(&fresh(), "1.0")).unwrap();
+        !fresh_machine.seen().is_empty()
+    });
+    // The request that was out before is still out.
+    assert_eq!(world.machines[0].ended() + world.machines[1].ended(), 0);
+    drop(kept);
+}
+
+#[test]
+fn a_spoilt_list_is_asked_for_again_from_the_version_held() {
+    // Danger: half a list taken for a whole one removes machines that serve; a watch that gives up misses news.
+    let world = World::start(&[Behaviour::Serve, Behaviour::Serve]);
+    until("the watch goes on", || world.discovery.watches() >= 2);
+    world.discovery.spoil(&[
+        "\u{9f}\u{3}noise without an end",
+        "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"index\": 99, \"snapshot\": true, \"endpoi",
+        "HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n{\"index\":99,\"snapshot\":true,\"endpoints\":7}",
+    ]);
+    let before = world.discovery.watches();
+    world.discovery.list("s-0", world.machines[0].address, "draining", 41);
+    until("the change is read", || world.discovery.watches() >= before + 4);
+    until("the version is taken on", || world.discovery.asked_from() == Some(3));
+    let mut client = world.client();
+    for _ in 0..20 {
+        assert!(client.ask(&get(&fresh(), "1.0")).unwrap().start().contains(" 200 "));
+    }
+    assert_eq!((world.machines[0].seen().len(), world.machines[1].seen().len()), (0, 20));
+}
+
+#[test]
+fn a_spoilt_line_of_the_platform_spends_its_connection() {
+    let world = World::start(&[Behaviour::Serve]);
+    let asked = || world.platform.calls().iter().filter(|c| *c == "NOTIFY").count();
+    until("the front listens", || asked() == 1);
+    for (n, line) in ["\u{80}\u{7}\r\n", "* progress 42 0 can\r\n", "* prog\r\n"].iter().enumerate() {
+        world.platform.utter(line);
+        until("it listens anew", || asked() == n + 2);
+    }
+}
+
+#[test]
+fn an_id_in_use_is_nobody_elses() {
+    // Danger: the answer made for one request given to another.
+    let world = World::start(&[Behaviour::Hang]);
+    let mut first = world.client();
+    first.send(post("taken", "5.0").as_bytes());
+    until("the request is out", || world.seen() == 1);
+    let answer = world.client().ask(&post("taken", "5.0")).unwrap();
+    assert!(answer.start().contains(" 409 "), "{answer:?}");
+    assert_eq!(world.seen(), 1);
+    // Nor is one that was answered: ids are fresh on every request.
+    world.machines[0].behave(Behaviour::Serve);
+    assert!(world.client().ask(&post("done", "5.0")).unwrap().start().contains(" 200 "));
+    assert!(world.client().ask(&post("done", "5.0")).unwrap().start().contains(" 409 "));
+    assert_eq!(world.seen(), 2);
+}
+
+#[test]
+fn who_sends_on_before_the_answer_gets_an_error_and_its_attempt_ends() {
+    // Danger: a request that hides behind a wrong length.
+    let world = World::start(&[Behaviour::Hang]);
+    let mut client = world.client();
+    client.send(post("short", "5.0").as_bytes());
+    until("the request is out", || world.seen() == 1);
+    client.send(b" and more than its length says");
+    assert!(client.answer().unwrap().start().contains(" 400 "));
+    until("the attempt's connection has ended", || world.machines[0].ended() == 1);
+    assert_eq!(world.seen(), 1);
+}
+
+#[test]
+fn an_error_reaches_who_sends_without_end() {
+    // Danger: bytes left unread reset the connection, and the error is lost with it.
+    let world = World::start(&[Behaviour::Serve]);
+    for (head, status) in [
+        ("POST /comment HTTP/1.1\r\nX-Call-Id: big\r\nContent-Length: 20000000\r\n\r\n", " 413 "),
+        ("GET /article HTTP/1.1\r\nX-Long: ", " 431 "),
+    ] {
+        let mut client = world.client();
+        client.send(head.as_bytes());
+        let part = vec![b'x'; 1_000_000];
+        (0..20).for_each(|_| client.send(&part));
+        assert!(client.answer().unwrap().start().contains(status));
+    }
+}
+
+#[test]
+fn who_says_nothing_or_only_half_is_not_waited_for() {
+    // Danger: silent connections by hundreds hold the places that requests need.
+    let world = World::start(&[Behaviour::Serve]);
+    let mut silent = world.client();
+    let mut half = world.client();
+    half.send(b"GET /article HTTP/1.1\r\nX-Call");
+    let mut blank = world.client();
+    blank.send(b"\r\n\r\n");
+    assert!(half.answer().unwrap().start().contains(" 408 "));
+    assert!(silent.is_closed() && blank.is_closed());
+    // One kept between requests ends as well, a little later.
+    let mut kept = world.client();
+    assert!(kept.ask(&get(&fresh(), "1.0")).unwrap().start().contains(" 200 "));
+    assert!(kept.is_closed());
+}
+
+#[test]
+fn a_good_answer_is_served_whatever_stands_around_it_and_its_connection_is_spent() {
+    // Danger: bytes behind an answer are taken for the answer to the next request.
+    let copy = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy";
+    for (before, fields, behind) in [
+        ("", "", "\u{7f}noise"),
+        ("", "", copy),
+        ("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n", "", ""),
+        ("", "X-Load-Report: \u{ff}\u{fe}=\u{1}\r\n", ""),
+        ("", "X-Load-Report: mean_ms=much,,=\r\n", ""),
+    ] {
+        let world = World::start(&[Behaviour::ServeAmid(before, fields, behind)]);
+        let mut client = world.client();
+        for _ in 0..5 {
+            let answer = client.ask(&post(&fresh(), "2.0")).unwrap();
+            assert!(answer.start().contains(" 200 "), "{before:?} {fields:?} {behind:?}: {answer:?}");
+            assert_eq!(answer.body, b"/comment|hello");
+        }
+        if !behind.is_empty() {
+            until("spent connections have ended", || world.machines[0].ended() == 5);
+        }
+    }
+}
+
+#[test]
+fn a_spoilt_answer_may_have_run_and_is_never_passed_on() {
+    let world = World::start(&[Behaviour::Serve]);
+    for spoilt in [
+        "\u{80}\u{0}\u{1}noise\r\n\r\n",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-\u{e9}: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\n\r\nno length",
+    ] {
+        world.machines[0].behave(Behaviour::Spoil(spoilt));
+        let before = world.seen();
+        // Failed, not refused: a refusal promises that it has not run.
+        let answer = world.client().ask(&post(&fresh(), "5.0")).unwrap();
+        assert!(answer.start().contains(" 502 "), "{spoilt:?}: {answer:?}");
+        assert_eq!(world.seen(), before + 1);
+    }
+}
--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -3,6 +3,7 @@
 //! They speak just enough of the protocol to try a front by hand and to test it. Each listens on loopback and
 //! serves every connection on a thread of its own.
 
+use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -73,6 +74,11 @@
     stream.write_all(&bytes)
 }
 
+/// One byte for each character, so that bytes which are no UTF-8 can be written down.
+fn latin(text: &str) -> Vec<u8> {
+    text.chars().map(|c| u8::try_from(u32::from(c)).unwrap_or(b'?')).collect()
+}
+
 /// What a machine does with requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -88,6 +94,10 @@
     Hang,
     /// Ends the connection without an answer.
     Break,
+    /// Serves, with these bytes before the answer, these fields in its head and these bytes behind it.
+    ServeAmid(&'static str, &'static str, &'static str),
+    /// Writes these bytes instead of an answer and leaves the connection open.
+    Spoil(&'static str),
 }
 
 /// A toy machine.
@@ -158,6 +168,14 @@
                 }
                 Behaviour::Hang => {}
                 Behaviour::Break => return Ok(()),
+                Behaviour::ServeAmid(before, fields, behind) => {
+                    let (length, mut bytes) = (body.len(), before.as_bytes().to_vec());
+                    let head = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n");
+                    bytes.extend_from_slice(&latin(&head));
+                    bytes.extend_from_slice(&[&body, behind.as_bytes()].concat());
+                    stream.write_all(&bytes)?;
+                }
+                Behaviour::Spoil(bytes) => stream.write_all(&latin(bytes))?,
             }
         }
         Ok(())
@@ -170,6 +188,10 @@
     /// Version of the last change, name and line of each machine.
     lines: Vec<(u64, String, String)>,
     watches: usize,
+    /// Written instead of the next answers that hold a change.
+    spoilt: VecDeque<&'static str>,
+    /// The version that the last call started from.
+    from: Option<u64>,
 }
 
 /// Toy discovery.
@@ -205,6 +227,16 @@
         self.listed.1.notify_all();
     }
 
+    /// Spoils the next answers that hold a change: each is replaced by such bytes, on a connection that stays open.
+    pub fn spoil(&self, answers: &[&'static str]) {
+        lock(&self.listed.0).spoilt.extend(answers);
+    }
+
+    /// The version from which the last call asked.
+    pub fn asked_from(&self) -> Option<u64> {
+        lock(&self.listed.0).from
+    }
+
     /// The whole list, as a front's configuration holds it.
     pub fn snapshot(&self) -> String {
         Self::text(&lock(&self.listed.0), None)
@@ -231,6 +263,7 @@
             };
             let from = number("from");
             let mut listed = lock(&self.listed.0);
+            listed.from = from;
             if let (Some(from), Some(hold)) = (from, number("hold_ms")) {
                 listed.watches += 1;
                 let waits = |l: &mut Listed| l.index <= from;
@@ -238,7 +271,13 @@
                 listed = waited.unwrap_or_else(PoisonError::into_inner).0;
             }
             let text = Self::text(&listed, from);
+            let news = from.is_some_and(|f| listed.index > f);
+            let spoilt = if news { listed.spoilt.pop_front() } else { None };
             drop(listed);
+            if let Some(bytes) = spoilt {
+                stream.write_all(&latin(bytes))?;
+                continue;
+            }
             answer(&mut stream, "200 OK", "", text.as_bytes())?;
         }
         Ok(())
@@ -281,7 +320,12 @@
 
     /// Gives a sign of life.
     pub fn breathe(&self) {
-        lock(&self.told).retain_mut(|s| s.write_all(b"*\r\n").is_ok());
+        self.utter("*\r\n");
+    }
+
+    /// Writes these bytes wherever it tells.
+    pub fn utter(&self, bytes: &str) {
+        lock(&self.told).retain_mut(|s| s.write_all(&latin(bytes)).is_ok());
     }
 
     /// Ends all connections on which it tells.
