When crowded, stale requests are shed first and six machines are drawn instead of two

A probe of the stated budgets showed first tries of a class at one figure and repeats with what was left (650 ms and down to 60), so the module could tell how long a client had waited but didn't ask: half of what was served had been turned away before.

Now what would miss its aim by the time its client has waited has no free slots and the bound of over-share tenants, and six machines are drawn while answers are slow.

In the front: timers of ended requests are taken back; idle clients yield from three tenths of the places on, silent ones first; connecting to discovery and platform has its own bound; a line every 5 s tells what is held and what broke attempts.

The platform's counts moved from rules.rs to books.rs unchanged.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -12,8 +12,7 @@
 use async_io::Timer;
 use futures_lite::{future, FutureExt};
 use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -33,6 +32,8 @@
 const VOTE_LIMIT: usize = 8;
 /// Period of the sweep over kept connections.
 const SWEEP: Micros = 500_000;
+/// Sweeps from one report of what is held to the next.
+const REPORT_EVERY: u32 = 10;
 
 /// One clock for all: it goes forward evenly, and began at the Unix time of the start.
 #[derive(Clone, Copy)]
@@ -177,17 +178,22 @@
     machine: MachineId,
     build: Build,
     sent: Micros,
+    expires: DueAt,
     progress: Rc<Cell<Progress>>,
     _task: Task<()>,
 }
 
 struct Open {
     exchange: Rc<Exchange>,
+    overdue: DueAt,
     attempts: u16,
     out: u16,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// When a timer is due, and its number, so that each can be taken back.
+type DueAt = (Micros, u64);
+
+#[derive(Clone, Copy)]
 enum Due {
     Module(u64),
     Attempt(RequestId, u16),
@@ -224,13 +230,16 @@
     outside: Outside,
     open: BTreeMap<RequestId, Open>,
     flights: BTreeMap<(RequestId, u16), Flight>,
-    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    /// Danger: entries of ended requests would stay for as long as their clients said they would wait.
+    timers: BTreeMap<DueAt, Due>,
+    timers_set: u64,
     listed: BTreeMap<MachineId, (MachineState, Build)>,
     news: Option<News>,
     watch: Option<Task<()>>,
     fetch: Option<Task<()>>,
     _listens: Option<Task<()>>,
     votes: Rc<Cell<usize>>,
+    sweeps: u32,
     follow: VecDeque<Follow>,
 }
 
@@ -253,13 +262,15 @@
             outside,
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
-            timers: BinaryHeap::new(),
+            timers: BTreeMap::new(),
+            timers_set: 0,
             listed: BTreeMap::new(),
             news: None,
             watch: None,
             fetch: None,
             _listens: None,
             votes: Rc::default(),
+            sweeps: 0,
             follow: VecDeque::new(),
         };
         driver.listen();
@@ -277,7 +288,7 @@
     pub async fn run(mut self, inputs: Receiver<Input>) {
         loop {
             self.fire();
-            let next = self.timers.peek().map(|t| self.hub.clock.instant(t.0 .0));
+            let next = self.timers.first_key_value().map(|t| self.hub.clock.instant(t.0 .0));
             let timer = async {
                 match next {
                     Some(at) => Timer::at(at).await,
@@ -293,6 +304,19 @@
         }
     }
 
+    /// Tells now and then what is held, and what broke attempts since.
+    fn report_held(&self) {
+        let ((clients, lines), [fresh, kept]) =
+            (self.hub.places.held(), self.hub.idle.each_ref().map(|c| c.get()));
+        let (idle, broken) = (self.outside.machines.idle(), self.outside.machines.take_broken());
+        log::info!(
+            "clients {clients} ({fresh} new, {kept} kept idle), requests {}, attempts out {}, \
+             connections to machines {lines} ({idle} idle), attempts broken {broken:?}",
+            self.open.len(),
+            self.flights.len(),
+        );
+    }
+
     /// At a limit, tells what holds the places.
     fn report(&self) {
         let (((clients, held), (seats, lines)), idle) =
@@ -312,21 +336,26 @@
         );
     }
 
-    fn due(&mut self, at: Micros, what: Due) {
-        self.timers.push(Reverse((at, what)));
+    fn due(&mut self, at: Micros, what: Due) -> DueAt {
+        self.timers_set += 1;
+        self.timers.insert((at, self.timers_set), what);
+        (at, self.timers_set)
     }
 
     fn fire(&mut self) {
         let now = self.hub.clock.now();
-        while let Some(Reverse((_, due))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
-            self.timers.pop();
-            match due {
+        while let Some(first) = self.timers.first_entry().filter(|t| t.key().0 <= now) {
+            match first.remove() {
                 Due::Module(name) => self.tell(Event::Timer { name }),
                 Due::Attempt(id, attempt) => self.expire(id, attempt),
                 Due::Overdue(id) => self.overdue(id),
                 Due::Sweep => {
                     self.outside.machines.sweep(now);
                     self.report();
+                    self.sweeps += 1;
+                    if self.sweeps.is_multiple_of(REPORT_EVERY) {
+                        self.report_held();
+                    }
                     self.due(now + SWEEP, Due::Sweep);
                 }
             }
@@ -372,8 +401,9 @@
             repeat: call.repeat,
         };
         // Rule 1, last resort: should the module fail to answer, the client is told of the failure in time.
-        self.due(exchange.deadline + self.settings.module.answer_slack, Due::Overdue(id));
-        self.open.insert(id, Open { exchange, attempts: 0, out: 0 });
+        let last = exchange.deadline + self.settings.module.answer_slack;
+        let overdue = self.due(last, Due::Overdue(id));
+        self.open.insert(id, Open { exchange, overdue, attempts: 0, out: 0 });
         self.tell(Event::Request(arrival));
         self.tidy(id);
     }
@@ -453,6 +483,7 @@
     /// An attempt has ended: its connection is closed unless it was given back before.
     fn land(&mut self, id: RequestId, attempt: u16, ending: Ending, load: Vec<f32>) {
         let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
+        self.timers.remove(&flight.expires);
         if let Some(open) = self.open.get_mut(&id) {
             open.out -= 1;
         }
@@ -480,7 +511,9 @@
     /// Forgets a request that is over once its attempts have ended.
     fn tidy(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.out == 0 && o.exchange.is_over()) {
-            self.open.remove(&id);
+            if let Some(open) = self.open.remove(&id) {
+                self.timers.remove(&open.overdue);
+            }
         }
     }
 
@@ -504,7 +537,9 @@
             Action::Probe { machine } => self.follow.push_back(Follow::Probed(machine)),
             Action::Watch(on) => self.watch(on),
             Action::Fetch => self.fetch(),
-            Action::Timer { name, after } => self.due(now + after, Due::Module(name)),
+            Action::Timer { name, after } => {
+                self.due(now + after, Due::Module(name));
+            }
             Action::Vote { build, stage, verdict } => self.vote(Ballot { build, stage, verdict }),
             Action::Close { machine } => self.outside.machines.close_idle(machine),
             Action::Tell { peer, bytes } => {
@@ -575,7 +610,7 @@
         open.out += 1;
         let wait = exchange.deadline - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
-        self.due(now + wait, Due::Attempt(id, attempt));
+        let expires = self.due(now + wait, Due::Attempt(id, attempt));
         let progress = Rc::new(Cell::new(Progress::Connecting));
         let build = self.listed.get(&machine).map_or(0, |m| m.1);
         let (machines, hub) = (Rc::clone(&self.outside.machines), Rc::clone(&self.hub));
@@ -595,7 +630,7 @@
             };
             let _ = hub.inputs.send(Input::Ended(id, attempt, result)).await;
         });
-        let flight = Flight { machine, build, sent: now, progress, _task: task };
+        let flight = Flight { machine, build, sent: now, expires, progress, _task: task };
         self.flights.insert((id, attempt), flight);
     }
 
@@ -618,3 +653,46 @@
         self.outside.executor.spawn(cast).detach();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config;
+
+    #[test]
+    fn a_request_that_has_ended_leaves_no_timer_behind() {
+        // Danger: clients may say that they wait for an hour; what is kept so long for each is never given back.
+        let config = config::parse(include_bytes!("../../../examples/config.json")).unwrap();
+        let places = Places::new(100);
+        let (hub, _inputs) = Hub::new(&config.settings, Rc::clone(&places), 0);
+        let outside = Outside {
+            executor: Rc::new(LocalExecutor::new()),
+            machines: Machines::new(places, config.settings.transport),
+            discovery: Discovery::new(config.discovery, config.settings.names.clone(), 0, 0),
+            platform: None,
+            peers: None,
+        };
+        let mut driver = Driver::start(1, config.settings, Vec::new(), None, Rc::clone(&hub), outside);
+        let before = driver.timers.len();
+        for n in 0..100 {
+            let call = Call {
+                method: "GET".into(),
+                target: "/article".into(),
+                call_id: n.to_string(),
+                class: 0,
+                tenant: 0,
+                budget: 3_600_000_000,
+                key: 0,
+                hint: None,
+                repeat: false,
+                body: Vec::new(),
+            };
+            let exchange = hub.exchange(call, 0);
+            driver.take(Input::Arrived(Rc::clone(&exchange)));
+            if exchange.leave() {
+                driver.take(Input::Left(exchange.id));
+            }
+        }
+        assert_eq!((driver.open.len(), driver.timers.len()), (0, before));
+    }
+}
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -18,8 +18,8 @@
 /// Longest time from a request's first byte, or from the connection's beginning, to its last byte. The operators
 /// owe whoever sends something else a close or an error within 3 s.
 const REQUEST_WITHIN: Duration = Duration::from_millis(2_000);
-/// How long a connection may stand between two requests.
-const IDLE_WITHIN: Duration = Duration::from_secs(4);
+/// How long a connection may stand between two requests. Danger: some ask once and keep their connection for good.
+const IDLE_WITHIN: Duration = Duration::from_secs(2);
 /// Longest time that an answer may take to be written out.
 const ANSWER_WITHIN: Duration = Duration::from_secs(3);
 /// How long a connection that ends is still read, so that the last answer is not lost to a reset: while it still
@@ -34,8 +34,10 @@
 const SMALL_BODY: usize = 4 * 1024;
 /// Pause after accepting has failed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
-/// How long a new connection may take to bring its request during a stop or while its place is wanted.
+/// How long a new connection may take to bring its request during a stop...
 const FIRST_WITHIN: Duration = Duration::from_millis(700);
+/// ...and while its place is wanted.
+const SILENT_LEAST: Duration = Duration::from_millis(300);
 /// Least time that a connection stands idle before it ends to make room.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// Least time between two connections that are asked to yield.
@@ -411,8 +413,8 @@
             // Danger: a request on its way here finds its connection gone, and clients that must connect anew
             // for each request fill all places with connections still to bring one. So only those yield on
             // which nothing has come for a good while of a busy moment.
-            Timer::after(if fresh { FIRST_WITHIN } else { IDLE_LEAST }).await;
-            hub.places.asked_to_yield().await;
+            Timer::after(if fresh { SILENT_LEAST } else { IDLE_LEAST }).await;
+            hub.places.asked_to_yield(fresh).await;
             None
         };
         // What has come wins over a stop and over others' needs: a request already there is served.
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -19,6 +19,8 @@
 const LIST_LIMIT: usize = 1024 * 1024;
 /// How long after its wait an answer may take; the protocol counts it as told by then.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Longest time that connecting may take: one that is down in silence must not hold a call for as long as news may.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Longest pause within an answer; one that stops in its midst is only a part.
 const PAUSE_WITHIN: Duration = Duration::from_millis(150);
 /// Spoilt answers in a row after which a call has failed.
@@ -287,7 +289,9 @@
                     other => return other,
                 }
             }
-            self.ask(Async::<TcpStream>::connect(self.address.get()).await?, target).await
+            let connecting = Async::<TcpStream>::connect(self.address.get());
+            let stream = within(CONNECT_WITHIN, connecting).await.ok_or(ListError::Late)??;
+            self.ask(stream, target).await
         };
         let (list, kept) = within(limit, asked).await.ok_or(ListError::Late)??;
         *line = kept;
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -52,6 +52,21 @@
     Ended,
 }
 
+impl Cause {
+    /// The sort of cause, for counts.
+    fn sort(&self) -> &'static str {
+        match self {
+            Self::NoRoom => "no descriptor left",
+            Self::Unknown => "no address",
+            Self::Late => "not connected in time",
+            Self::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => "refused",
+            Self::Io(_) => "broken",
+            Self::Http(_) => "spoilt answer",
+            Self::Ended => "ended without an answer",
+        }
+    }
+}
+
 /// A broken attempt, and how far it had come.
 #[derive(Debug, Error)]
 #[error("{progress:?}: {cause}")]
@@ -177,12 +192,14 @@
     hosts: RefCell<BTreeMap<MachineId, Host>>,
     places: Rc<Places>,
     transport: Transport,
+    /// What broke attempts since this was last told.
+    broke: RefCell<BTreeMap<&'static str, usize>>,
 }
 
 impl Machines {
     /// No machine yet.
     pub fn new(places: Rc<Places>, transport: Transport) -> Rc<Self> {
-        Rc::new(Self { hosts: RefCell::default(), places, transport })
+        Rc::new(Self { hosts: RefCell::default(), places, transport, broke: RefCell::default() })
     }
 
     /// Takes in a line of the list. Danger: an address may return with another machine or build behind it,
@@ -289,7 +306,15 @@
         clock: &crate::driver::Clock,
     ) -> Result<Reply, AttemptError> {
         let tried = self.exchange(machine, exchange, wait, progress, clock).await;
-        tried.map_err(|cause| AttemptError { progress: progress.get(), cause })
+        tried.map_err(|cause| {
+            *self.broke.borrow_mut().entry(cause.sort()).or_default() += 1;
+            AttemptError { progress: progress.get(), cause }
+        })
+    }
+
+    /// What broke attempts since this was last asked, counted by sort.
+    pub fn take_broken(&self) -> BTreeMap<&'static str, usize> {
+        self.broke.take()
     }
 
     async fn exchange(
--- a/crates/yarrowspoke-front/src/net/platform.rs
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -15,6 +15,8 @@
 const LINE_LIMIT: usize = 8 * 1024;
 /// Signs of life come every second; a connection without any for this long is given up.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// Longest time that connecting may take: whoever was down in silence is reached again soon after.
+const CONNECT_WITHIN: Duration = Duration::from_millis(700);
 /// Pause before the next connection after one has failed...
 const AGAIN: Duration = Duration::from_millis(500);
 /// ...and if something had been told on it, as after a line that was spoilt.
@@ -271,7 +273,7 @@
     told: &mut bool,
 ) -> std::io::Result<std::convert::Infallible> {
     let silent = || std::io::Error::from(std::io::ErrorKind::TimedOut);
-    let connected = within(SILENCE, Async::<TcpStream>::connect(address)).await;
+    let connected = within(CONNECT_WITHIN, Async::<TcpStream>::connect(address)).await;
     let mut stream = connected.ok_or_else(silent)??;
     stream.get_ref().set_nodelay(true)?;
     stream.write_all(b"NOTIFY\r\n").await?;
--- a/crates/yarrowspoke-front/src/places.rs
+++ b/crates/yarrowspoke-front/src/places.rs
@@ -43,7 +43,20 @@
     clients: Rc<Cell<usize>>,
     machines: Rc<Cell<usize>>,
     freed: (Sender<()>, Receiver<()>),
-    yields: (Sender<()>, Receiver<()>),
+    /// Connections that have brought nothing yet, and those between two requests.
+    yields: [Yields; 2],
+}
+
+/// Connections of one sort that are ready to end, the longest idle first.
+struct Yields {
+    ready: Rc<Cell<usize>>,
+    ask: (Sender<()>, Receiver<()>),
+}
+
+impl Yields {
+    fn new() -> Self {
+        Self { ready: Rc::default(), ask: async_channel::bounded(1) }
+    }
 }
 
 impl Places {
@@ -57,7 +70,7 @@
             clients: Rc::default(),
             machines: Rc::default(),
             freed: async_channel::bounded(1),
-            yields: async_channel::bounded(1),
+            yields: [Yields::new(), Yields::new()],
         })
     }
 
@@ -80,9 +93,11 @@
         self.used() >= self.total
     }
 
-    /// Whether client places are nearly used up: idle ones should yield before new ones must wait.
+    /// Whether idle client connections should yield: before new ones must wait, and before clients run out of
+    /// those that they may hold. Danger: clients may hold a third of a front's descriptors, and where some ask
+    /// once and keep theirs, the others find none left on which to ask.
     pub fn is_short(&self) -> bool {
-        self.clients.get() >= self.most_clients * 9 / 10 || self.used() >= self.total * 19 / 20
+        self.clients.get() >= self.total * 3 / 10 || self.used() >= self.total * 19 / 20
     }
 
     fn place(&self, count: &Rc<Cell<usize>>) -> Place {
@@ -110,19 +125,27 @@
         let _ = self.freed.1.recv().await;
     }
 
-    /// Asks one idle client connection to end, the longest idle first; it may be the next to become idle.
+    /// Asks one client connection to end, if one is ready to: silent ones before those that brought requests.
+    ///
+    /// Danger: silent connections by hundreds would else drive out the ones on which clients come again.
     pub fn ask_to_yield(&self) {
-        let _ = self.yields.0.try_send(());
+        if let Some(yields) = self.yields.iter().find(|y| y.ready.get() > 0) {
+            let _ = yields.ask.0.try_send(());
+        }
     }
 
-    /// Waits until this idle connection is asked to end.
-    pub async fn asked_to_yield(&self) {
-        let _ = self.yields.1.recv().await;
+    /// Ready to end from now on, waits until asked to; `fresh` says that this connection has brought nothing yet.
+    pub async fn asked_to_yield(&self, fresh: bool) {
+        let yields = &self.yields[usize::from(!fresh)];
+        let _ready = Counted::new(&yields.ready);
+        let _ = yields.ask.1.recv().await;
     }
 
     /// Takes back what was asked.
     pub fn at_ease(&self) {
-        let _ = self.yields.1.try_recv();
+        for yields in &self.yields {
+            let _ = yields.ask.1.try_recv();
+        }
     }
 }
 
@@ -172,12 +195,33 @@
         assert!(store.take(100).is_some());
     }
 
+    #[test]
+    fn silent_connections_yield_before_those_that_brought_requests() {
+        use futures_lite::future::{block_on, poll_once};
+        let places = Places::new(100);
+        let mut kept = Box::pin(places.asked_to_yield(false));
+        let mut fresh = Box::pin(places.asked_to_yield(true));
+        block_on(async {
+            assert!(poll_once(&mut kept).await.is_none() && poll_once(&mut fresh).await.is_none());
+            places.ask_to_yield();
+            assert!(poll_once(&mut kept).await.is_none() && poll_once(&mut fresh).await.is_some());
+            drop(fresh);
+            places.ask_to_yield();
+            assert!(poll_once(&mut kept).await.is_some());
+        });
+    }
+
     #[test]
     fn each_side_has_a_most_and_both_have_a_sum() {
         let places = Places::new(100);
         let mut clients: Vec<_> =
             std::iter::from_fn(|| places.client_fits().then(|| places.client())).collect();
         assert_eq!((clients.len(), places.is_short()), (70, true));
+        clients.truncate(29);
+        assert!(!places.is_short());
+        clients.push(places.client());
+        assert!(places.is_short());
+        clients.extend((30..70).map(|_| places.client()));
         let machines: Vec<_> = std::iter::from_fn(|| places.machine()).collect();
         assert_eq!(machines.len(), 30);
         assert!(places.is_full());
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -167,6 +167,8 @@
     pub work: f64,
     /// Its tenant is over its share.
     pub over: bool,
+    /// Time that its client waited before, in earlier tries.
+    pub aged: f64,
     /// Attempts so far.
     pub attempts: Vec<Attempt>,
     /// It waits for a machine.
@@ -325,6 +327,8 @@
     pub places: usize,
     /// Requests taken, by class.
     pub accepted: Vec<Tally>,
+    /// Longest time that clients lately said they would wait, by class.
+    pub budgets: Vec<f64>,
     /// Attempts, by build and class.
     pub exposed: BTreeMap<(Build, usize), Tally>,
     /// Outcomes as evidence, by build.
@@ -492,6 +496,27 @@
         mine.fold((0.0, 0.0, 0.0), add)
     }
 
+    /// The newest earlier build in the platform's counts that was not taken off.
+    pub fn counted_base(&self, build: Build) -> Build {
+        let lower = self.counts.iter().map(|c| c.build).filter(|b| *b < build);
+        lower.filter(|b| !self.withdrawn.contains(b)).max().unwrap_or(0)
+    }
+
+    /// How many times longer answers of `build` took than the earlier build's in the platform's counts of the
+    /// same class, in periods that ended after `from`; 1 where there are fewer than `least` of either.
+    pub fn counted_pace(&self, build: Build, from: Micros, least: usize) -> f64 {
+        let base = self.counted_base(build);
+        let of = |b: Build, class: usize, from| {
+            let (n, bad, time) = self.counted(b, from, |c| c == class);
+            (n - bad, time, 0.0)
+        };
+        let both = (0..self.accepted.len()).map(|class| (of(build, class, from), of(base, class, 0)));
+        let known = both.filter(|(_, e)| e.0 >= least as f64);
+        let add = |s: Sums, (t, e): (Sums, Sums)| (s.0 + t.0, s.1 + t.1, s.2 + t.0 * e.1 / e.0);
+        let (n, time, usual) = known.fold((0.0, 0.0, 0.0), add);
+        [1.0, time / usual.max(1.0)][usize::from(n >= least as f64)]
+    }
+
     /// How many outcomes of `build` are kept.
     pub fn seen(&self, build: Build) -> usize {
         self.samples.get(&build).map_or(0, VecDeque::len)
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -73,7 +73,9 @@
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
 const FIT: f64 = 0.55; // part of the tightest aim that answers may be predicted to take
-const FIT_OVER: f64 = 0.25; // the same for tenants over their share
+const FIT_OVER: f64 = 0.25; // the same for tenants over their share, and for what would miss its aim
+const CROWDED_DRAWS: usize = 6; // machines drawn for a request while answers are slow, instead of two
+const BUDGET_FADE: f64 = 0.001; // by which a class's longest time to wait fades with each request
 const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
 const QUOTA_LEAST: f64 = 5.0; // requests that a tenant may send at once to any front
 const FREE_SLOTS: f64 = 3.0; // requests a machine always admitted
@@ -112,6 +114,7 @@
         let share = f64::from(s.fronts.max(1));
         let k = Knowledge {
             accepted: vec![Tally::default(); s.classes.len()],
+            budgets: vec![0.0; s.classes.len()],
             tenants: s.tenants.iter().map(|t| Bucket { left: t.quota_rps / share, at: now }).collect(),
             stage_from: now,
             boot: BOOT_LIMIT,
@@ -376,8 +379,13 @@
         let work = a.hint.filter(|h| *h > 0).map_or(NOMINAL_WORK, |h| h as f64);
         let pos = position(if key == 0 { id } else { key });
         let deadline = now + a.remaining;
-        let attempts = Vec::new();
-        let r = Request { class, arrived: now, deadline, key, pos, work, over, attempts, parked: false };
+        // Clients ask again with what is left of their time: what is missing has passed since the first try.
+        let longest = &mut self.k.budgets[class];
+        *longest -= BUDGET_FADE * (*longest - a.remaining as f64);
+        *longest = longest.max(a.remaining as f64);
+        let (aged, attempts) = (*longest - a.remaining as f64, Vec::new());
+        let r =
+            Request { class, arrived: now, deadline, key, pos, work, over, aged, attempts, parked: false };
         let admitted = self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
@@ -472,10 +480,11 @@
             }
         }
         let sizes: Vec<(MachineId, f64)> = of.iter().map(|m| (m.e.machine, self.capacity(now, m))).collect();
-        let at = [0, 1].map(|_| position(self.rng.next_u64()));
-        let (a, b) = (weighted(&sizes, at[0])?, weighted(&sizes, at[1])?);
-        let (la, lb) = (self.load_of(now, a), self.load_of(now, b));
-        Some(if lb < la { b } else { a })
+        // Departure: while answers are slow, two draws would leave some machines idle beside others' queues.
+        let draws = if self.k.answer_time < EASY * self.tightest() { 2 } else { CROWDED_DRAWS };
+        let drawn = (0..draws).filter_map(|_| weighted(&sizes, position(self.rng.next_u64())));
+        let drawn: Vec<MachineId> = drawn.collect();
+        drawn.into_iter().min_by(|a, b| self.load_of(now, *a).total_cmp(&self.load_of(now, *b)))
     }
 
     fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
@@ -659,11 +668,11 @@
         // Danger: where answers are lost or machines silent, what is long out is no queue.
         let late = (QUEUE_TIMES * self.k.answer_time) as Micros;
         let held = self.k.outs.values().filter(|o| now <= o.sent + late).count() as f64;
-        if held < FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1)) {
-            return true;
-        }
+        // Danger: those turned away come again until most of what is served comes too late for its aim.
+        let stale = r.aged + self.k.answer_time > self.s.classes[r.class].aim as f64;
+        let free = FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1));
         let tightest = self.tightest();
-        if self.k.answer_time < EASY * tightest {
+        if held < free && !stale || self.k.answer_time < EASY * tightest {
             return true;
         }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
@@ -671,7 +680,7 @@
         // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
         let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
         let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
-        let fit = if r.over { FIT_OVER } else { FIT * rank };
+        let fit = if r.over || stale { FIT_OVER } else { FIT * rank };
         (held + 1.0) <= fit * tightest * rate
     }
 
@@ -697,32 +706,11 @@
         self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
-    /// How many times longer answers of `build` took than the earlier build's in the platform's counts of the
-    /// same class, in periods that ended after `from`; 1 where there are too few.
-    fn counted_pace(&self, build: Build, from: Micros) -> f64 {
-        let base = self.counted_base(build);
-        let of = |b: Build, class: usize, from| {
-            let (n, bad, time) = self.k.counted(b, from, |c| c == class);
-            (n - bad, time, 0.0)
-        };
-        let both = (0..self.s.classes.len()).map(|class| (of(build, class, from), of(base, class, 0)));
-        let known = both.filter(|(_, e)| e.0 >= ENOUGH as f64);
-        let add = |s: Sums, (t, e): (Sums, Sums)| (s.0 + t.0, s.1 + t.1, s.2 + t.0 * e.1 / e.0);
-        let (n, time, usual) = known.fold((0.0, 0.0, 0.0), add);
-        [1.0, time / usual.max(1.0)][usize::from(n >= ENOUGH as f64)]
-    }
-
-    /// The newest earlier build in the platform's counts that was not taken off.
-    fn counted_base(&self, build: Build) -> Build {
-        let lower = self.k.counts.iter().map(|c| c.build).filter(|b| *b < build);
-        lower.filter(|b| !self.k.withdrawn.contains(b)).max().unwrap_or(0)
-    }
-
     /// Whether the platform's counts of all fronts send `build` back: one class fails and the others do not.
     /// Danger: dead, silent and unreachable machines count as failures there; but they do not pick a class.
     fn counted_out(&self, now: Micros, build: Build) -> bool {
         let from = now.saturating_sub(JUDGE_SPAN);
-        let base = self.counted_base(build);
+        let base = self.k.counted_base(build);
         let part = |c: Sums| c.1 / c.0.max(1.0);
         let usual = part(self.k.counted(base, from, |_| true));
         (0..self.s.classes.len()).any(|class| {
@@ -792,13 +780,13 @@
         let recent = now.saturating_sub(JUDGE_SPAN / 2);
         let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
         let early = !last && now < warm + 2 * self.s.release.tally_every;
-        let e = self.k.counted(self.counted_base(build), recent, |_| true);
+        let e = self.k.counted(self.k.counted_base(build), recent, |_| true);
         let calm = e.1 < BACK_MARGIN / 2.0 * e.0;
         if calm && self.counted_out(now, build) {
             worst = Finding::Fault;
-        } else if calm && !released && self.counted_pace(build, warm) > SLOW_RATIO {
+        } else if calm && !released && self.k.counted_pace(build, warm, ENOUGH) > SLOW_RATIO {
             worst = worst.max(Finding::Slow);
-        } else if calm && early && self.counted_pace(build, recent) > COLD_SLOW {
+        } else if calm && early && self.k.counted_pace(build, recent, ENOUGH) > COLD_SLOW {
             worst = worst.max(Finding::Doubt);
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -121,9 +121,14 @@
     }
 
     pub fn keyed(&mut self, class: u8, key: u64) -> RequestId {
+        self.asked(class, key, 2 * S)
+    }
+
+    /// A request whose client waits for `remaining` more.
+    pub fn asked(&mut self, class: u8, key: u64, remaining: Micros) -> RequestId {
         let id = self.next;
         self.next += 1;
-        let (remaining, hint) = (2 * S, Some(50 * MS));
+        let hint = Some(50 * MS);
         self.say(Event::Request(Arrival { id, class, remaining, key, tenant: 0, hint, repeat: false }));
         id
     }
--- a/crates/yarrowspoke/tests/mechanism.rs
+++ b/crates/yarrowspoke/tests/mechanism.rs
@@ -273,6 +273,53 @@
     assert!(refused > 200, "{refused}");
 }
 
+#[test]
+fn when_crowded_what_would_miss_its_aim_is_shed_before_fresh_requests() {
+    // Danger: those turned away come again until most of what is served comes too late for its aim.
+    let mut rig = Rig::new(settings(), 3);
+    let mut crowd = |took| {
+        for _ in 0..200 {
+            rig.round(0, |_| (Ending::Ok, took));
+            rig.now += 20 * MS;
+            rig.tick();
+        }
+        let held: Vec<_> = (0..9).filter(|_| (rig.request(0), rig.sent().is_some()).1).collect();
+        assert_eq!(held.len(), 9, "fresh requests are admitted while slots are free");
+        // This client has waited for half a second of its two before, and the aim is 0.6 s.
+        rig.asked(0, 0, 1_500 * MS);
+        let stale = (rig.refused(), rig.finals());
+        rig.request(0);
+        (stale, rig.sent().is_some())
+    };
+    assert_eq!(crowd(400 * MS), ((true, 1), true), "refused at once, and a fresh one still goes out");
+    let mut calm = Rig::new(settings(), 3);
+    for _ in 0..200 {
+        calm.round(0, |_| (Ending::Ok, 60 * MS));
+    }
+    calm.asked(0, 0, 1_500 * MS);
+    assert!(calm.sent().is_some(), "while answers are quick nothing is shed");
+}
+
+#[test]
+fn when_crowded_hardly_a_machine_stands_idle_beside_a_queue() {
+    // Danger: of two machines drawn both may have a queue while others idle, and what is left of capacity is lost.
+    let spread = |took: Micros| {
+        let mut rig = Rig::new(settings(), 12);
+        for _ in 0..300 {
+            rig.round(0, |_| (Ending::Ok, took));
+            rig.now += 20 * MS;
+            rig.tick();
+        }
+        let mut held = [0; 12];
+        for _ in 0..24 {
+            rig.request(0);
+            held[rig.sent().expect("admitted").1 as usize] += 1;
+        }
+        held.iter().filter(|h| (1..=3).contains(*h)).count()
+    };
+    assert_eq!(spread(300 * MS), 12, "all at work, none with a long queue");
+}
+
 #[test]
 fn an_asked_list_is_asked_for_again_after_a_failure() {
     let mut rig = Rig::new(Settings { ask_list: true, ..settings() }, 2);
