Free slots count by build and by a request's work; gone machines and builds are forgotten

At fault: admits, which counted one queue for all. Also: a typical fresh request counted as stale once answers took longer than its aim, which shed whole classes.

Now free slots are counted for each build that may take the request; what a request takes is the usual answer time by its hint of work, at most 1.5 times; and only what takes longer than the usual answer time can be stale. Machines gone and builds not listed are forgotten but the four newest builds (books.rs, forget): they stayed for ever. A report with negative values is none; the pause that spoils a list doubles with each ask.

--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -21,7 +21,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 /// Longest time that connecting may take: one that is down in silence must not hold a call for as long as news may.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
-/// Longest pause within an answer; one that stops in its midst is only a part.
+/// Longest pause within an answer, doubled each time it is asked again; one that stops in its midst is only a part.
 const PAUSE_WITHIN: Duration = Duration::from_millis(150);
 /// Spoilt answers in a row after which a call has failed.
 const SPOILT_LIMIT: u32 = 4;
@@ -263,7 +263,7 @@
     ) -> Result<Listing, ListError> {
         let mut spoilt = 0;
         loop {
-            match self.call_once(line, target, limit).await {
+            match self.call_once(line, target, limit, PAUSE_WITHIN * (1 << spoilt)).await {
                 Err(e) if e.is_spoilt() && spoilt < SPOILT_LIMIT => {
                     spoilt += 1;
                     log::warn!("discovery: {e}; asked again");
@@ -280,18 +280,19 @@
         line: &mut Option<Async<TcpStream>>,
         target: &str,
         limit: Duration,
+        pause: Duration,
     ) -> Result<Listing, ListError> {
         let asked = async {
             if let Some(kept) = line.take() {
                 // A kept connection may have been closed meanwhile; asking again is harmless.
-                match self.ask(kept, target).await {
+                match self.ask(kept, target, pause).await {
                     Err(ListError::Io(_) | ListError::Ended) => {}
                     other => return other,
                 }
             }
             let connecting = Async::<TcpStream>::connect(self.address.get());
             let stream = within(CONNECT_WITHIN, connecting).await.ok_or(ListError::Late)??;
-            self.ask(stream, target).await
+            self.ask(stream, target, pause).await
         };
         let (list, kept) = within(limit, asked).await.ok_or(ListError::Late)??;
         *line = kept;
@@ -302,6 +303,7 @@
         &self,
         mut stream: Async<TcpStream>,
         target: &str,
+        pause: Duration,
     ) -> Result<(Listing, Option<Async<TcpStream>>), ListError> {
         stream.get_ref().set_nodelay(true)?;
         let request = Encoder::new(format_args!("GET {target} HTTP/1.1"))
@@ -313,7 +315,7 @@
             let begun = !decoder.is_idle();
             let reading = read_some(&mut stream, |bytes| decoder.feed(bytes));
             let n = match begun {
-                true => within(PAUSE_WITHIN, reading).await.ok_or(ListError::Part)??,
+                true => within(pause, reading).await.ok_or(ListError::Part)??,
                 false => reading.await?,
             };
             let message = if n == 0 { decoder.end()? } else { decoder.message()? };
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -156,7 +156,7 @@
     let value = |name: &String| {
         let mut pairs = report.split(',').filter_map(|p| p.split_once('='));
         let (_, value) = pairs.find(|(n, _)| n.trim() == name)?;
-        value.trim().parse::<f32>().ok().filter(|v| v.is_finite())
+        value.trim().parse::<f32>().ok().filter(|v| v.is_finite() && *v >= 0.0)
     };
     fields.iter().map(value).collect::<Option<_>>().unwrap_or_default()
 }
--- a/crates/yarrowspoke-front/tests/parsers.rs
+++ b/crates/yarrowspoke-front/tests/parsers.rs
@@ -199,4 +199,5 @@
     assert_eq!(load_values("depth=2, mean_ms=7.5,x=1", &fields), [7.5, 2.0]);
     assert!(load_values("depth=2", &fields).is_empty());
     assert!(load_values("depth=NaN,mean_ms=1", &fields).is_empty());
+    assert!(load_values("depth=-1,mean_ms=1", &fields).is_empty());
 }
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -345,6 +345,8 @@
     pub best_rate: f64,
     /// Smoothed answer time.
     pub answer_time: f64,
+    /// Smoothed expected work of served requests.
+    pub answer_work: f64,
     /// Retries saved up.
     pub retries: Bucket,
     /// Each tenant's requests in hand.
@@ -401,6 +403,26 @@
         }
     }
 
+    /// Forgets machines that are gone and on which nothing hangs, and builds that no listed machine runs, but the
+    /// newest `builds` seen.
+    ///
+    /// Danger: over weeks of releases each build and machine leaves its outcomes behind.
+    pub fn forget(&mut self, builds: usize) {
+        let tried = self.requests.values().flat_map(|r| r.attempts.iter().map(|a| a.machine));
+        let held: BTreeSet<_> = tried.chain(self.outs.values().map(|o| o.machine)).collect();
+        self.machines.retain(|id, m| m.e.state != MachineState::Gone || held.contains(id));
+        let mut stay: BTreeSet<Build> = self.machines.values().map(|m| m.e.build).collect();
+        stay.extend(self.outs.values().map(|o| o.build));
+        stay.extend(self.samples.keys().rev().take(builds));
+        self.samples.retain(|b, _| stay.contains(b));
+        self.held.retain(|b, _| stay.contains(b));
+        self.exposed.retain(|b, _| stay.contains(&b.0));
+        self.withdrawn.retain(|b| stay.contains(b));
+        if let Some(news) = &self.news {
+            self.counts.retain(|c| stay.contains(&c.build) || c.build >= news.build);
+        }
+    }
+
     /// Orders the ready machines of each build on a ring by a hash of their ids, and keeps the `most` from
     /// `part` of the way round.
     pub fn reach_anew(&mut self, most: usize, part: f64) {
@@ -541,6 +563,44 @@
         notes.iter().filter(|n| n.0 + span >= now).map(|n| n.1).sum()
     }
 
+    #[test]
+    fn builds_and_machines_long_gone_are_forgotten_and_no_other() {
+        let mut k = Knowledge::default();
+        let entry = |machine, build, state| Entry {
+            machine,
+            zone: 0,
+            kind: 0,
+            build,
+            cell: 0,
+            state,
+            weight: 1.0,
+            started: u64::from(machine),
+        };
+        k.learn(0, &entry(1, 1, MachineState::Ready));
+        for build in 2..40 {
+            let id = u32::from(build);
+            k.learn(0, &entry(id, build, MachineState::Ready));
+            k.exposed.entry((build, 0)).or_default().add(0, 1.0, 1);
+            k.held.insert(build, 0);
+            k.withdrawn.insert(build);
+            let sample = Sample { at: 0, machine: id, kind: 0, class: 0, ok: true, pace: None, own: None };
+            k.note_sample(build, 10, sample);
+            k.learn(0, &entry(id, build, MachineState::Gone));
+            if build == 20 {
+                // An attempt is still out there.
+                let o = Out { machine: id, build, class: 0, sent: 0, work: 1.0, queue: 1.0 };
+                k.outs.insert((7, 0), o);
+            }
+            k.forget(4);
+        }
+        assert_eq!(k.machines.keys().copied().collect::<Vec<_>>(), [1, 20]);
+        assert_eq!(k.samples.keys().copied().collect::<Vec<_>>(), [20, 36, 37, 38, 39]);
+        assert_eq!((k.exposed.len(), k.held.len(), k.withdrawn.len()), (5, 5, 5));
+        k.outs.clear();
+        k.forget(4);
+        assert_eq!((k.machines.len(), k.samples.len()), (1, 4));
+    }
+
     #[test]
     fn totals_give_the_sums_that_single_notes_give() {
         let (mut tally, mut notes, mut now, mut x) = (Tally::default(), Vec::new(), 0, 1u64);
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -50,6 +50,7 @@
 const COUNT_SPAN: Micros = 40_000 * MS; // age up to which the platform's counts are kept
 const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
 const RING: usize = 3_000; // outcomes kept for each build
+const BUILDS_KEPT: usize = 4; // newest builds of which outcomes are kept though no machine runs them
 const VOTE_GAP: Micros = 400 * MS; // least time between two votes of this front
 const RENEW_PART: f64 = 0.6; // part of a vote's standing time after which it is renewed
 const REACH: usize = 20; // machines of each build that one front sends to
@@ -73,6 +74,7 @@
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
 const FIT: f64 = 0.55; // part of the tightest aim that answers may be predicted to take
+const WORK_MOST: f64 = 1.5; // most times the usual work that a request's rough hint is taken to mean
 const FIT_OVER: f64 = 0.25; // the same for tenants over their share, and for what would miss its aim
 const CROWDED_DRAWS: usize = 6; // machines drawn for a request while answers are slow, instead of two
 const BUDGET_FADE: f64 = 0.001; // by which a class's longest time to wait fades with each request
@@ -357,6 +359,7 @@
         for e in entries {
             self.k.learn(now, e);
         }
+        self.k.forget(BUILDS_KEPT);
         // Danger: a front that meets every machine of a large fleet learns nothing of any, and holds
         // connections that machines may lack. Each takes a stretch of a ring instead, overlapping.
         self.k.reach_anew(REACH, f64::from(self.s.me) / f64::from(self.s.fronts.max(1)));
@@ -510,6 +513,7 @@
         if ending == Ending::Ok {
             self.k.served.add(now, 1.0, RATE_SPAN);
             self.k.answer_time += TIME_WEIGHT * (e.took as f64 - self.k.answer_time);
+            self.k.answer_work += TIME_WEIGHT * (o.work - self.k.answer_work);
         }
         if e.settled {
             if let Some(mut r) = self.k.requests.remove(&id) {
@@ -667,12 +671,18 @@
     fn admits(&self, now: Micros, r: &Request) -> bool {
         // Danger: where answers are lost or machines silent, what is long out is no queue.
         let late = (QUEUE_TIMES * self.k.answer_time) as Micros;
-        let held = self.k.outs.values().filter(|o| now <= o.sent + late).count() as f64;
-        // Danger: those turned away come again until most of what is served comes too late for its aim.
-        let stale = r.aged + self.k.answer_time > self.s.classes[r.class].aim as f64;
-        let free = FREE_SLOTS * self.k.ready_count / f64::from(self.s.fronts.max(1));
+        let recent = || self.k.outs.values().filter(|o| now <= o.sent + late);
+        // Danger: those turned away come again, the largest last, until most of what is served is too late.
+        let takes = self.k.answer_time * (r.work / self.k.answer_work.max(1.0)).min(WORK_MOST);
+        let stale = r.aged + takes > (self.s.classes[r.class].aim as f64).max(self.k.answer_time);
+        // Danger: one build's queue must not turn away what another's machines have room for.
+        let open = |b: &&Build| self.cap(**b).is_none_or(|_| self.turn(r, **b));
+        let free = self.k.reach.keys().filter(open).any(|b| {
+            let slots = FREE_SLOTS * self.k.ready(*b).count() as f64 / f64::from(self.s.fronts.max(1));
+            (recent().filter(|o| o.build == *b).count() as f64) < slots
+        });
         let tightest = self.tightest();
-        if held < free && !stale || self.k.answer_time < EASY * tightest {
+        if free && !stale || self.k.answer_time < EASY * tightest {
             return true;
         }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
@@ -681,7 +691,7 @@
         let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
         let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
         let fit = if r.over || stale { FIT_OVER } else { FIT * rank };
-        (held + 1.0) <= fit * tightest * rate
+        (recent().count() + 1) as f64 <= fit * tightest * rate
     }
 
     // ---- The judge -----------------------------------------------------------------------------------
