Idle client connections yield by a clock, not only when somebody connects

At fault: clients::serve asked idle connections to yield only when one was accepted, and silent ones before idle ones; once the idle ones were all that clients may hold, nobody connected and nobody was asked.

Now a task of its own asks one of each sort every 1 ms while clients hold three tenths of the places or more.

--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -40,8 +40,11 @@
 const SILENT_LEAST: Duration = Duration::from_millis(300);
 /// Least time that a connection stands idle before it ends to make room.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
-/// Least time between two connections that are asked to yield.
+/// Time between two connections of a sort that are asked to yield, and between two looks whether any should.
 const YIELD_PACE: Duration = Duration::from_millis(1);
+const YIELD_LOOK: Duration = Duration::from_millis(20);
+/// Longest time for which a pause in accepting goes without a look.
+const PAUSE_LOOK: Duration = Duration::from_millis(5);
 /// Pause before the next request of one who has repeated an id. Danger: some send the same again as soon as it is
 /// turned away, and would fill the processor.
 const AGAIN_PACE: Duration = Duration::from_millis(10);
@@ -53,25 +56,11 @@
     let mut incoming = Box::pin(listener.incoming());
     // Since when connections may have waited to be accepted; `None` once all that waited were.
     let mut paused: Option<Micros> = None;
-    let mut next_yield = 0;
     loop {
-        // At the limit accepting pauses until a place is given back; it does not spin. Danger: clients keep the
-        // connections of a busy moment, and idle ones would shut out those that bring requests: they are asked
-        // to yield a little before.
-        if hub.places.is_short() {
-            // Danger: a client whose connection yielded connects anew, which asks for the next to yield. Paced,
-            // this stays a small part of the connections and cannot feed itself.
-            let now = hub.clock.now();
-            if now >= next_yield {
-                hub.places.ask_to_yield();
-                next_yield = now + YIELD_PACE.as_micros() as Micros;
-            }
-        } else {
-            hub.places.at_ease();
-        }
+        // At the limit accepting pauses until a place is given back; it does not spin.
         if !hub.places.client_fits() {
             paused.get_or_insert(hub.clock.now());
-            within(YIELD_PACE, hub.places.freed()).await;
+            within(PAUSE_LOOK, hub.places.freed()).await;
             continue;
         }
         let next = match future::poll_once(incoming.next()).await {
@@ -105,6 +94,22 @@
     }
 }
 
+/// Makes room while clients hold too many connections. Danger: clients keep the connections of a busy moment, and
+/// may hold only so many: once idle ones are all of these, nobody connects any more, so waiting for the next to
+/// connect would be waiting for ever. And a client whose connection yielded connects anew, which asks for the next
+/// to yield: paced, this stays a small part of the connections and cannot feed itself.
+pub async fn make_room(hub: Rc<Hub>) {
+    loop {
+        if hub.places.is_short() {
+            hub.places.ask_to_yield();
+            Timer::after(YIELD_PACE).await;
+        } else {
+            hub.places.at_ease();
+            Timer::after(YIELD_LOOK).await;
+        }
+    }
+}
+
 /// What a client sent, decoded.
 enum Asked {
     /// Whether the front is ready.
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -56,6 +56,7 @@
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
     }
     executor.spawn(reload(reloads, path, Rc::clone(&hub))).detach();
+    executor.spawn(clients::make_room(Rc::clone(&hub))).detach();
     executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
     log::info!("{about}");
     log::info!("{} serves on {}", config.name, config.listen);
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -153,6 +153,14 @@
         self.answer()
     }
 
+    /// Whether the front has closed the connection, without waiting for it.
+    pub fn has_ended(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let ended = matches!(self.stream.peek(&mut [0; 1]), Ok(0));
+        self.stream.set_nonblocking(false).unwrap();
+        ended
+    }
+
     /// True once the front has closed the connection and nothing more came.
     pub fn is_closed(&mut self) -> bool {
         matches!(self.reader.read(&mut [0; 1]), Ok(0))
--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -410,3 +410,21 @@
         assert_eq!(world.seen(), before + 1);
     }
 }
+
+#[test]
+fn idle_clients_make_room_though_nobody_connects() {
+    // Danger: clients may hold only so many connections; once idle ones are all of these, nobody can connect.
+    let world = World::with_sockets(&[Behaviour::Serve], 128);
+    let mut kept: Vec<_> = (0..45).map(|_| world.client()).collect();
+    for client in &mut kept {
+        assert!(client.ask(&get(&fresh(), "5.0")).unwrap().start().contains(" 200 "));
+    }
+    // Those beyond three tenths end well before the time for which the others may stand.
+    let begun = std::time::Instant::now();
+    let mut ended = |n: usize| {
+        until("idle connections have ended", || kept.iter().filter(|c| c.has_ended()).count() >= n);
+        begun.elapsed()
+    };
+    let (first, all) = (ended(10), ended(45));
+    assert!(first * 2 < all, "{first:?} of {all:?}");
+}
