--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -421,7 +421,7 @@
     }
     // Those beyond three tenths end well before the time for which the others may stand.
     let begun = std::time::Instant::now();
-    let mut ended = |n: usize| {
+    let ended = |n: usize| {
         until("idle connections have ended", || kept.iter().filter(|c| c.has_ended()).count() >= n);
         begun.elapsed()
     };
