--- a/crates/yarrowspoke-drill/src/host.rs
+++ b/crates/yarrowspoke-drill/src/host.rs
@@ -148,6 +148,7 @@
                     tenant,
                     hint: (opts & 1 != 0).then_some(hint.into()),
                     repeat: opts & 2 != 0,
+                    ruled: Default::default(),
                 })
             }
             27 => {
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/bounds.rs
@@ -0,0 +1,70 @@
+//! What bounds the work for a request, and the prices of all that may be done for it.
+//!
+//! A step is one operation, or the reading or copying of up to [`CHUNK`] bytes. Where an operation looks at each byte by
+//! itself (an automaton, a search, a scan for separators), each byte is a step of its own. Every price is monotone in the
+//! sizes of its inputs, so that the price at the largest sizes bounds the price at any.
+
+/// Bytes that are compared or copied in one step.
+pub const CHUNK: usize = 8;
+/// Most bytes of a name in the settings that rules may compare.
+pub const NAME_MOST: usize = 128;
+/// Most bytes of a method.
+pub const METHOD_MOST: usize = 32;
+/// Most bytes of a string that an expression builds.
+pub const BUILT_MOST: usize = 4_096;
+/// Path segments that may be taken by their number.
+pub const SEGMENTS_MOST: usize = 32;
+/// Most bytes of a text read as a number.
+pub const DIGITS_MOST: usize = 20;
+/// Most bytes of a regular expression.
+pub const PATTERN_MOST: usize = 1_024;
+/// Most bytes of the automaton of one regular expression.
+pub const AUTOMATON_MOST: usize = 64 * 1024;
+/// Most bytes that the making of one automaton may take.
+pub const MAKING_MOST: usize = 512 * 1024;
+/// Most rules of a set.
+pub const RULES_MOST: usize = 20_000;
+
+/// Bounds of one set of rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Most bytes of a request's path and query together.
+    pub target: usize,
+    /// Most bytes of a header that rules read.
+    pub header: usize,
+    /// Most steps that a request may cost.
+    pub steps: u64,
+    /// Most bytes that the compiled set may take.
+    pub bytes: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { target: 1_024, header: 256, steps: 10_000, bytes: 8 * 1024 * 1024 }
+    }
+}
+
+/// Steps for bytes taken in chunks.
+pub fn chunks(bytes: usize) -> u64 {
+    bytes.div_ceil(CHUNK) as u64
+}
+
+/// Steps for a comparison of texts of such lengths: no more is read than the shorter one has.
+pub fn compare(a: usize, b: usize) -> u64 {
+    1 + chunks(a.min(b))
+}
+
+/// Steps for a search in a sorted list of texts.
+pub fn search(entries: usize, longest: usize, text: usize) -> u64 {
+    (u64::from(usize::BITS - entries.leading_zeros()) + 1) * compare(longest, text)
+}
+
+/// Steps for a look-up in a hash table.
+pub fn lookup(text: usize) -> u64 {
+    4 + 2 * chunks(text)
+}
+
+/// Steps for a pass that looks at each byte.
+pub fn scan(bytes: usize) -> u64 {
+    2 + bytes as u64
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/lex.rs
@@ -0,0 +1,133 @@
+//! From text to tokens.
+
+use crate::syntax::{Fault, Span};
+use winnow::ascii::digit1;
+use winnow::combinator::{alt, delimited, opt, preceded, repeat};
+use winnow::error::EmptyError;
+use winnow::stream::{LocatingSlice, Location};
+use winnow::token::{any, none_of, one_of, take_while};
+use winnow::Parser;
+
+type Input<'a> = LocatingSlice<&'a str>;
+type Read<T> = Result<T, EmptyError>;
+
+/// One token.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Token {
+    /// A whole number.
+    Int(i64),
+    /// A span of time in microseconds.
+    Duration(i64),
+    /// A string.
+    Text(String),
+    /// A word.
+    Word(String),
+    /// Signs.
+    Sign(&'static str),
+    /// A number too large for 64 bits.
+    TooLarge,
+}
+
+/// A token and where it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spanned {
+    /// The token.
+    pub token: Token,
+    /// Where it stands.
+    pub at: Span,
+}
+
+/// Signs, the longer ones first.
+const SIGNS: [&str; 22] = [
+    "&&", "||", "==", "!=", "<=", ">=", "<", ">", "!", "+", "-", "*", "/", "%", "(", ")", "[", "]", ",", ".",
+    "?", ":",
+];
+
+/// Units of time, the longer ones first.
+const UNITS: [(&str, i64); 5] =
+    [("ms", 1_000), ("us", 1), ("s", 1_000_000), ("m", 60_000_000), ("h", 3_600_000_000)];
+
+/// Takes a text apart.
+pub fn tokens(text: &str) -> Result<Vec<Spanned>, Fault> {
+    let mut input = LocatingSlice::new(text);
+    let mut out = Vec::new();
+    loop {
+        blank(&mut input);
+        let from = input.current_token_start();
+        if from == text.len() {
+            return Ok(out);
+        }
+        match token(&mut input) {
+            Ok(token) => {
+                let at = Span { from, to: input.current_token_start() };
+                if token == Token::TooLarge {
+                    return Err(Fault::new(at, &text[at.from..at.to], "a number of 64 bits"));
+                }
+                out.push(Spanned { token, at });
+            }
+            Err(EmptyError) => {
+                let next = text[from..].chars().next().unwrap_or(' ');
+                let at = Span { from, to: from + next.len_utf8() };
+                let wanted = match next {
+                    '\'' | '"' => "a string with its closing quote and the escapes \\\\ \\' \\\" \\n \\r \\t",
+                    _ => "a number, a string, a name or an operator",
+                };
+                return Err(Fault::new(at, format_args!("{next:?}"), wanted));
+            }
+        }
+    }
+}
+
+fn blank(input: &mut Input) {
+    let skipped: Read<()> = take_while(0.., char::is_whitespace).void().parse_next(input);
+    debug_assert!(skipped.is_ok());
+}
+
+fn token(input: &mut Input) -> Read<Token> {
+    alt((number, quoted('\''), quoted('"'), word, sign)).parse_next(input)
+}
+
+fn number(input: &mut Input) -> Read<Token> {
+    let digits: &str = digit1.parse_next(input)?;
+    let unit = opt(word_text).parse_next(input)?;
+    let Some(value) = digits.parse::<i64>().ok() else { return Ok(Token::TooLarge) };
+    let Some(unit) = unit else { return Ok(Token::Int(value)) };
+    let Some((_, times)) = UNITS.iter().find(|u| u.0 == unit) else { return Err(EmptyError) };
+    Ok(value.checked_mul(*times).map_or(Token::TooLarge, Token::Duration))
+}
+
+fn quoted<'a>(quote: char) -> impl Parser<Input<'a>, Token, EmptyError> {
+    let escape = preceded('\\', any).verify_map(|c| match c {
+        '\\' | '\'' | '"' => Some(c),
+        'n' => Some('\n'),
+        'r' => Some('\r'),
+        't' => Some('\t'),
+        _ => None,
+    });
+    let part = alt((none_of([quote, '\\']), escape));
+    let text = repeat(0.., part).fold(String::new, |mut s, c| {
+        s.push(c);
+        s
+    });
+    delimited(quote, text, quote).map(Token::Text)
+}
+
+fn word_text<'a>(input: &mut Input<'a>) -> Read<&'a str> {
+    let first = one_of(|c: char| c.is_ascii_alphabetic() || c == '_');
+    let rest = take_while(0.., |c: char| c.is_ascii_alphanumeric() || c == '_');
+    (first, rest).take().parse_next(input)
+}
+
+fn word(input: &mut Input) -> Read<Token> {
+    word_text.map(|w: &str| Token::Word(w.to_owned())).parse_next(input)
+}
+
+fn sign(input: &mut Input) -> Read<Token> {
+    for sign in SIGNS {
+        let found: Option<&str> = opt(sign).parse_next(input)?;
+        if found.is_some() {
+            return Ok(Token::Sign(sign));
+        }
+    }
+    Err(EmptyError)
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/regexes.rs
@@ -0,0 +1,102 @@
+//! Regular expressions as automata that take one step for each byte, whatever the text.
+//!
+//! The regex crate's own engines run in time that grows with the text times the pattern; its automata, made whole at load,
+//! do not. Their size and the work of making them are bounded, so that nested repeats are refused at once.
+
+use crate::bounds::{AUTOMATON_MOST, MAKING_MOST, PATTERN_MOST};
+use regex_automata::dfa::{dense, Automaton, StartKind};
+use regex_automata::nfa::thompson;
+use regex_automata::util::{start::Config as Start, syntax};
+use regex_automata::{Anchored, MatchKind};
+use std::collections::HashMap;
+
+/// One pattern, ready to run.
+pub struct Regex {
+    automaton: dense::DFA<Vec<u32>>,
+}
+
+impl Regex {
+    /// Makes the automaton; else what is expected of a pattern.
+    pub fn new(pattern: &str) -> Result<Self, String> {
+        if pattern.len() > PATTERN_MOST {
+            return Err(format!("at most {PATTERN_MOST} bytes"));
+        }
+        let automaton = dense::Builder::new()
+            .configure(
+                dense::Config::new()
+                    .start_kind(StartKind::Unanchored)
+                    .match_kind(MatchKind::All)
+                    .dfa_size_limit(Some(AUTOMATON_MOST))
+                    .determinize_size_limit(Some(MAKING_MOST)),
+            )
+            .syntax(syntax::Config::new().unicode(false).utf8(false).nest_limit(32))
+            .thompson(thompson::Config::new().utf8(false).nfa_size_limit(Some(MAKING_MOST)))
+            .build(pattern)
+            .map_err(|e| told(&e))?;
+        Ok(Self { automaton })
+    }
+
+    /// Whether it matches somewhere in `text`, and how many bytes were looked at.
+    pub fn finds(&self, text: &[u8]) -> (bool, usize) {
+        let dfa = &self.automaton;
+        let Ok(mut state) = dfa.start_state(&Start::new().anchored(Anchored::No)) else { return (false, 0) };
+        for (n, byte) in text.iter().enumerate() {
+            state = dfa.next_state(state, *byte);
+            if dfa.is_special_state(state) {
+                if dfa.is_match_state(state) {
+                    return (true, n + 1);
+                }
+                if dfa.is_dead_state(state) || dfa.is_quit_state(state) {
+                    return (false, n + 1);
+                }
+            }
+        }
+        (dfa.is_match_state(dfa.next_eoi_state(state)), text.len())
+    }
+
+    /// Bytes that it takes.
+    pub fn bytes(&self) -> usize {
+        self.automaton.memory_usage()
+    }
+}
+
+fn told(e: &dense::BuildError) -> String {
+    let mut cause: &dyn std::error::Error = e;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    let text = cause.to_string();
+    let last = text.lines().last().unwrap_or("").trim();
+    if e.is_size_limit_exceeded() || text.contains("size limit") || text.contains("exceed") {
+        format!("a pattern whose automaton has at most {AUTOMATON_MOST} bytes")
+    } else {
+        format!("a pattern of bytes ({last})")
+    }
+}
+
+/// All patterns of a set, each once.
+#[derive(Default)]
+pub struct Regexes {
+    /// The patterns, by number.
+    pub all: Vec<Regex>,
+    known: HashMap<String, u32>,
+}
+
+impl Regexes {
+    /// The number of a pattern, known or new.
+    pub fn add(&mut self, pattern: &str) -> Result<u32, String> {
+        if let Some(known) = self.known.get(pattern) {
+            return Ok(*known);
+        }
+        let made = Regex::new(pattern)?;
+        self.all.push(made);
+        let number = self.all.len() as u32 - 1;
+        self.known.insert(pattern.to_owned(), number);
+        Ok(number)
+    }
+
+    /// The number of a pattern that was added.
+    pub fn find(&self, pattern: &str) -> Option<&Regex> {
+        self.known.get(pattern).and_then(|n| self.all.get(*n as usize))
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/ruling.rs
@@ -0,0 +1,230 @@
+//! What rules may say of a request, and what several of them come to. This module alone decides that.
+//!
+//! A rule only ever narrows: it makes a request unrepeatable and never the reverse, lowers the attempts, shortens the
+//! wait, refuses. What it says of class, subject and place counts for what is not guarded: aim, worth, hash position,
+//! preference. The guards of the decision module go by the request's own class and key whatever a rule says.
+
+use crate::syntax::Span;
+use std::collections::BTreeSet;
+use yarrowspoke::interface::{Class, DedupScope, Effect, Micros, Ruled};
+
+/// A limit as the file states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitSource {
+    /// Expression of the key; one bucket for all if none.
+    pub key: Option<String>,
+    /// Requests a second, of all fronts together.
+    pub rate: f64,
+    /// Requests at once, of all fronts together.
+    pub burst: f64,
+}
+
+/// What a rule says, as the file states it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Says {
+    /// Counts with this class's aim and worth.
+    pub class: Option<String>,
+    /// Is never sent again once it may have run.
+    pub once: bool,
+    /// Expression of its subject.
+    pub subject: Option<String>,
+    /// Counts for this tenant.
+    pub tenant: Option<String>,
+    /// Most attempts.
+    pub attempts: Option<u32>,
+    /// A limit on such requests.
+    pub limit: Option<LimitSource>,
+    /// Prefers machines of this zone.
+    pub zone: Option<String>,
+    /// Prefers machines of this kind.
+    pub kind: Option<String>,
+    /// Longest time that the client's wait is taken for.
+    pub budget: Option<Micros>,
+    /// Is refused, to come back after so long.
+    pub refuse: Option<Micros>,
+}
+
+impl Says {
+    /// Whether it says anything.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// The names and bounds of a deployment, as its settings tell them.
+#[derive(Clone, Copy, Debug)]
+pub struct World<'a> {
+    /// Names of the classes.
+    pub class_names: &'a [String],
+    /// The classes.
+    pub classes: &'a [Class],
+    /// Names of the tenants.
+    pub tenants: &'a [String],
+    /// Names of the zones.
+    pub zones: &'a [String],
+    /// Names of the machines' kinds.
+    pub kinds: &'a [String],
+    /// Most attempts of a request.
+    pub max_attempts: u32,
+    /// How many fronts share a limit.
+    pub fronts: u32,
+}
+
+/// What a rule says, with names turned into positions.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bound {
+    /// For the decision module.
+    pub ruled: Ruled,
+    /// Counts for this tenant.
+    pub tenant: Option<u32>,
+    /// Longest time that the client's wait is taken for.
+    pub budget: Option<Micros>,
+    /// Rate and burst of this front's part of a limit.
+    pub limit: Option<(f64, f64)>,
+}
+
+/// What is wrong with what a rule says: what stands there and what was expected.
+pub type Refused = (String, String);
+
+/// Turns names into positions, for a rule that may hold for the classes named in `holds`, or for any if that is `None`.
+pub fn bind(says: &Says, holds: Option<&BTreeSet<String>>, world: &World) -> Result<Bound, Vec<Refused>> {
+    let mut faults = Vec::new();
+    let mut place = |what: &str, name: &Option<String>, all: &[String]| -> Option<usize> {
+        let name = name.as_ref()?;
+        let found = all.iter().position(|n| n == name);
+        if found.is_none() {
+            faults.push((format!("{what} {name:?}"), format!("one of {}", all.join(", "))));
+        }
+        found
+    };
+    let class = place("class", &says.class, world.class_names);
+    let tenant = place("tenant", &says.tenant, world.tenants);
+    let zone = place("zone", &says.zone, world.zones);
+    let kind = place("kind", &says.kind, world.kinds);
+    if let Some(n) = says.attempts.filter(|n| *n > world.max_attempts) {
+        let wanted = format!("at most the settings' {}", world.max_attempts);
+        faults.push((format!("{n} attempts"), wanted));
+    }
+    let mut once = says.once;
+    if let Some(target) = class {
+        for (own, name) in world.class_names.iter().enumerate() {
+            if holds.is_some_and(|h| !h.contains(name)) {
+                continue;
+            }
+            if let Some(wanted) = looser(&world.classes[own], &world.classes[target]) {
+                faults.push((
+                    format!("class {} for requests of class {name}", world.class_names[target]),
+                    wanted,
+                ));
+            }
+        }
+        once |= world.classes[target].effect == Effect::Once;
+    }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let ruled = Ruled {
+        once,
+        attempts: says.attempts,
+        like: class.map(|c| c as u8),
+        subject: None,
+        zone: zone.map(|z| z as u16),
+        kind: kind.map(|k| k as u8),
+        cut: 0,
+        refuse: says.refuse,
+    };
+    let fronts = f64::from(world.fronts.max(1));
+    let limit = says.limit.as_ref().map(|l| (l.rate / fronts, (l.burst / fronts).max(1.0)));
+    Ok(Bound { ruled, tenant: tenant.map(|t| t as u32), budget: says.budget, limit })
+}
+
+/// What would be expected, if counting a request of class `own` as `target` were to loosen what guards it.
+fn looser(own: &Class, target: &Class) -> Option<String> {
+    let group = |c: &Class| match c.scope {
+        DedupScope::All => "all machines",
+        DedupScope::Zone => "one zone",
+        DedupScope::Cell => "one cell",
+    };
+    match (own.effect, target.effect) {
+        (Effect::Repeatable, _) | (_, Effect::Once) => None,
+        (Effect::Once, _) => Some("a class that must never run twice either".to_owned()),
+        (Effect::ByKey, Effect::Repeatable) => {
+            Some("a class at least as strict: keyed or never twice".to_owned())
+        }
+        (Effect::ByKey, Effect::ByKey) => {
+            let same = own.scope == target.scope && own.dedup_window == target.dedup_window;
+            let wanted =
+                format!("a keyed class whose repeats {} drop for {} us", group(own), own.dedup_window);
+            (!same).then_some(wanted)
+        }
+    }
+}
+
+/// What all rules that hold come to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ruling {
+    /// For the decision module; `cut` is for the caller to fill in.
+    pub ruled: Ruled,
+    /// Counts for this tenant.
+    pub tenant: Option<u32>,
+    /// Longest time that the client's wait is taken for.
+    pub budget: Option<Micros>,
+    /// Rules that held.
+    pub matched: u32,
+    /// Conditions and keys that had no value.
+    pub faults: u32,
+}
+
+impl Ruling {
+    /// Takes in what one more rule says. Of bounds the tightest holds, of everything else the first that says it.
+    pub fn add(&mut self, bound: &Bound, subject: Option<u64>) {
+        let (mine, new) = (&mut self.ruled, &bound.ruled);
+        self.matched += 1;
+        mine.once |= new.once;
+        mine.attempts = least(mine.attempts, new.attempts);
+        mine.like = mine.like.or(new.like);
+        mine.subject = mine.subject.or(subject);
+        mine.zone = mine.zone.or(new.zone);
+        mine.kind = mine.kind.or(new.kind);
+        // The longest time to come back: sooner, another rule would refuse it again.
+        mine.refuse = mine.refuse.max(new.refuse);
+        self.tenant = self.tenant.or(bound.tenant);
+        self.budget = least(self.budget, bound.budget);
+    }
+}
+
+fn least<T: Ord>(a: Option<T>, b: Option<T>) -> Option<T> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// A place in a rule's texts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Piece {
+    /// Its condition.
+    When,
+    /// The expression of its subject.
+    Subject,
+    /// The expression of its limit's key.
+    LimitKey,
+    /// The rule as a whole.
+    #[default]
+    Whole,
+}
+
+/// Where a rule is at fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RuleFault {
+    /// The rule's position; `None` for the set as a whole.
+    pub rule: Option<usize>,
+    /// Which of its texts.
+    pub piece: Piece,
+    /// Where in that text.
+    pub at: Span,
+    /// What stands there.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/set.rs
@@ -0,0 +1,679 @@
+//! A set of rules: compiled as one whole or refused, and run for each request.
+
+use crate::bounds::{self, Bounds, RULES_MOST};
+use crate::buckets::Limit;
+use crate::check::Checker;
+use crate::direct;
+use crate::index::Index;
+use crate::logic::{all_of, any_of, never, shadowed, texts};
+use crate::parse::parse;
+use crate::program::{hash, Compiler, Machine, Part, Program, Value};
+use crate::regexes::Regexes;
+use crate::request::Request;
+use crate::ruling::{bind, Bound, Piece, RuleFault, Ruling, Says, World};
+use crate::syntax::{Expr, Fault, Kind, Span};
+use crate::terms::{Field, Pool, Term, TermId, Type, TEXT};
+use siphasher::sip::SipHasher13;
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hasher;
+
+/// Which of the rules that hold count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Order {
+    /// The first one only.
+    #[default]
+    First,
+    /// All of them, in order.
+    All,
+}
+
+/// One rule as the file states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RuleSource {
+    /// Its name, the only one of its set.
+    pub name: String,
+    /// Its condition.
+    pub when: String,
+    /// What it says.
+    pub says: Says,
+}
+
+/// A set as the file states it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SetSource {
+    /// Which of the rules that hold count.
+    pub order: Order,
+    /// Its bounds.
+    pub bounds: Bounds,
+    /// The rules.
+    pub rules: Vec<RuleSource>,
+}
+
+struct Rule {
+    name: String,
+    says: Says,
+    when: Part,
+    subject: Option<Part>,
+    limit_key: Option<Part>,
+    bound: Bound,
+    /// Number of its limit, the same before and after a reload.
+    limit_id: u64,
+    /// Its condition as it was written, for `explain`.
+    text: String,
+    /// Classes for which it can hold, if its condition names them.
+    holds: Option<BTreeSet<String>>,
+    /// It holds for every request of those classes.
+    whole_class: bool,
+}
+
+/// Something that loads, yet is hardly meant so.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Warning {
+    /// The rule's position, if it is about one.
+    pub rule: Option<usize>,
+    /// What is odd.
+    pub text: String,
+}
+
+/// A compiled set.
+pub struct Set {
+    order: Order,
+    bounds: Bounds,
+    rules: Vec<Rule>,
+    program: Program,
+    index: Index,
+    headers: Vec<String>,
+    price: u64,
+    /// What is odd in it.
+    pub warnings: Vec<Warning>,
+}
+
+/// What a rule came to, for those who ask why.
+#[derive(Clone, Debug)]
+pub struct Explained {
+    /// Its name.
+    pub name: String,
+    /// Whether it held; `None` where its condition had no value.
+    pub held: Option<bool>,
+    /// Whether the index found it.
+    pub found: bool,
+    /// The parts of its condition, each with what it came to.
+    pub parts: Vec<(String, String)>,
+}
+
+/// Steps of every request, whatever the rules: the call itself.
+const BEGIN: u64 = 4;
+
+impl Set {
+    /// Compiles a set; all faults that are found in one reading.
+    pub fn compile(source: &SetSource) -> Result<Self, Vec<RuleFault>> {
+        let mut faults = Vec::new();
+        let whole = |rule, found: String, expected: String| RuleFault {
+            rule,
+            piece: Piece::Whole,
+            at: Span::default(),
+            found,
+            expected,
+        };
+        if source.rules.len() > RULES_MOST {
+            let found = format!("{} rules", source.rules.len());
+            return Err(vec![whole(None, found, format!("at most {RULES_MOST}"))]);
+        }
+        let mut pool = Pool::new(source.bounds);
+        let mut regexes = Regexes::default();
+        let mut read: Vec<Read> = Vec::new();
+        let mut named: HashMap<&str, usize> = HashMap::new();
+        for (n, rule) in source.rules.iter().enumerate() {
+            if let Some(first) = named.insert(&rule.name, n) {
+                let wanted = format!("another name: rule {} has it", first + 1);
+                faults.push(whole(Some(n), format!("a second rule {}", rule.name), wanted));
+            }
+            if rule.says.is_empty() {
+                let wanted = "something that it says: class, effect, refuse and so on".to_owned();
+                faults.push(whole(Some(n), format!("rule {} that says nothing", rule.name), wanted));
+            }
+            let mut take = |piece: Piece, text: &str, ty: Type, dear: &mut Dear| {
+                let mut checker =
+                    Checker { pool: &mut pool, regexes: &mut regexes, dearest: (0, Span::default()) };
+                let done = parse(text).and_then(|tree| checker.root(&tree, ty));
+                dear.note(checker.dearest, piece, text);
+                match done {
+                    Ok(done) => Some(done),
+                    Err(Fault { at, found, expected }) => {
+                        faults.push(RuleFault { rule: Some(n), piece, at, found, expected });
+                        None
+                    }
+                }
+            };
+            let mut dear = Dear::default();
+            let when = take(Piece::When, &rule.when, Type::Bool, &mut dear);
+            let subject = rule.says.subject.as_ref().map(|s| take(Piece::Subject, s, TEXT, &mut dear));
+            let key = rule.says.limit.as_ref().and_then(|l| l.key.as_ref());
+            let key = key.map(|k| take(Piece::LimitKey, k, TEXT, &mut dear));
+            if let Some(when) = when {
+                read.push(Read { when, subject: subject.flatten(), key: key.flatten(), dear });
+            }
+            // Danger: patterns are made while the file is read, and thousands of large ones would fill the memory
+            // before the whole is weighed.
+            let made: usize = regexes.all.iter().map(|r| r.bytes()).sum();
+            if made > source.bounds.bytes {
+                let found = format!("regular expressions of {made} bytes up to rule {}", rule.name);
+                faults.push(whole(Some(n), found, format!("at most {} for the set", source.bounds.bytes)));
+                break;
+            }
+        }
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        Self::assemble(source, pool, regexes, read)
+    }
+
+    fn assemble(
+        source: &SetSource,
+        pool: Pool,
+        regexes: Regexes,
+        read: Vec<Read>,
+    ) -> Result<Self, Vec<RuleFault>> {
+        let uses = uses(&pool, &read);
+        let mut compiler = Compiler::new(&pool, &uses, regexes);
+        let mut rules = Vec::new();
+        let mut weights = Vec::new();
+        let mut actions = Vec::new();
+        for (rule, read) in source.rules.iter().zip(&read) {
+            let when = compiler.part(read.when);
+            let subject = read.subject.map(|id| compiler.part(id));
+            let limit_key = read.key.map(|id| compiler.part(id));
+            // Keys are hashed once they are there.
+            let keyed = |part: Option<Part>, id: Option<TermId>| {
+                part.map_or(0, |p| p.price + id.map_or(0, |id| bounds::lookup(pool.facts(id).most)))
+            };
+            let action = 1 + keyed(subject, read.subject) + keyed(limit_key, read.key);
+            let (holds, whole_class) = classes(&pool, read.when);
+            weights.push(1 + when.price + if source.order == Order::All { action } else { 0 });
+            actions.push(action);
+            rules.push(Rule {
+                name: rule.name.clone(),
+                says: rule.says.clone(),
+                when,
+                subject,
+                limit_key,
+                bound: Bound::default(),
+                limit_id: hash(&rule.name) as u64,
+                text: rule.when.clone(),
+                holds,
+                whole_class,
+            });
+        }
+        let conditions: Vec<TermId> = read.iter().map(|r| r.when).collect();
+        let names: Vec<&str> = rules.iter().map(|r| r.name.as_str()).collect();
+        let index = Index::build(&pool, &conditions, &weights, &names, &mut compiler);
+        let program = compiler.finish();
+        let segments = if program.segmented { bounds::scan(source.bounds.target) } else { 0 };
+        let action = match source.order {
+            Order::First => actions.iter().copied().max().unwrap_or(0),
+            Order::All => 0,
+        };
+        let price = BEGIN + segments + index.price + action;
+        let warnings = warnings(&pool, source, &conditions);
+        let headers = pool.headers;
+        let set = Self {
+            order: source.order,
+            bounds: source.bounds,
+            rules,
+            program,
+            index,
+            headers,
+            price,
+            warnings,
+        };
+        set.within_bounds(&read, &weights, &actions).map(|()| set)
+    }
+
+    /// Refuses what is too dear or too large, naming the dearest part.
+    fn within_bounds(&self, read: &[Read], weights: &[u64], actions: &[u64]) -> Result<(), Vec<RuleFault>> {
+        let whole = |found: String, expected: String| RuleFault {
+            rule: None,
+            piece: Piece::Whole,
+            at: Span::default(),
+            found,
+            expected,
+        };
+        let mut faults = Vec::new();
+        for (n, read) in read.iter().enumerate() {
+            let own = weights[n].max(1 + self.rules[n].when.price + actions[n]);
+            if own > self.bounds.steps {
+                let Dear { price, at, piece, text } = &read.dear;
+                let found = format!(
+                    "rule {} of up to {own} steps, the dearest of them {price} for {}",
+                    self.rules[n].name,
+                    shown(text, *at)
+                );
+                let expected = format!("at most {} steps", self.bounds.steps);
+                faults.push(RuleFault { rule: Some(n), piece: *piece, at: *at, found, expected });
+            }
+        }
+        if faults.is_empty() && self.price > self.bounds.steps {
+            let found = format!(
+                "rules that may cost a request {} steps, the dearest part {}",
+                self.price, self.index.dearest
+            );
+            faults.push(whole(found, format!("at most {} steps", self.bounds.steps)));
+        }
+        let bytes = self.bytes();
+        if bytes > self.bounds.bytes {
+            let found = format!("a compiled set of {bytes} bytes");
+            faults.push(whole(found, format!("at most {} bytes", self.bounds.bytes)));
+        }
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Turns the rules' names into a deployment's positions; refuses what would loosen its guards.
+    pub fn bind(&mut self, world: &World) -> Result<(), Vec<RuleFault>> {
+        let mut faults = Vec::new();
+        for (n, rule) in self.rules.iter_mut().enumerate() {
+            match bind(&rule.says, rule.holds.as_ref(), world) {
+                Ok(bound) => rule.bound = bound,
+                Err(refused) => faults.extend(refused.into_iter().map(|(found, expected)| RuleFault {
+                    rule: Some(n),
+                    piece: Piece::Whole,
+                    at: Span::default(),
+                    found,
+                    expected,
+                })),
+            }
+        }
+        for (n, rule) in self.rules.iter().enumerate() {
+            for class in rule.holds.iter().flatten().filter(|c| !world.class_names.contains(c)) {
+                let text = format!("asks for class {class:?}, which the settings don't name");
+                self.warnings.push(Warning { rule: Some(n), text });
+            }
+        }
+        let refused = |class: &String| {
+            let mut whole = self.rules.iter().filter(|r| r.whole_class);
+            whole.any(|r| r.says.refuse.is_some() && r.holds.as_ref().is_none_or(|h| h.contains(class)))
+        };
+        let out: Vec<&str> = world.class_names.iter().filter(|c| refused(c)).map(String::as_str).collect();
+        if !out.is_empty() {
+            let all = out.len() == world.class_names.len();
+            let what =
+                if all { "every request".to_owned() } else { format!("every request of {}", out.join(", ")) };
+            // In "first match" an earlier rule may let some through: that is told apart.
+            let unless = match self.order {
+                Order::First => ", unless an earlier rule holds for it",
+                Order::All => "",
+            };
+            self.warnings.push(Warning { rule: None, text: format!("{what} is refused{unless}") });
+        }
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Most steps that a request can cost.
+    pub fn price(&self) -> u64 {
+        self.price
+    }
+
+    /// What costs most of that, in words.
+    pub fn dearest(&self) -> &str {
+        &self.index.dearest
+    }
+
+    /// The bounds under which it was compiled.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Names of the headers that it reads, in lower case, in the order of [`Request::headers`].
+    pub fn headers(&self) -> &[String] {
+        &self.headers
+    }
+
+    /// How many rules it has.
+    pub fn len(&self) -> usize {
+        self.rules.len()
+    }
+
+    /// Whether it has no rules.
+    pub fn is_empty(&self) -> bool {
+        self.rules.is_empty()
+    }
+
+    /// Rules that are looked at for every request.
+    pub fn unfound(&self) -> usize {
+        self.index.unfound
+    }
+
+    /// Regular expressions, and bytes of their automata.
+    pub fn regexes(&self) -> (usize, usize) {
+        let all = &self.program.regexes.all;
+        (all.len(), all.iter().map(|r| r.bytes()).sum())
+    }
+
+    /// Bytes that it takes.
+    pub fn bytes(&self) -> usize {
+        let rule = |r: &Rule| {
+            let names = r.holds.iter().flatten().map(|n| n.len() + 40).sum::<usize>();
+            size_of::<Rule>() + r.name.len() + r.text.len() + names
+        };
+        self.rules.iter().map(rule).sum::<usize>() + self.program.bytes() + self.index.bytes()
+    }
+
+    /// Whether a limit of this number is stated.
+    pub fn has_limit(&self, id: u64) -> bool {
+        self.rules.iter().any(|r| r.limit_id == id && r.says.limit.is_some())
+    }
+
+    /// What the rules come to for a request that [fits](Request::fits) the bounds. With `COUNTED` the steps in fact taken
+    /// are in [`Scratch::steps`].
+    pub fn rule<const COUNTED: bool>(&self, scratch: &mut Scratch, request: &Request) -> Ruling {
+        scratch.limits.clear();
+        let Scratch { machine, bits, .. } = scratch;
+        machine.begin(&self.program, request);
+        if COUNTED {
+            let segments = if self.program.segmented { bounds::scan(request.path().len()) } else { 0 };
+            machine.steps += BEGIN + segments;
+        }
+        self.index.find::<COUNTED>(&self.program, machine, request, bits);
+        let mut ruling = Ruling::default();
+        for word in 0..scratch.bits.len() {
+            let mut left = scratch.bits[word];
+            while left != 0 {
+                let n = word * 64 + left.trailing_zeros() as usize;
+                left &= left - 1;
+                let rule = &self.rules[n];
+                let machine = &mut scratch.machine;
+                if COUNTED {
+                    machine.steps += 1;
+                }
+                match machine.run::<COUNTED>(&self.program, rule.when, request) {
+                    Ok(Value::Bool(true)) => {}
+                    Ok(_) => continue,
+                    Err(_) => {
+                        ruling.faults += 1;
+                        continue;
+                    }
+                }
+                if COUNTED {
+                    machine.steps += 1;
+                }
+                self.apply::<COUNTED>(rule, scratch, request, &mut ruling);
+                if self.order == Order::First {
+                    return ruling;
+                }
+            }
+        }
+        ruling
+    }
+
+    fn apply<const COUNTED: bool>(
+        &self,
+        rule: &Rule,
+        scratch: &mut Scratch,
+        request: &Request,
+        ruling: &mut Ruling,
+    ) {
+        let Scratch { machine, limits, keys, .. } = scratch;
+        let subject = self.subject::<COUNTED>(rule, machine, request);
+        ruling.faults += u32::from(rule.subject.is_some() && subject.is_none());
+        if let Some((rate, burst)) = rule.bound.limit {
+            let mut hasher = SipHasher13::new_with_keys(keys.0, keys.1);
+            hasher.write_u64(rule.limit_id);
+            match rule.limit_key.map(|part| machine.run::<COUNTED>(&self.program, part, request)) {
+                Some(Ok(Value::Text(slice))) => {
+                    if COUNTED {
+                        machine.steps += bounds::lookup(slice.bytes());
+                    }
+                    hasher.write(machine.text(&self.program, request, slice).as_bytes());
+                }
+                // Without a value all such requests share one key, which limits them together.
+                Some(_) => ruling.faults += 1,
+                None => {}
+            }
+            limits.push((Limit { rule: rule.limit_id, rate, burst }, hasher.finish()));
+        }
+        ruling.add(&rule.bound, subject);
+    }
+
+    /// A rule's subject, by a hash without a key of this front's own: fronts that placed a subject differently would send
+    /// it to different builds.
+    fn subject<const COUNTED: bool>(
+        &self,
+        rule: &Rule,
+        machine: &mut Machine,
+        request: &Request,
+    ) -> Option<u64> {
+        let Ok(Value::Text(slice)) = machine.run::<COUNTED>(&self.program, rule.subject?, request) else {
+            return None;
+        };
+        if COUNTED {
+            machine.steps += bounds::lookup(slice.bytes());
+        }
+        // 0 stands for "no subject".
+        Some((hash(machine.text(&self.program, request, slice)) as u64).max(1))
+    }
+
+    /// The conditions as syntax trees, for [`Set::plainly`].
+    pub fn trees(&self) -> Vec<Expr> {
+        self.rules.iter().filter_map(|r| parse(&r.text).ok()).collect()
+    }
+
+    /// The rules that hold, found by trying each in turn with the syntax tree as it stands.
+    pub fn plainly(&self, trees: &[Expr], request: &Request) -> Vec<usize> {
+        let holds = |tree: &Expr| {
+            let value = direct::value(tree, request, &self.program.regexes, &self.headers);
+            value == Some(direct::Plain::Bool(true))
+        };
+        let all = (0..trees.len()).filter(|n| holds(&trees[*n]));
+        match self.order {
+            Order::First => all.take(1).collect(),
+            Order::All => all.collect(),
+        }
+    }
+
+    /// The rules that hold, by the compiled conditions, tried each in turn without the index: the way that is faster than
+    /// the plain one and slower than [`Set::rule`].
+    pub fn in_turn(&self, scratch: &mut Scratch, request: &Request) -> Vec<usize> {
+        scratch.machine.begin(&self.program, request);
+        let mut out = Vec::new();
+        for (n, rule) in self.rules.iter().enumerate() {
+            if scratch.machine.run::<false>(&self.program, rule.when, request) == Ok(Value::Bool(true)) {
+                out.push(n);
+                if self.order == Order::First {
+                    break;
+                }
+            }
+        }
+        out
+    }
+
+    /// The rules that hold, by the index and the compiled conditions.
+    pub fn found(&self, scratch: &mut Scratch, request: &Request) -> Vec<usize> {
+        let Scratch { machine, bits, .. } = scratch;
+        machine.begin(&self.program, request);
+        self.index.find::<false>(&self.program, machine, request, bits);
+        let all = (0..self.rules.len()).filter(|n| bits[n / 64] >> (n % 64) & 1 == 1);
+        let holds = |n: &usize| {
+            machine.run::<false>(&self.program, self.rules[*n].when, request) == Ok(Value::Bool(true))
+        };
+        let all = all.filter(holds);
+        match self.order {
+            Order::First => all.take(1).collect(),
+            Order::All => all.collect(),
+        }
+    }
+
+    /// What each rule came to that the index found, or that `all` of them came to.
+    pub fn explain(&self, scratch: &mut Scratch, request: &Request, all: bool) -> Vec<Explained> {
+        let Scratch { machine, bits, .. } = scratch;
+        machine.begin(&self.program, request);
+        self.index.find::<false>(&self.program, machine, request, bits);
+        let found = |n: usize| bits[n / 64] >> (n % 64) & 1 == 1;
+        let value = |e: &Expr| direct::value(e, request, &self.program.regexes, &self.headers);
+        let rules = self.rules.iter().enumerate().filter(|(n, _)| all || found(*n));
+        rules
+            .filter_map(|(n, rule)| {
+                let tree = parse(&rule.text).ok()?;
+                let parts = match &tree.kind {
+                    Kind::And(parts) | Kind::Or(parts) => parts.as_slice(),
+                    _ => std::slice::from_ref(&tree),
+                };
+                let told =
+                    |e: &Expr| (e.to_string(), value(e).map_or("no value".to_owned(), |v| v.to_string()));
+                let held = match value(&tree) {
+                    Some(direct::Plain::Bool(b)) => Some(b),
+                    _ => None,
+                };
+                let parts = parts.iter().map(told).collect();
+                Some(Explained { name: rule.name.clone(), held, found: found(n), parts })
+            })
+            .collect()
+    }
+
+    /// What the expressions of a rule's subject and limit come to.
+    pub fn says(&self, rule: usize) -> &Says {
+        &self.rules[rule].says
+    }
+
+    /// A rule's name.
+    pub fn name(&self, rule: usize) -> &str {
+        &self.rules[rule].name
+    }
+}
+
+/// What running a set needs, kept from one request to the next. It belongs to one set.
+pub struct Scratch {
+    machine: Machine,
+    bits: Vec<u64>,
+    limits: Vec<(Limit, u64)>,
+    keys: (u64, u64),
+}
+
+impl Scratch {
+    /// For one set. `seed` keeps clients from foreseeing which keys of limits fall together.
+    pub fn new(set: &Set, seed: u64) -> Self {
+        let bits = Vec::with_capacity(set.rules.len().div_ceil(64));
+        let keys = (seed, seed.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15);
+        Self { machine: Machine::new(&set.program), bits, limits: Vec::new(), keys }
+    }
+
+    /// Limits that the last request is under.
+    pub fn limits(&self) -> &[(Limit, u64)] {
+        &self.limits
+    }
+
+    /// Steps that the last request took, if they were counted.
+    pub fn steps(&self) -> u64 {
+        self.machine.steps
+    }
+}
+
+/// A rule that has been read.
+struct Read {
+    when: TermId,
+    subject: Option<TermId>,
+    key: Option<TermId>,
+    dear: Dear,
+}
+
+/// The dearest operation of a rule.
+#[derive(Default)]
+struct Dear {
+    price: u64,
+    at: Span,
+    piece: Piece,
+    text: String,
+}
+
+impl Dear {
+    fn note(&mut self, (price, at): (u64, Span), piece: Piece, text: &str) {
+        if price > self.price {
+            (self.price, self.at, self.piece, self.text) = (price, at, piece, text.to_owned());
+        }
+    }
+}
+
+/// A piece of a text, cut to a length that fits a line.
+fn shown(text: &str, at: Span) -> String {
+    let piece = text.get(at.from..at.to).unwrap_or(text);
+    let short: String = piece.chars().take(60).collect();
+    if short.len() < piece.len() {
+        format!("`{short}...`")
+    } else {
+        format!("`{short}`")
+    }
+}
+
+/// How many rules use each term; one that a rule uses several times counts as several.
+fn uses(pool: &Pool, read: &[Read]) -> Vec<u32> {
+    let mut uses = vec![0u32; pool.terms()];
+    let roots = read.iter().flat_map(|r| [Some(r.when), r.subject, r.key]).flatten();
+    let mut work: Vec<TermId> = roots.collect();
+    while let Some(id) = work.pop() {
+        uses[id as usize] = uses[id as usize].saturating_add(1);
+        // The parts of a term that was met before are counted through it.
+        if uses[id as usize] == 1 {
+            work.extend(pool.parts(id));
+        }
+    }
+    uses
+}
+
+/// The classes for which a condition can hold, if it names them, and whether it holds for all their requests.
+fn classes(pool: &Pool, condition: TermId) -> (Option<BTreeSet<String>>, bool) {
+    let mut out = BTreeSet::new();
+    let mut whole = true;
+    for alternative in any_of(pool, condition) {
+        let parts = all_of(pool, alternative);
+        let named = parts.iter().find_map(|p| {
+            let (of, texts) = texts(pool, *p)?;
+            matches!(pool.term(of), Term::Field(Field::Class)).then_some(texts)
+        });
+        whole &= parts.len() <= usize::from(named.is_some());
+        match named {
+            Some(texts) => out.extend(texts.iter().map(|t| t.to_string())),
+            None => return (None, parts.is_empty()),
+        }
+    }
+    (Some(out), whole)
+}
+
+fn warnings(pool: &Pool, source: &SetSource, conditions: &[TermId]) -> Vec<Warning> {
+    let mut out = Vec::new();
+    let name = |n: usize| &source.rules[n].name;
+    for (n, condition) in conditions.iter().enumerate() {
+        if never(pool, *condition) {
+            out.push(Warning { rule: Some(n), text: format!("rule {} can never hold", name(n)) });
+        }
+    }
+    if source.order == Order::First {
+        let (covered, complete) = shadowed(pool, conditions);
+        for (n, by) in covered.into_iter().enumerate() {
+            if let Some(by) = by {
+                let text =
+                    format!("rule {} is never reached: rule {} holds wherever it does", name(n), name(by));
+                out.push(Warning { rule: Some(n), text });
+            }
+        }
+        if !complete {
+            let text = "too many like rules: not all were compared for being never reached".to_owned();
+            out.push(Warning { rule: None, text });
+        }
+    }
+    out
+}
+
+impl std::fmt::Debug for Set {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Set")
+            .field("rules", &self.rules.len())
+            .field("price", &self.price)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/syntax.rs
@@ -0,0 +1,289 @@
+//! The syntax tree, with the place of every node, and its printing.
+
+use std::fmt;
+
+/// Bytes of the text from which a node was read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Span {
+    /// First byte.
+    pub from: usize,
+    /// Byte behind the last one.
+    pub to: usize,
+}
+
+/// A node and where it stands.
+#[derive(Clone, Debug)]
+pub struct Expr {
+    /// Where it stands.
+    pub at: Span,
+    /// What it is.
+    pub kind: Kind,
+    /// Levels from it down to its deepest part, itself included.
+    pub(crate) height: usize,
+}
+
+/// What a node is.
+#[derive(Clone, Debug)]
+pub enum Kind {
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number of 64 bits.
+    Int(i64),
+    /// A span of time in microseconds: `250ms`, `2s`, `1m`, `1h`.
+    Duration(i64),
+    /// A string.
+    Text(String),
+    /// `[a, b]`.
+    List(Vec<Expr>),
+    /// A field of the request.
+    Name(String),
+    /// `a[b]`.
+    Index(Box<Expr>, Box<Expr>),
+    /// `a.f(b)` or `f(a, b)`: the same call, as written in the first or the second way.
+    Call {
+        /// The function.
+        name: String,
+        /// Its arguments; the receiver first.
+        args: Vec<Expr>,
+        /// Written as `a.f(b)`.
+        method: bool,
+    },
+    /// `!a` or `-a`.
+    Unary(Unary, Box<Expr>),
+    /// `a + b` and the like.
+    Binary(Binary, Box<Expr>, Box<Expr>),
+    /// `a && b && ...`.
+    And(Vec<Expr>),
+    /// `a || b || ...`.
+    Or(Vec<Expr>),
+    /// `a ? b : c`.
+    Choice(Box<[Expr; 3]>),
+}
+
+/// An operator before its operand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unary {
+    /// `!`
+    Not,
+    /// `-`
+    Neg,
+}
+
+/// An operator between two operands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Binary {
+    /// `==`
+    Eq,
+    /// `!=`
+    Ne,
+    /// `<`
+    Lt,
+    /// `<=`
+    Le,
+    /// `>`
+    Gt,
+    /// `>=`
+    Ge,
+    /// `in`
+    In,
+    /// `+`
+    Add,
+    /// `-`
+    Sub,
+    /// `*`
+    Mul,
+    /// `/`
+    Div,
+    /// `%`
+    Rem,
+}
+
+impl Binary {
+    /// As it is written.
+    pub fn sign(self) -> &'static str {
+        match self {
+            Self::Eq => "==",
+            Self::Ne => "!=",
+            Self::Lt => "<",
+            Self::Le => "<=",
+            Self::Gt => ">",
+            Self::Ge => ">=",
+            Self::In => "in",
+            Self::Add => "+",
+            Self::Sub => "-",
+            Self::Mul => "*",
+            Self::Div => "/",
+            Self::Rem => "%",
+        }
+    }
+
+    /// How strongly it binds; a higher figure binds more strongly.
+    pub fn strength(self) -> u8 {
+        match self {
+            Self::Eq | Self::Ne | Self::Lt | Self::Le | Self::Gt | Self::Ge | Self::In => 4,
+            Self::Add | Self::Sub => 5,
+            Self::Mul | Self::Div | Self::Rem => 6,
+        }
+    }
+}
+
+impl Kind {
+    /// Levels of its deepest part.
+    fn height(&self) -> usize {
+        let most = |parts: &[Expr]| parts.iter().map(|p| p.height).max().unwrap_or(0);
+        match self {
+            Self::Bool(_) | Self::Int(_) | Self::Duration(_) | Self::Text(_) | Self::Name(_) => 0,
+            Self::List(parts) | Self::And(parts) | Self::Or(parts) => most(parts),
+            Self::Call { args, .. } => most(args),
+            Self::Unary(_, a) => a.height,
+            Self::Index(a, b) | Self::Binary(_, a, b) => a.height.max(b.height),
+            Self::Choice(parts) => most(parts.as_slice()),
+        }
+    }
+}
+
+impl Expr {
+    /// A node.
+    pub fn new(at: Span, kind: Kind) -> Self {
+        let height = kind.height() + 1;
+        Self { at, kind, height }
+    }
+
+    fn strength(&self) -> u8 {
+        match &self.kind {
+            Kind::Choice(_) => 1,
+            Kind::Or(_) => 2,
+            Kind::And(_) => 3,
+            Kind::Binary(op, ..) => op.strength(),
+            Kind::Unary(..) => 7,
+            // A negative number is printed with its sign.
+            Kind::Int(n) | Kind::Duration(n) if *n < 0 => 7,
+            _ => 8,
+        }
+    }
+
+    fn put(&self, f: &mut fmt::Formatter<'_>, least: u8) -> fmt::Result {
+        if self.strength() < least {
+            f.write_str("(")?;
+            self.put(f, 0)?;
+            return f.write_str(")");
+        }
+        let list = |f: &mut fmt::Formatter<'_>, parts: &[Expr], sign: &str, least: u8| {
+            for (n, part) in parts.iter().enumerate() {
+                if n > 0 {
+                    f.write_str(sign)?;
+                }
+                part.put(f, least)?;
+            }
+            Ok(())
+        };
+        match &self.kind {
+            Kind::Bool(b) => write!(f, "{b}"),
+            Kind::Int(n) => write!(f, "{n}"),
+            Kind::Duration(us) => put_duration(f, *us),
+            Kind::Text(t) => put_text(f, t),
+            Kind::Name(n) => f.write_str(n),
+            Kind::List(parts) => {
+                f.write_str("[")?;
+                list(f, parts, ", ", 0)?;
+                f.write_str("]")
+            }
+            Kind::Index(of, at) => {
+                of.put(f, 8)?;
+                f.write_str("[")?;
+                at.put(f, 0)?;
+                f.write_str("]")
+            }
+            Kind::Call { name, args, method } => {
+                let rest = match args.split_first() {
+                    Some((first, rest)) if *method => {
+                        first.put(f, 8)?;
+                        f.write_str(".")?;
+                        rest
+                    }
+                    _ => args,
+                };
+                write!(f, "{name}(")?;
+                list(f, rest, ", ", 0)?;
+                f.write_str(")")
+            }
+            Kind::Unary(op, of) => {
+                f.write_str(if *op == Unary::Not { "!" } else { "-" })?;
+                // `--1` would read as the same, yet `-(-1)` says what is meant.
+                of.put(f, 8)
+            }
+            Kind::Binary(op, a, b) => {
+                let s = op.strength();
+                // Comparisons do not chain, and the others group to the left.
+                a.put(f, if s == 4 { s + 1 } else { s })?;
+                write!(f, " {} ", op.sign())?;
+                b.put(f, s + 1)
+            }
+            Kind::And(parts) => list(f, parts, " && ", 4),
+            Kind::Or(parts) => list(f, parts, " || ", 3),
+            Kind::Choice(parts) => {
+                parts[0].put(f, 2)?;
+                f.write_str(" ? ")?;
+                parts[1].put(f, 1)?;
+                f.write_str(" : ")?;
+                parts[2].put(f, 1)
+            }
+        }
+    }
+}
+
+/// A span of time as the language writes it.
+pub fn put_duration(f: &mut impl fmt::Write, us: i64) -> fmt::Result {
+    for (unit, of) in [("h", 3_600_000_000), ("m", 60_000_000), ("s", 1_000_000), ("ms", 1_000)] {
+        if us != 0 && us % of == 0 {
+            return write!(f, "{}{unit}", us / of);
+        }
+    }
+    write!(f, "{us}us")
+}
+
+/// A string as the language writes it.
+pub fn put_text(f: &mut impl fmt::Write, text: &str) -> fmt::Result {
+    f.write_char('\'')?;
+    for c in text.chars() {
+        match c {
+            '\'' => f.write_str("\\'")?,
+            '\\' => f.write_str("\\\\")?,
+            '\n' => f.write_str("\\n")?,
+            '\r' => f.write_str("\\r")?,
+            '\t' => f.write_str("\\t")?,
+            c => f.write_char(c)?,
+        }
+    }
+    f.write_char('\'')
+}
+
+impl fmt::Display for Expr {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.put(f, 0)
+    }
+}
+
+/// Why an expression cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Where.
+    pub at: Span,
+    /// What stands there.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl Fault {
+    /// A fault of what stands at `at`.
+    pub fn new(at: Span, found: impl fmt::Display, expected: impl fmt::Display) -> Self {
+        Self { at, found: found.to_string(), expected: expected.to_string() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "character {}: found {}, expected {}", self.at.from + 1, self.found, self.expected)
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/src/terms.rs
@@ -0,0 +1,387 @@
+//! Typed terms, each kept once however many rules hold it.
+
+use crate::bounds::{self, Bounds, BUILT_MOST, METHOD_MOST, NAME_MOST};
+use crate::syntax::{put_duration, put_text};
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// A term's number in its pool.
+pub type TermId = u32;
+
+/// Types of optional values and of list entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Basic {
+    /// A whole number.
+    Int,
+    /// A span of time.
+    Duration,
+    /// A string.
+    Text,
+}
+
+/// Types of values.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Type {
+    /// `true` or `false`.
+    Bool,
+    /// A value that is there.
+    Plain(Basic),
+    /// A value that may not be there.
+    Maybe(Basic),
+    /// The path's segments: a list of strings.
+    Segments,
+}
+
+/// The type of strings.
+pub const TEXT: Type = Type::Plain(Basic::Text);
+/// The type of whole numbers.
+pub const INT: Type = Type::Plain(Basic::Int);
+/// The type of spans of time.
+pub const DURATION: Type = Type::Plain(Basic::Duration);
+
+impl fmt::Display for Basic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Int => "int",
+            Self::Duration => "duration",
+            Self::Text => "string",
+        })
+    }
+}
+
+impl fmt::Display for Type {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bool => f.write_str("bool"),
+            Self::Plain(b) => write!(f, "{b}"),
+            Self::Maybe(b) => write!(f, "optional {b}"),
+            Self::Segments => f.write_str("list of string"),
+        }
+    }
+}
+
+/// A field of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Field {
+    /// The method.
+    Method,
+    /// The target up to its `?`.
+    Path,
+    /// Path and query.
+    Target,
+    /// The class.
+    Class,
+    /// The tenant, empty if none that the settings name.
+    Tenant,
+    /// The subject: the query parameter `key`.
+    Key,
+    /// How long the client waits.
+    Budget,
+    /// The client's guess at the work.
+    Hint,
+    /// Marked as a repeat.
+    Repeat,
+    /// Bytes of the body.
+    Length,
+}
+
+/// Names and types of the fields.
+pub const FIELDS: [(&str, Field, Type); 10] = [
+    ("method", Field::Method, TEXT),
+    ("path", Field::Path, TEXT),
+    ("target", Field::Target, TEXT),
+    ("class", Field::Class, TEXT),
+    ("tenant", Field::Tenant, TEXT),
+    ("key", Field::Key, Type::Maybe(Basic::Text)),
+    ("budget", Field::Budget, DURATION),
+    ("hint", Field::Hint, Type::Maybe(Basic::Duration)),
+    ("repeat", Field::Repeat, Type::Bool),
+    ("length", Field::Length, INT),
+];
+
+/// A constant in a list.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Const {
+    /// A whole number, or a span of time in microseconds.
+    Int(i64),
+    /// A string.
+    Text(Arc<str>),
+}
+
+/// An operator between numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Math {
+    /// `+`
+    Add,
+    /// `-`
+    Sub,
+    /// `*`
+    Mul,
+    /// `/`
+    Div,
+    /// `%`
+    Rem,
+}
+
+impl Math {
+    /// The result, if there is one: none on overflow and on division by zero.
+    pub fn of(self, a: i64, b: i64) -> Option<i64> {
+        match self {
+            Self::Add => a.checked_add(b),
+            Self::Sub => a.checked_sub(b),
+            Self::Mul => a.checked_mul(b),
+            Self::Div => a.checked_div(b),
+            Self::Rem => a.checked_rem(b),
+        }
+    }
+}
+
+/// A test of one text by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Affix {
+    /// `startsWith`
+    Starts,
+    /// `endsWith`
+    Ends,
+    /// `contains`
+    Holds,
+}
+
+/// A typed term. Operands are of the types that the checker saw to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Term {
+    /// A constant.
+    Bool(bool),
+    /// A number, or microseconds.
+    Int(i64, Basic),
+    /// A string.
+    Text(Arc<str>),
+    /// A field.
+    Field(Field),
+    /// The header read in this place.
+    Header(u16),
+    /// The first query parameter of this name.
+    Query(Arc<str>),
+    /// A path segment by its number.
+    Segment(u8),
+    /// How many segments there are.
+    SegmentCount,
+    /// Two values of one type are the same.
+    Eq(TermId, TermId),
+    /// `a < b`
+    Less(TermId, TermId),
+    /// `a <= b`
+    LessEq(TermId, TermId),
+    /// `!a`
+    Not(TermId),
+    /// All hold; the rest is not looked at after one that does not.
+    And(Vec<TermId>),
+    /// One holds.
+    Or(Vec<TermId>),
+    /// `a ? b : c`
+    Choice(TermId, TermId, TermId),
+    /// Arithmetic.
+    Math(Math, TermId, TermId),
+    /// Strings joined.
+    Concat(Vec<TermId>),
+    /// A test of one text by another.
+    Affix(Affix, TermId, TermId),
+    /// A regular expression matches somewhere.
+    Matches(TermId, u32),
+    /// Bytes of a text.
+    Size(TermId),
+    /// It is one of these.
+    OneOf(TermId, Arc<[Const]>),
+    /// A segment is this text.
+    InSegments(TermId),
+    /// The value is there.
+    Has(TermId),
+    /// The value, or another if it is not there.
+    OrValue(TermId, TermId),
+    /// A hash, from 0 up.
+    Hash(TermId),
+    /// A text read as a number.
+    ToInt(TermId),
+    /// A text with its ASCII letters in lower case.
+    Lower(TermId),
+}
+
+/// What the pool knows of a term.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts {
+    /// Its type.
+    pub ty: Type,
+    /// Most bytes of a text.
+    pub most: usize,
+    /// Most steps of its own operation.
+    pub own: u64,
+    /// Most steps of it with all its parts.
+    pub whole: u64,
+    /// Bytes that it may build, with all its parts.
+    pub builds: usize,
+}
+
+/// All terms of a set.
+pub struct Pool {
+    /// Bounds of what requests hold.
+    pub bounds: Bounds,
+    terms: Vec<Term>,
+    facts: Vec<Facts>,
+    ids: HashMap<Term, TermId>,
+    /// Headers that terms read, in lower case.
+    pub headers: Vec<String>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, terms: Vec::new(), facts: Vec::new(), ids: HashMap::new(), headers: Vec::new() }
+    }
+
+    /// The term of this number.
+    pub fn term(&self, id: TermId) -> &Term {
+        &self.terms[id as usize]
+    }
+
+    /// What is known of it.
+    pub fn facts(&self, id: TermId) -> &Facts {
+        &self.facts[id as usize]
+    }
+
+    /// How many terms there are.
+    pub fn terms(&self) -> usize {
+        self.terms.len()
+    }
+
+    /// The number of a term, known or new.
+    pub fn add(&mut self, term: Term) -> TermId {
+        if let Some(id) = self.ids.get(&term) {
+            return *id;
+        }
+        let facts = self.learn(&term);
+        let id = self.terms.len() as TermId;
+        self.ids.insert(term.clone(), id);
+        self.terms.push(term);
+        self.facts.push(facts);
+        id
+    }
+
+    /// Terms of which this one is made.
+    pub fn parts(&self, id: TermId) -> Vec<TermId> {
+        parts_of(self.term(id))
+    }
+
+    /// A term's type, sizes and prices, from those of its parts.
+    fn learn(&self, term: &Term) -> Facts {
+        let f = |id: &TermId| &self.facts[*id as usize];
+        let most = |id: &TermId| f(id).most;
+        let Bounds { target, header, .. } = self.bounds;
+        let (ty, bytes, own, builds) = match term {
+            Term::Bool(_) => (Type::Bool, 0, 1, 0),
+            Term::Int(_, basic) => (Type::Plain(*basic), 0, 1, 0),
+            Term::Text(t) => (TEXT, t.len(), 1, 0),
+            Term::Field(field) => {
+                let ty = FIELDS.iter().find(|x| x.1 == *field).map_or(TEXT, |x| x.2);
+                let bytes = match field {
+                    Field::Method => METHOD_MOST,
+                    Field::Path | Field::Target | Field::Key => target,
+                    Field::Class | Field::Tenant => NAME_MOST,
+                    _ => 0,
+                };
+                (ty, bytes, if *field == Field::Key { bounds::scan(target) } else { 1 }, 0)
+            }
+            Term::Header(_) => (Type::Maybe(Basic::Text), header, 1, 0),
+            Term::Query(_) => (Type::Maybe(Basic::Text), target, bounds::scan(target), 0),
+            Term::Segment(_) => (Type::Maybe(Basic::Text), target, 1, 0),
+            Term::SegmentCount => (INT, 0, 1, 0),
+            Term::Eq(a, b) => (Type::Bool, 0, bounds::compare(most(a), most(b)), 0),
+            Term::Less(a, b) | Term::LessEq(a, b) => (Type::Bool, 0, bounds::compare(most(a), most(b)), 0),
+            Term::Not(_) => (Type::Bool, 0, 1, 0),
+            // One jump behind each part but the last.
+            Term::And(parts) | Term::Or(parts) => (Type::Bool, 0, parts.len() as u64 - 1, 0),
+            Term::Choice(_, b, c) => (f(b).ty, most(b).max(most(c)), 2, 0),
+            Term::Math(_, a, _) => (f(a).ty, 0, 1, 0),
+            Term::Concat(parts) => {
+                let bytes = parts.iter().map(most).sum();
+                (TEXT, bytes, parts.len() as u64 + bounds::chunks(bytes), bytes)
+            }
+            Term::Affix(Affix::Holds, a, b) => (Type::Bool, 0, bounds::scan(most(a) + most(b)), 0),
+            Term::Affix(_, a, b) => (Type::Bool, 0, bounds::compare(most(a), most(b)), 0),
+            Term::Matches(a, _) => (Type::Bool, 0, bounds::scan(most(a)), 0),
+            Term::Size(_) => (INT, 0, 1, 0),
+            Term::OneOf(a, all) => {
+                let longest = all.iter().map(|c| if let Const::Text(t) = c { t.len() } else { 0 });
+                let longest = longest.max().unwrap_or(0);
+                (Type::Bool, 0, bounds::search(all.len(), longest, most(a)), 0)
+            }
+            Term::InSegments(a) => (Type::Bool, 0, 2 * bounds::scan(target) + bounds::chunks(most(a)), 0),
+            Term::Has(_) => (Type::Bool, 0, 1, 0),
+            // Two jumps round the value that stands in.
+            Term::OrValue(a, b) => {
+                let ty = if let Type::Maybe(basic) = f(a).ty { Type::Plain(basic) } else { f(a).ty };
+                (ty, most(a).max(most(b)), 1, 0)
+            }
+            Term::Hash(a) => (INT, 0, bounds::lookup(most(a)), 0),
+            Term::ToInt(_) => (Type::Maybe(Basic::Int), 0, bounds::scan(bounds::DIGITS_MOST), 0),
+            Term::Lower(a) => (TEXT, most(a), bounds::scan(most(a)), most(a)),
+        };
+        let parts = parts_of(term);
+        let whole = own + parts.iter().map(|p| f(p).whole).sum::<u64>();
+        let builds = builds + parts.iter().map(|p| f(p).builds).sum::<usize>();
+        Facts { ty, most: bytes, own, whole, builds }
+    }
+
+    /// Whether a built text stays within its bound.
+    pub fn fits(&self, id: TermId) -> bool {
+        self.facts(id).builds <= BUILT_MOST
+    }
+
+    /// A term as the language would write it, as far as it has a text of its own.
+    pub fn put(&self, id: TermId) -> String {
+        let mut out = String::new();
+        let _ = match self.term(id) {
+            Term::Bool(b) => fmt::Write::write_fmt(&mut out, format_args!("{b}")),
+            Term::Int(n, Basic::Duration) => put_duration(&mut out, *n),
+            Term::Int(n, _) => fmt::Write::write_fmt(&mut out, format_args!("{n}")),
+            Term::Text(t) => put_text(&mut out, t),
+            Term::Field(field) => {
+                out += FIELDS.iter().find(|x| x.1 == *field).map_or("", |x| x.0);
+                Ok(())
+            }
+            Term::Header(n) => {
+                out += "headers[";
+                let put = put_text(&mut out, &self.headers[usize::from(*n)]);
+                out += "]";
+                put
+            }
+            Term::Query(name) => {
+                out += "query[";
+                let put = put_text(&mut out, name);
+                out += "]";
+                put
+            }
+            Term::Segment(n) => fmt::Write::write_fmt(&mut out, format_args!("segments[{n}]")),
+            Term::OrValue(a, b) => {
+                fmt::Write::write_fmt(&mut out, format_args!("{}.orValue({})", self.put(*a), self.put(*b)))
+            }
+            Term::Lower(a) => fmt::Write::write_fmt(&mut out, format_args!("{}.lowerAscii()", self.put(*a))),
+            _ => fmt::Write::write_fmt(&mut out, format_args!("a value made of several parts")),
+        };
+        out
+    }
+}
+
+/// Terms of which one is made.
+fn parts_of(term: &Term) -> Vec<TermId> {
+    match term {
+        Term::Bool(_) | Term::Int(..) | Term::Text(_) | Term::Field(_) => vec![],
+        Term::Header(_) | Term::Query(_) | Term::Segment(_) | Term::SegmentCount => vec![],
+        Term::Eq(a, b) | Term::Less(a, b) | Term::LessEq(a, b) => vec![*a, *b],
+        Term::Math(_, a, b) | Term::Affix(_, a, b) | Term::OrValue(a, b) => vec![*a, *b],
+        Term::And(parts) | Term::Or(parts) | Term::Concat(parts) => parts.clone(),
+        Term::Choice(a, b, c) => vec![*a, *b, *c],
+        Term::Not(a) | Term::Matches(a, _) | Term::Size(a) | Term::OneOf(a, _) => vec![*a],
+        Term::InSegments(a) | Term::Has(a) | Term::Hash(a) | Term::ToInt(a) | Term::Lower(a) => vec![*a],
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/tests/common/mod.rs
@@ -0,0 +1,59 @@
+//! Sets of rules and requests for the tests, not all of which use all of it.
+#![allow(dead_code)]
+
+use yarrowspoke_expr::bounds::Bounds;
+use yarrowspoke_expr::request::Request;
+use yarrowspoke_expr::ruling::{RuleFault, Says};
+use yarrowspoke_expr::set::{Order, RuleSource, Scratch, Set, SetSource};
+
+pub const NO_HEADERS: &[Option<String>] = &[];
+
+pub fn request(target: &str) -> Request<'_> {
+    let class = target.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
+    Request {
+        method: "GET",
+        target,
+        class,
+        tenant: "acme",
+        headers: NO_HEADERS,
+        budget: 2_000_000,
+        hint: None,
+        repeat: false,
+        length: 0,
+    }
+}
+
+pub fn rule(name: &str, when: &str) -> RuleSource {
+    let says = Says { once: true, ..Says::default() };
+    RuleSource { name: name.into(), when: when.into(), says }
+}
+
+pub fn source(order: Order, whens: &[&str]) -> SetSource {
+    let rules = whens.iter().enumerate().map(|(n, w)| rule(&format!("r{n}"), w)).collect();
+    SetSource { order, bounds: Bounds::default(), rules }
+}
+
+pub fn compile(order: Order, whens: &[&str]) -> Result<Set, Vec<RuleFault>> {
+    Set::compile(&source(order, whens))
+}
+
+/// Whether a single condition holds.
+pub fn holds(when: &str, request: &Request) -> bool {
+    let set = compile(Order::All, &[when]).unwrap_or_else(|f| panic!("{when}: {f:?}"));
+    let mut scratch = Scratch::new(&set, 1);
+    let by_index = set.found(&mut scratch, request);
+    assert_eq!(by_index, set.plainly(&set.trees(), request), "{when}: the two ways differ");
+    assert_eq!(by_index, set.in_turn(&mut scratch, request), "{when}: the index lost it");
+    let ruling = set.rule::<true>(&mut scratch, request);
+    assert!(scratch.steps() <= set.price(), "{when}: {} steps of {}", scratch.steps(), set.price());
+    assert_eq!(ruling.matched as usize, by_index.len());
+    !by_index.is_empty()
+}
+
+/// What is said of a condition that is refused.
+pub fn refused(when: &str) -> RuleFault {
+    match compile(Order::First, &[when]) {
+        Ok(_) => panic!("accepted: {:.60}", when),
+        Err(faults) => faults[0].clone(),
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-expr/tests/sets.rs
@@ -0,0 +1,281 @@
+//! Sets: which rules count, what they come to, what is reported of them at load.
+
+mod common;
+
+use common::{compile, request, rule, source};
+use yarrowspoke::interface::{Class, DedupScope, Effect};
+use yarrowspoke_expr::bounds::Bounds;
+use yarrowspoke_expr::request::TooLong;
+use yarrowspoke_expr::ruling::{LimitSource, Says, World};
+use yarrowspoke_expr::set::{Order, RuleSource, Scratch, Set, SetSource};
+
+fn class(effect: Effect, scope: DedupScope) -> Class {
+    Class {
+        aim: 1,
+        deadline: 2,
+        aim_stretch: 0.0,
+        effect,
+        scope,
+        dedup_window: 5,
+        late_worth: 0.0,
+        worth: 1.0,
+        streamed: false,
+    }
+}
+
+struct Names {
+    classes: Vec<String>,
+    facts: Vec<Class>,
+    one: Vec<String>,
+}
+
+impl Names {
+    fn new() -> Self {
+        let names = ["safe", "other", "keyed", "zoned", "once"].map(str::to_owned).to_vec();
+        let facts = vec![
+            class(Effect::Repeatable, DedupScope::All),
+            class(Effect::Repeatable, DedupScope::All),
+            class(Effect::ByKey, DedupScope::All),
+            class(Effect::ByKey, DedupScope::Zone),
+            class(Effect::Once, DedupScope::All),
+        ];
+        Self { classes: names, facts, one: vec!["a".into()] }
+    }
+
+    fn world(&self) -> World<'_> {
+        World {
+            class_names: &self.classes,
+            classes: &self.facts,
+            tenants: &self.one,
+            zones: &self.one,
+            kinds: &self.one,
+            max_attempts: 4,
+            fronts: 2,
+        }
+    }
+}
+
+fn says(when: &str, says: Says) -> SetSource {
+    let rules = vec![RuleSource { name: "r".into(), when: when.into(), says }];
+    SetSource { rules, ..SetSource::default() }
+}
+
+fn named(class: &str) -> Says {
+    Says { class: Some(class.into()), ..Says::default() }
+}
+
+#[test]
+fn of_first_match_one_counts_and_of_all_each() {
+    let whens = ["class == 'x'", "path.startsWith('/a')", "true", "class == 'article'"];
+    let r = request("/article/1");
+    let mut set = compile(Order::First, &whens).unwrap();
+    let mut scratch = Scratch::new(&set, 1);
+    assert_eq!(set.found(&mut scratch, &r), [1]);
+    set = compile(Order::All, &whens).unwrap();
+    scratch = Scratch::new(&set, 1);
+    assert_eq!(set.found(&mut scratch, &r), [1, 2, 3]);
+    assert_eq!(set.rule::<false>(&mut scratch, &r).matched, 3);
+}
+
+#[test]
+fn the_tightest_bound_and_the_first_name_hold() {
+    let names = Names::new();
+    let mut set = SetSource { order: Order::All, ..SetSource::default() };
+    let mut add = |says: Says| {
+        let name = format!("r{}", set.rules.len());
+        set.rules.push(RuleSource { name, when: "true".into(), says });
+    };
+    add(Says {
+        attempts: Some(3),
+        budget: Some(500),
+        refuse: Some(10),
+        zone: Some("a".into()),
+        ..Says::default()
+    });
+    add(Says { attempts: Some(2), budget: Some(900), refuse: Some(20), ..named("other") });
+    add(Says { once: true, subject: Some("class".into()), ..named("once") });
+    add(Says { subject: Some("path".into()), attempts: Some(4), ..named("safe") });
+    let mut set = Set::compile(&set).unwrap();
+    // The last rule would count an effect as safe.
+    assert!(set.bind(&names.world()).is_err());
+    let world = World { class_names: &names.classes[..2], classes: &names.facts[..2], ..names.world() };
+    let faults = set.bind(&world).unwrap_err();
+    assert!(faults[0].found.contains("\"once\"") && faults[0].expected.contains("safe, other"), "{faults:?}");
+    let mut source = source(Order::All, &["true", "true"]);
+    source.rules[0].says = Says { attempts: Some(3), budget: Some(500), refuse: Some(10), ..named("other") };
+    source.rules[1].says = Says {
+        attempts: Some(2),
+        budget: Some(900),
+        refuse: Some(20),
+        subject: Some("class".into()),
+        ..named("safe")
+    };
+    let mut set = Set::compile(&source).unwrap();
+    set.bind(&world).unwrap();
+    let mut scratch = Scratch::new(&set, 1);
+    let ruling = set.rule::<false>(&mut scratch, &request("/safe"));
+    assert_eq!((ruling.ruled.attempts, ruling.budget, ruling.ruled.refuse), (Some(2), Some(500), Some(20)));
+    assert_eq!((ruling.ruled.like, ruling.ruled.once), (Some(1), false));
+    assert!(ruling.ruled.subject.is_some_and(|s| s != 0));
+}
+
+#[test]
+fn nothing_is_ever_loosened() {
+    // Danger: rule 2. Each class may only be counted as one that is at least as strict, whatever the condition leaves open.
+    let names = Names::new();
+    for (when, class, right) in [
+        ("class == 'safe'", "other", true),
+        ("class == 'safe'", "keyed", true),
+        ("class == 'safe'", "once", true),
+        ("class in ['safe', 'other']", "other", true),
+        ("class in ['safe', 'once']", "other", false),
+        ("path.startsWith('/safe')", "other", false),
+        ("class == 'safe' || path == '/x'", "other", false),
+        ("class == 'safe' && path == '/x' || class == 'other'", "other", true),
+        ("class != 'once'", "other", false),
+        ("class == 'keyed'", "safe", false),
+        ("class == 'keyed'", "zoned", false),
+        ("class == 'zoned'", "keyed", false),
+        ("class == 'keyed'", "keyed", true),
+        ("class == 'keyed'", "once", true),
+        ("class == 'once'", "keyed", false),
+        ("class == 'once'", "safe", false),
+        ("true", "once", true),
+        ("true", "safe", false),
+    ] {
+        let mut set = Set::compile(&says(when, named(class))).unwrap();
+        assert_eq!(set.bind(&names.world()).is_ok(), right, "{when} as {class}");
+    }
+    let mut set = Set::compile(&says("true", named("once"))).unwrap();
+    set.bind(&names.world()).unwrap();
+    assert!(set.rule::<false>(&mut Scratch::new(&set, 1), &request("/safe")).ruled.once);
+    let more = Says { attempts: Some(9), ..Says::default() };
+    let mut set = Set::compile(&says("true", more)).unwrap();
+    let faults = set.bind(&names.world()).unwrap_err();
+    assert!(faults[0].expected.contains("at most the settings' 4"), "{faults:?}");
+    for (says, word) in [
+        (Says { tenant: Some("b".into()), ..Says::default() }, "tenant \"b\""),
+        (Says { zone: Some("b".into()), ..Says::default() }, "zone \"b\""),
+        (Says { kind: Some("b".into()), ..Says::default() }, "kind \"b\""),
+        (named("nothing"), "class \"nothing\""),
+    ] {
+        let mut set = Set::compile(&self::says("true", says)).unwrap();
+        assert!(set.bind(&names.world()).unwrap_err()[0].found.contains(word));
+    }
+}
+
+#[test]
+fn what_can_never_hold_or_be_reached_is_reported() {
+    let warned = |order, whens: &[&str]| -> Vec<String> {
+        let set = compile(order, whens).unwrap();
+        set.warnings.iter().map(|w| w.text.clone()).collect()
+    };
+    for never in [
+        "class == 'a' && class == 'b'",
+        "class == 'a' && class in ['b', 'c']",
+        "class == 'a' && class != 'a'",
+        "class == 'abc' && class.startsWith('b')",
+        "length < 3 && length > 5",
+        "length == 3 && length >= 4",
+        "budget < 1s && budget >= 1s",
+        "length in [1, 2] && length > 2",
+        "repeat && !repeat",
+        "false",
+        "class == 'a' && class == 'b' || repeat && !repeat",
+    ] {
+        assert!(warned(Order::All, &[never]).iter().any(|w| w.contains("can never hold")), "{never}");
+    }
+    for (earlier, later, covers) in [
+        ("class == 'a'", "class == 'a' && repeat", true),
+        ("class in ['a', 'b']", "class == 'a'", true),
+        ("class in ['a', 'b']", "class in ['a', 'c']", false),
+        ("path.startsWith('/a')", "path == '/a/b'", true),
+        ("path.startsWith('/a')", "path.startsWith('/a/b') && repeat", true),
+        ("path.startsWith('/a/b')", "path.startsWith('/a')", false),
+        ("class != 'b'", "class == 'a'", true),
+        ("!(class == 'b')", "repeat && class != 'b'", true),
+        ("length < 10", "length < 5", true),
+        ("length < 5", "length < 10", false),
+        ("length in [1, 9]", "length == 5", false),
+        ("repeat", "class == 'a' && repeat", true),
+        ("true", "class == 'a'", true),
+        ("repeat", "!repeat", false),
+        // It has no value now and then, and then the later one is reached.
+        ("1 / length < 5", "1 / length < 5 && repeat", false),
+        ("length / 2 < 5", "length / 2 < 5 && repeat", true),
+    ] {
+        let said = warned(Order::First, &[earlier, later]);
+        assert_eq!(
+            said.iter().any(|w| w.contains("r1 is never reached: rule r0")),
+            covers,
+            "{earlier} | {later}"
+        );
+        assert!(warned(Order::All, &[earlier, later]).is_empty(), "of all, each is reached");
+    }
+}
+
+#[test]
+fn a_set_that_refuses_everything_says_so() {
+    let names = Names::new();
+    let refuse = Says { refuse: Some(1), ..Says::default() };
+    let said = |when: &str| {
+        let mut set = Set::compile(&says(when, refuse.clone())).unwrap();
+        set.bind(&names.world()).unwrap();
+        set.warnings.iter().map(|w| w.text.clone()).collect::<Vec<_>>().join("; ")
+    };
+    assert!(said("true").contains("every request is refused"));
+    assert!(said("class in ['safe', 'once']").contains("every request of safe, once is refused"));
+    assert!(!said("class == 'safe' && repeat").contains("refused"));
+    assert!(said("class == 'sage'").contains("which the settings don't name"));
+}
+
+#[test]
+fn names_once_and_no_empty_rule() {
+    let mut two = source(Order::First, &["true", "true"]);
+    two.rules[1].name = "r0".into();
+    assert!(Set::compile(&two).err().unwrap()[0].expected.contains("rule 1 has it"));
+    let faults = Set::compile(&says("true", Says::default())).err().unwrap();
+    assert!(faults[0].found.contains("says nothing"), "{faults:?}");
+    let many = SetSource {
+        rules: (0..20_001).map(|n| rule(&n.to_string(), "true")).collect(),
+        ..SetSource::default()
+    };
+    assert!(Set::compile(&many).err().unwrap()[0].expected.contains("at most 20000"));
+}
+
+#[test]
+fn a_request_over_the_bounds_is_known_before_it_is_looked_at() {
+    let bounds = Bounds { target: 10, header: 3, ..Bounds::default() };
+    assert_eq!(request("/123456789").fits(&bounds), Ok(()));
+    assert_eq!(request("/1234567890").fits(&bounds), Err(TooLong::Target));
+    let headers = [None, Some("1234".to_owned())];
+    let mut r = request("/a");
+    r.headers = &headers;
+    assert_eq!(r.fits(&bounds), Err(TooLong::Header));
+}
+
+#[test]
+fn limits_have_keys_of_their_own_and_a_front_its_part() {
+    let names = Names::new();
+    let limit = |key: Option<&str>| LimitSource { key: key.map(str::to_owned), rate: 10.0, burst: 8.0 };
+    let mut two = source(Order::All, &["true", "true"]);
+    two.rules[0].says = Says { limit: Some(limit(Some("segments[1].orValue('')"))), ..Says::default() };
+    two.rules[1].says = Says { limit: Some(limit(None)), ..Says::default() };
+    let mut set = Set::compile(&two).unwrap();
+    set.bind(&names.world()).unwrap();
+    let mut scratch = Scratch::new(&set, 7);
+    let mut keys = |target: &str| {
+        set.rule::<false>(&mut scratch, &request(target));
+        let keys: Vec<u64> = scratch.limits().iter().map(|l| l.1).collect();
+        assert!(scratch.limits().iter().all(|l| (l.0.rate, l.0.burst) == (5.0, 4.0)));
+        keys
+    };
+    let (a, b, again) = (keys("/x/a"), keys("/x/b"), keys("/y/a"));
+    assert_eq!(a, again);
+    assert!(a[0] != b[0] && a[1] == b[1] && a[0] != a[1]);
+    assert_ne!(a, {
+        let mut other = Scratch::new(&set, 8);
+        set.rule::<false>(&mut other, &request("/x/a"));
+        other.limits().iter().map(|l| l.1).collect::<Vec<_>>()
+    });
+}
--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -1,11 +1,13 @@
 //! The command line: serving, and what can be asked without serving.
 
+use crate::{classify, config};
 use clap::{Args, Parser, Subcommand};
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use yarrowspoke::interface::{Settings, Verdicts};
 use yarrowspoke::rules::{judging, VERDICTS};
-use yarrowspoke_operator::Operator;
+use yarrowspoke_operator::rules::Rules;
+use yarrowspoke_operator::{Operator, OperatorError};
 use yarrowspoke_verdict::failures::raised;
 use yarrowspoke_verdict::power::{machines, outcomes, Fleet};
 
@@ -35,6 +37,9 @@
     Check {
         /// The operator's file
         file: PathBuf,
+        /// Hold names in it against the settings of this configuration
+        #[arg(long)]
+        config: Option<PathBuf>,
         /// Warn where the stated rates can't be honoured in such a fleet
         #[command(flatten)]
         fleet: Tier,
@@ -47,6 +52,20 @@
         #[command(flatten)]
         fleet: Tier,
     },
+    /// Tell what the rules of an operator's file make of one request, and why
+    Explain {
+        /// The operator's file
+        file: PathBuf,
+        /// The request, as bytes of HTTP/1.1
+        #[arg(long)]
+        request: PathBuf,
+        /// Bind names to the settings of this configuration
+        #[arg(long)]
+        config: Option<PathBuf>,
+        /// Tell of every rule, those that were not looked at included
+        #[arg(long)]
+        all: bool,
+    },
 }
 
 /// A fleet, as far as it decides what can be found.
@@ -78,11 +97,25 @@
 }
 
 /// Checks a file; what can't be honoured is a warning, no fault.
-pub fn check(file: &Path, fleet: &Tier) -> Told {
+pub fn check(file: &Path, config: Option<&Path>, fleet: &Tier) -> Told {
+    let wrong = |e: String| Told { text: format!("{e}\n"), right: false };
+    let config = match config.map(config::load).transpose() {
+        Ok(config) => config,
+        Err(e) => return wrong(e.to_string()),
+    };
     match yarrowspoke_operator::load(file) {
-        Err(e) => Told { text: format!("{e}\n"), right: false },
-        Ok(operator) => {
-            let mut text = format!("{}: right\n", file.display());
+        Err(e) => wrong(e.to_string()),
+        Ok(mut operator) => {
+            let path = file.display().to_string();
+            if let (Some(rules), Some(config)) = (&mut operator.rules, &config) {
+                if let Err(faults) = rules.bind(&classify::world(&config.settings)) {
+                    return wrong(OperatorError::Faults { path, faults }.to_string());
+                }
+            }
+            let mut text = format!("{path}: right\n");
+            if let Some(rules) = &operator.rules {
+                told_of_rules(&mut text, &path, rules);
+            }
             for row in rows(&operator, fleet).iter().filter(|r| r.counts && !r.found_in_time()) {
                 let _ = writeln!(
                     text,
@@ -97,6 +130,26 @@
     }
 }
 
+fn told_of_rules(text: &mut String, path: &str, rules: &Rules) {
+    let (set, (patterns, automata)) = (&rules.set, rules.set.regexes());
+    let _ = writeln!(
+        text,
+        "rules: {}, at most {} steps a request of {} allowed (dearest: {}); {} bytes of {}, {patterns} patterns of \
+         {automata} bytes among them; {} looked at for every request; {} keys of limits",
+        set.len(),
+        set.price(),
+        set.bounds().steps,
+        set.dearest(),
+        set.bytes(),
+        set.bounds().bytes,
+        set.unfound(),
+        rules.buckets,
+    );
+    for (line, column, warning) in rules.warnings() {
+        let _ = writeln!(text, "warning: {path}:{line}:{column}: {warning}");
+    }
+}
+
 /// Tells what can be found.
 pub fn power(file: &Path, fleet: &Tier) -> Told {
     let operator = match yarrowspoke_operator::load(file) {
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -1,5 +1,6 @@
 //! Drives the decision module: one clock, its timers, events in order, actions carried out.
 
+use crate::classify::Classifier;
 use crate::config::Addresses;
 use crate::exchange::{Answer, Call, CallIds, Exchange};
 use crate::net::list::{Discovery, Row};
@@ -88,7 +89,8 @@
 }
 
 impl ClassFacts {
-    fn of(class: &Class) -> Self {
+    /// Of a class as the settings tell it.
+    pub fn of(class: &Class) -> Self {
         let method = match class.effect {
             Effect::Repeatable => Some("GET"),
             Effect::Once => Some("POST"),
@@ -108,6 +110,8 @@
     pub names: Names,
     /// What the protocol ties to each class.
     pub classes: Vec<ClassFacts>,
+    /// The operators' rules.
+    pub classifier: Rc<Classifier>,
     /// Ids of calls.
     pub ids: CallIds,
     /// Room for large bodies.
@@ -127,13 +131,19 @@
 
 impl Hub {
     /// A hub, and where its inputs come out; large bodies together hold `bodies` bytes at most.
-    pub fn new(settings: &Settings, places: Rc<Places>, bodies: usize) -> (Rc<Self>, Receiver<Input>) {
+    pub fn new(
+        settings: &Settings,
+        places: Rc<Places>,
+        bodies: usize,
+        classifier: Rc<Classifier>,
+    ) -> (Rc<Self>, Receiver<Input>) {
         let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
         let hub = Self {
             clock: Clock::start(),
             inputs,
             names: settings.names.clone(),
             classes: settings.module.classes.iter().map(ClassFacts::of).collect(),
+            classifier,
             ids: CallIds::default(),
             store: Store::new(bodies),
             ready: Cell::new(false),
@@ -317,6 +327,9 @@
             self.open.len(),
             self.flights.len(),
         );
+        if let Some(ruled) = self.hub.classifier.report() {
+            log::info!("{ruled}");
+        }
     }
 
     /// At a limit, tells what holds the places.
@@ -402,6 +415,7 @@
             tenant: call.tenant,
             hint: call.hint,
             repeat: call.repeat,
+            ruled: call.ruled,
         };
         // Rule 1, last resort: should the module fail to answer, the client is told of the failure in time.
         let last = exchange.deadline + self.settings.module.answer_slack;
@@ -667,7 +681,7 @@
         // Danger: clients may say that they wait for an hour; what is kept so long for each is never given back.
         let config = config::parse(include_bytes!("../../../examples/config.json")).unwrap();
         let places = Places::new(100);
-        let (hub, _inputs) = Hub::new(&config.settings, Rc::clone(&places), 0);
+        let (hub, _inputs) = Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1));
         let outside = Outside {
             executor: Rc::new(LocalExecutor::new()),
             machines: Machines::new(places, config.settings.transport),
@@ -688,6 +702,7 @@
                 key: 0,
                 hint: None,
                 repeat: false,
+                ruled: Default::default(),
                 body: Vec::new(),
             };
             let exchange = hub.exchange(call, 0);
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
-use yarrowspoke::interface::{Micros, RequestId};
+use yarrowspoke::interface::{Micros, RequestId, Ruled};
 
 /// A request as a client sent it, decoded.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +29,8 @@
     pub hint: Option<Micros>,
     /// Marked as a repeat.
     pub repeat: bool,
+    /// What the operators' rules say of it.
+    pub ruled: Ruled,
     /// The body, passed on unchanged.
     pub body: Vec<u8>,
 }
--- /dev/null
+++ b/crates/yarrowspoke-front/src/explain.rs
@@ -0,0 +1,131 @@
+//! `yarrowspoke explain`: what the rules make of one request, and why.
+
+use crate::classify::{as_request, world, Classifier};
+use crate::cli::Told;
+use crate::config;
+use crate::driver::ClassFacts;
+use crate::net::asked::{Asked, AskedHead};
+use crate::net::http::{Decoder, BODY_LIMIT};
+use std::fmt::Write;
+use std::path::Path;
+use yarrowspoke_expr::set::Scratch;
+use yarrowspoke_settings::Names;
+
+/// Explains what the rules of the operator's file make of the request in a file, as bytes of HTTP/1.1. With a
+/// configuration the rules are bound to its settings; without one the request's own names are taken as known.
+pub fn explain(file: &Path, request: &Path, configuration: Option<&Path>, all: bool) -> Told {
+    match told(file, request, configuration, all) {
+        Ok(text) => Told { text, right: true },
+        Err(text) => Told { text: format!("{text}\n"), right: false },
+    }
+}
+
+fn told(file: &Path, request: &Path, configuration: Option<&Path>, all: bool) -> Result<String, String> {
+    let operator = yarrowspoke_operator::load(file).map_err(|e| e.to_string())?;
+    let Some(mut rules) = operator.rules else {
+        return Err(format!("{}: there is no section rules in it", file.display()));
+    };
+    let shown = request.display();
+    let bytes = std::fs::read(request).map_err(|e| format!("{shown}: {e}"))?;
+    let config = configuration.map(config::load).transpose().map_err(|e| e.to_string())?;
+    if let Some(config) = &config {
+        rules.bind(&world(&config.settings)).map_err(|faults| {
+            let lines: Vec<String> = faults.iter().map(|f| format!("{}:{f}", file.display())).collect();
+            lines.join("\n")
+        })?;
+    }
+    let names = match &config {
+        Some(config) => config.settings.names.clone(),
+        None => named_in(&bytes),
+    };
+    let facts: Vec<ClassFacts> = match &config {
+        Some(config) => config.settings.module.classes.iter().map(ClassFacts::of).collect(),
+        None => names.classes.iter().map(|_| ClassFacts { deadline: 0, method: None }).collect(),
+    };
+    let classifier = Classifier::new(0);
+    classifier.load(Some(rules));
+    let mut decoder = Decoder::<AskedHead>::with(BODY_LIMIT, std::rc::Rc::clone(&classifier));
+    decoder.feed(&bytes);
+    let (mut head, body) = match decoder.message() {
+        Ok(Some(message)) => message,
+        Ok(None) => {
+            return Err(format!("{shown}: a request cut short, expected a whole one: head, empty line, body"))
+        }
+        Err(e) => return Err(format!("{shown}: answered with {}: {e}", e.status())),
+    };
+    let Some((loaded, headers)) = head.take_rules() else { return Err("no rules are in force".to_owned()) };
+    let set = &loaded.set;
+    let call = match head.asked(body, &names, &facts, &classifier, 0) {
+        Asked::Call(call) => call,
+        Asked::Ready => return Err(format!("{shown}: the front answers /up itself")),
+        Asked::Nothing(status) => return Err(format!("{shown}: answered with {status} before any rule")),
+    };
+    let request = as_request(&call, &headers, &names);
+    if let Err(long) = request.fits(set.bounds()) {
+        return Err(format!("{shown}: answered with 414 or 431: {long:?} over the bounds of the rules"));
+    }
+    let mut scratch = Scratch::new(set, 0);
+    let mut out = String::new();
+    let explained = set.explain(&mut scratch, &request, all);
+    for rule in &explained {
+        let held = match rule.held {
+            Some(true) => "holds",
+            Some(false) => "does not hold",
+            None => "has no value",
+        };
+        let found = if rule.found { "" } else { ", and was not looked at" };
+        let _ = writeln!(out, "rule {}: {held}{found}", rule.name);
+        for (part, value) in &rule.parts {
+            let _ = writeln!(out, "    {part}  =  {value}");
+        }
+    }
+    let ruling = set.rule::<true>(&mut scratch, &request);
+    let steps = scratch.steps();
+    if ruling.matched == 0 {
+        let _ = writeln!(out, "no rule counts for it");
+    } else {
+        let _ = writeln!(out, "{} of {} rules count for it; together they say:", ruling.matched, set.len());
+        said(&mut out, &ruling, &names, scratch.limits().len());
+    }
+    let _ = writeln!(out, "cost: {steps} steps, the bound is {} (dearest: {})", set.price(), set.dearest());
+    Ok(out)
+}
+
+fn said(out: &mut String, ruling: &yarrowspoke_expr::ruling::Ruling, names: &Names, limits: usize) {
+    let r = &ruling.ruled;
+    let seconds = |us: u64| format!("{:.3} s", us as f64 / 1e6);
+    let name = |all: &[String], n: usize| all.get(n).cloned().unwrap_or_else(|| n.to_string());
+    let lines = [
+        r.refuse.map(|us| format!("refused, to come back after {}", seconds(us))),
+        r.once.then(|| "never sent again once it may have run".to_owned()),
+        r.attempts.map(|n| format!("at most {n} attempts")),
+        r.like.map(|c| format!("counts with the aim and worth of class {}", name(&names.classes, c.into()))),
+        ruling.tenant.map(|t| format!("counts for tenant {}", name(&names.tenants, t as usize))),
+        r.subject.map(|s| format!("subject {s:016x}")),
+        r.zone.map(|z| format!("prefers zone {}", name(&names.zones, z.into()))),
+        r.kind.map(|k| format!("prefers machines of kind {}", name(&names.kinds, k.into()))),
+        ruling.budget.map(|us| format!("waits {} at the most", seconds(us))),
+        (limits > 0).then(|| format!("under {limits} limits")),
+    ];
+    let lines: Vec<String> = lines.into_iter().flatten().collect();
+    if lines.is_empty() {
+        let _ = writeln!(out, "    (names are bound with --config)");
+    }
+    for line in lines {
+        let _ = writeln!(out, "    {line}");
+    }
+}
+
+/// Class and tenant that a request names.
+fn named_in(bytes: &[u8]) -> Names {
+    let text = String::from_utf8_lossy(bytes);
+    let target = text.split_whitespace().nth(1).unwrap_or("/");
+    let class = target.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
+    let tenant =
+        text.lines().filter_map(|l| l.split_once(':')).find(|f| f.0.eq_ignore_ascii_case("x-caller"));
+    Names {
+        classes: vec![class.to_owned()],
+        tenants: tenant.iter().map(|t| t.1.trim().to_owned()).collect(),
+        ..Names::default()
+    }
+}
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -1,9 +1,11 @@
 //! The real front as a library, so that its parts can be tested without a process.
 
+pub mod classify;
 pub mod cli;
 pub mod config;
 pub mod driver;
 pub mod exchange;
+pub mod explain;
 pub mod logging;
 pub mod net;
 pub mod places;
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -4,14 +4,17 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use yarrowspoke_front::cli::{self, Cli, Command};
-use yarrowspoke_front::{logging, run};
+use yarrowspoke_front::{explain, logging, run};
 
 fn main() -> ExitCode {
     match Cli::parse().command {
         None => serve(None),
         Some(Command::Serve { operator }) => serve(operator),
-        Some(Command::Check { file, fleet }) => tell(cli::check(&file, &fleet)),
+        Some(Command::Check { file, config, fleet }) => tell(cli::check(&file, config.as_deref(), &fleet)),
         Some(Command::Power { file, fleet }) => tell(cli::power(&file, &fleet)),
+        Some(Command::Explain { file, request, config, all }) => {
+            tell(explain::explain(&file, &request, config.as_deref(), all))
+        }
     }
 }
 
@@ -32,8 +35,8 @@
     }
     let files =
         run::Files { config: PathBuf::from(std::env::var_os("PROXY_CONFIG").unwrap_or_default()), operator };
-    let ended = match files.read() {
-        Ok(config) => run::run(config, files).map_err(|e| e.to_string()),
+    let ended = match files.read(None) {
+        Ok(setup) => run::run(setup, files).map_err(|e| e.to_string()),
         Err(e) => Err(e.to_string()),
     };
     match ended {
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -1,9 +1,10 @@
 //! Clients: accepting, reading requests, writing final answers.
 
-use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
+use super::asked::{Asked, AskedHead};
+use super::http::{Decoder, Encoder, BODY_LIMIT};
 use super::{read_some, within};
-use crate::driver::{ClassFacts, Hub, Input};
-use crate::exchange::{Answer, Call, Exchange};
+use crate::driver::{Hub, Input};
+use crate::exchange::{Answer, Exchange};
 use crate::places::{Counted, Room};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use yarrowspoke::interface::Micros;
-use yarrowspoke_settings::Names;
 
 /// Longest time from a request's first byte, or from the connection's beginning, to its last byte. The operators
 /// owe whoever sends something else a close or an error within 3 s.
@@ -48,8 +48,6 @@
 /// Pause before the next request of one who has repeated an id. Danger: some send the same again as soon as it is
 /// turned away, and would fill the processor.
 const AGAIN_PACE: Duration = Duration::from_millis(10);
-/// Longest budget believed.
-const LONGEST_BUDGET: f64 = 3_600.0;
 
 /// Accepts clients until the program ends.
 pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
@@ -110,123 +108,6 @@
     }
 }
 
-/// What a client sent, decoded.
-enum Asked {
-    /// Whether the front is ready.
-    Ready,
-    /// A call; its body is still to come.
-    Call(Call),
-    /// Something that has no answer here, with its status.
-    Nothing(u16),
-}
-
-struct AskedHead {
-    method: String,
-    target: String,
-    keep: bool,
-    continues: bool,
-    call_id: Option<String>,
-    class: Option<String>,
-    tenant: Option<String>,
-    budget: Option<Micros>,
-    hint: Option<Micros>,
-    repeat: bool,
-}
-
-impl FromHead for AskedHead {
-    const STRICT: bool = true;
-
-    fn unstated(&self) -> Option<Framing> {
-        Some(Framing::Length(0))
-    }
-
-    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
-        let [method, target, version] = head.start;
-        let known = matches!(version, "HTTP/1.1" | "HTTP/1.0");
-        let plain = |b: u8| b.is_ascii_graphic();
-        if !known || method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) {
-            return Err(HttpError::StartLine);
-        }
-        if !target.starts_with('/') || !target.bytes().all(plain) {
-            return Err(HttpError::StartLine);
-        }
-        let call_id = head.sole("x-call-id")?;
-        if call_id.is_some_and(|id| id.is_empty() || id.len() > 128 || !id.bytes().all(plain)) {
-            return Err(HttpError::Needs("X-Call-Id"));
-        }
-        let budget = head.sole("x-budget")?.map(budget).transpose()?;
-        let owned = |name| head.field(name).map(str::to_owned);
-        Ok(Self {
-            method: method.to_owned(),
-            target: target.to_owned(),
-            keep: head.keeps_alive(version),
-            continues: head.field("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")),
-            call_id: call_id.map(str::to_owned),
-            class: head.sole("x-call-class")?.map(str::to_owned),
-            tenant: owned("x-caller"),
-            budget,
-            hint: head.field("x-call-cost").and_then(|v| v.parse().ok()),
-            repeat: head.field("x-again") == Some("1"),
-        })
-    }
-}
-
-fn budget(text: &str) -> Result<Micros, HttpError> {
-    let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
-    let seconds = seconds.ok_or(HttpError::Needs("X-Budget"))?;
-    Ok((seconds.min(LONGEST_BUDGET) * 1e6) as Micros)
-}
-
-impl AskedHead {
-    /// Danger: what a machine can't use costs it work, and may run as something else than was meant. So a call
-    /// whose parts contradict each other goes to none.
-    fn asked(self, body: Vec<u8>, names: &Names, classes: &[ClassFacts]) -> Asked {
-        let (path, query) = self.target.split_once('?').unwrap_or((&self.target, ""));
-        if path == "/up" {
-            return if self.method == "GET" { Asked::Ready } else { Asked::Nothing(405) };
-        }
-        let first = path[1..].split('/').next().unwrap_or("");
-        let Some(class) = names.classes.iter().position(|c| c == first) else { return Asked::Nothing(404) };
-        let facts = &classes[class];
-        if self.class.is_some_and(|c| c != first) {
-            return Asked::Nothing(400);
-        }
-        if facts.method.is_some_and(|m| m != self.method) {
-            return Asked::Nothing(405);
-        }
-        if self.method == "GET" && !body.is_empty() {
-            return Asked::Nothing(400);
-        }
-        let Some(call_id) = self.call_id else { return Asked::Nothing(400) };
-        let tenant = self.tenant.and_then(|t| names.tenants.iter().position(|n| *n == t));
-        let key = query.split('&').find_map(|p| p.strip_prefix("key=")).map_or(0, key);
-        Asked::Call(Call {
-            class: class as u8,
-            tenant: tenant.map_or(u32::MAX, |t| t as u32),
-            budget: self.budget.unwrap_or(facts.deadline),
-            key,
-            hint: self.hint,
-            repeat: self.repeat,
-            call_id,
-            body,
-            method: self.method,
-            target: self.target,
-        })
-    }
-}
-
-/// A subject as the module counts it: a number as it stands, any other word by its hash; 0 = none.
-fn key(text: &str) -> u64 {
-    let hashed = || {
-        text.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-    };
-    if text.is_empty() {
-        0
-    } else {
-        text.parse().unwrap_or_else(|_| hashed().max(1))
-    }
-}
-
 /// The bytes of a final answer.
 pub fn encode(answer: &Answer, keep: bool) -> Vec<u8> {
     let (status, body): (_, &[u8]) = match answer {
@@ -251,6 +132,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        414 => "URI Too Long",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         // What has not been read needs no promise, and this one gives none: it is no call.
@@ -308,7 +190,7 @@
 }
 
 enum Next {
-    Message(AskedHead, Vec<u8>),
+    Message(Box<AskedHead>, Vec<u8>),
     Bad(u16),
     End,
 }
@@ -317,7 +199,8 @@
 /// unread. Danger: counted from its reading alone, such a request is answered after its client has gone.
 async fn converse(stream: Async<TcpStream>, hub: Rc<Hub>, waited: Micros) {
     let _ = stream.get_ref().set_nodelay(true);
-    let mut line = Line { stream, decoder: Decoder::new(BODY_LIMIT), room: None };
+    let decoder = Decoder::with(BODY_LIMIT, Rc::clone(&hub.classifier));
+    let mut line = Line { stream, decoder, room: None };
     let mut served = 0u64;
     loop {
         let (head, body) = match next(&mut line, &hub, served == 0).await {
@@ -327,7 +210,7 @@
         };
         served += 1;
         let keeps = head.keep;
-        let asked = match head.asked(body, &hub.names, &hub.classes) {
+        let asked = match head.asked(body, &hub.names, &hub.classes, &hub.classifier, hub.clock.now()) {
             // Danger: one who sends on before the answer did not mean what was read, and what hides behind a
             // wrong length may be another's request.
             Asked::Call(_) if line.decoder.has_more() => return refuse(line, &hub, 400).await,
@@ -387,7 +270,7 @@
     let mut due = fresh.then(|| begun + REQUEST_WITHIN);
     loop {
         match line.decoder.message() {
-            Ok(Some((head, body))) => return Next::Message(head, body),
+            Ok(Some((head, body))) => return Next::Message(Box::new(head), body),
             Ok(None) => {}
             Err(e) => {
                 log::debug!("client: {e}");
--- a/crates/yarrowspoke-front/src/net/http.rs
+++ b/crates/yarrowspoke-front/src/net/http.rs
@@ -72,10 +72,15 @@
 
     /// The only field of this name. Danger: of two, each reader may believe another.
     pub fn sole(&self, name: &'static str) -> Result<Option<&'a str>, HttpError> {
+        self.only(name).map_err(|_| HttpError::Needs(name))
+    }
+
+    /// The same for a name that is known only while the program runs.
+    pub fn only(&self, name: &str) -> Result<Option<&'a str>, HttpError> {
         let mut named = self.fields.iter().filter(|f| f.0.eq_ignore_ascii_case(name));
         match (named.next(), named.next()) {
             (first, None) => Ok(first.map(|f| f.1)),
-            _ => Err(HttpError::Needs(name)),
+            _ => Err(HttpError::Field),
         }
     }
 
@@ -127,8 +132,10 @@
 
 /// A typed value decoded from a head.
 pub trait FromHead: Sized {
+    /// What else the reader goes by.
+    type Context;
     /// Decodes the head.
-    fn from_head(head: &RawHead) -> Result<Self, HttpError>;
+    fn from_head(head: &RawHead, context: &Self::Context) -> Result<Self, HttpError>;
     /// Whether a field whose value cannot be read spoils the head; else it counts as absent, unless the
     /// framing hangs on it.
     const STRICT: bool;
@@ -145,7 +152,7 @@
 }
 
 /// Turns bytes into messages.
-pub struct Decoder<T> {
+pub struct Decoder<T: FromHead> {
     buffer: Vec<u8>,
     searched: usize,
     begun: Option<(T, Framing)>,
@@ -156,14 +163,23 @@
     /// Bytes of lines between chunks and of the trailer.
     between: usize,
     body_limit: usize,
+    context: T::Context,
 }
 
-impl<T: FromHead> Decoder<T> {
+impl<T: FromHead<Context = ()>> Decoder<T> {
     /// A decoder for bodies up to `body_limit`.
     pub fn new(body_limit: usize) -> Self {
+        Self::with(body_limit, ())
+    }
+}
+
+impl<T: FromHead> Decoder<T> {
+    /// A decoder for bodies up to `body_limit`, whose heads are read by `context`.
+    pub fn with(body_limit: usize, context: T::Context) -> Self {
         let (buffer, body) = (Vec::new(), Vec::new());
         let (begun, trailer, continued) = (None, false, false);
-        Self { buffer, searched: 0, begun, body, trailer, continued, interims: 0, between: 0, body_limit }
+        let (searched, interims, between) = (0, 0, 0);
+        Self { buffer, searched, begun, body, trailer, continued, interims, between, body_limit, context }
     }
 
     /// Takes bytes as they came.
@@ -277,7 +293,7 @@
             return Err(HttpError::HeadTooLarge);
         }
         let raw = split_head(&self.buffer[..end], T::STRICT)?;
-        let head = T::from_head(&raw)?;
+        let head = T::from_head(&raw, &self.context)?;
         let framing = match raw.framing()? {
             _ if head.bodiless() => Framing::Length(0),
             Some(framing) => framing,
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -182,13 +182,14 @@
 }
 
 impl FromHead for AnswerHead {
+    type Context = ();
     const STRICT: bool = false;
 
     fn unstated(&self) -> Option<Framing> {
         (!self.keep).then_some(Framing::UntilClose)
     }
 
-    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+    fn from_head(head: &RawHead, _: &()) -> Result<Self, HttpError> {
         let status = super::machines::status(head)?;
         Ok(Self { status, keep: head.keeps_alive(head.start[0]) })
     }
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -116,6 +116,7 @@
 }
 
 impl FromHead for ReplyHead {
+    type Context = ();
     const STRICT: bool = false;
 
     /// Danger: an answer cut off by a machine's death looks whole where only the connection's end marks its own.
@@ -123,7 +124,7 @@
         (!self.keep).then_some(Framing::UntilClose)
     }
 
-    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+    fn from_head(head: &RawHead, _: &()) -> Result<Self, HttpError> {
         Ok(Self {
             status: status(head)?,
             rejected: head.field("x-rejected") == Some("1"),
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Everything that is spoken on sockets, a module for each peer.
 
+pub mod asked;
 pub mod clients;
 pub mod http;
 pub mod list;
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -1,5 +1,6 @@
 //! Puts the parts together and runs them until the program is told to stop.
 
+use crate::classify::{self, Classifier};
 use crate::config::{self, Config, ConfigError};
 use crate::driver::{Driver, Hub, Input, Outside};
 use crate::net::clients;
@@ -17,7 +18,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
+use yarrowspoke_operator::rules::Rules;
 use yarrowspoke_operator::OperatorError;
+use yarrowspoke_settings::Settings;
 
 /// Descriptors kept for standard streams, the reactor, the listener, peers, discovery and the platform.
 const RESERVED: usize = 28;
@@ -47,28 +50,50 @@
 }
 
 impl Files {
-    /// Reads both as one whole: a fault of either leaves nothing half told.
-    pub fn read(&self) -> Result<Config, FilesError> {
+    /// Reads both as one whole: a fault of either leaves nothing half told. Rules are bound to the settings that
+    /// `running` goes by, or to those just read.
+    pub fn read(&self, running: Option<&Settings>) -> Result<Setup, FilesError> {
         let mut config = config::load(&self.config)?;
+        let mut rules = None;
         if let Some(path) = &self.operator {
-            config.settings.module.verdicts = yarrowspoke_operator::load(path)?.verdicts;
+            let operator = yarrowspoke_operator::load(path)?;
+            config.settings.module.verdicts = operator.verdicts;
+            rules = operator.rules;
+            if let Some(rules) = &mut rules {
+                let world = classify::world(running.unwrap_or(&config.settings));
+                let path = path.display().to_string();
+                rules.bind(&world).map_err(|faults| OperatorError::Faults { path, faults })?;
+            }
         }
-        Ok(config)
+        Ok(Setup { config, rules })
     }
 }
 
+/// What the files of a front hold.
+#[derive(Debug)]
+pub struct Setup {
+    /// The configuration, with what the operators state of the settings.
+    pub config: Config,
+    /// The operators' rules, bound to the settings.
+    pub rules: Option<Rules>,
+}
+
 /// Runs a front to its end; `files` are read again when it is told to.
-pub fn run(config: Config, files: Files) -> io::Result<()> {
+pub fn run(setup: Setup, files: Files) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, files, Rc::clone(&executor))))
+    async_io::block_on(executor.run(serve(setup, files, Rc::clone(&executor))))
 }
 
-async fn serve(config: Config, files: Files, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+async fn serve(setup: Setup, files: Files, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    let Setup { config, rules } = setup;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let reloads = Signals::new([Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
     let places = Places::new(config.limits.sockets.saturating_sub(RESERVED));
-    let (hub, inputs) = Hub::new(&config.settings, Rc::clone(&places), config.limits.bodies());
+    let classifier = Classifier::new(config.seed);
+    classifier.load(rules);
+    let (hub, inputs) =
+        Hub::new(&config.settings, Rc::clone(&places), config.limits.bodies(), Rc::clone(&classifier));
     let module = &config.settings.module;
     let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
@@ -83,12 +108,13 @@
         peers: peers.clone(),
     };
     let about = format!("settings: {:?} {:?}", config.settings.module, config.settings.transport);
+    let running = config.settings.clone();
     let (news, rows) = (config.news.map(|s| s.news(false)), config.known.rows);
     let driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
     if let Some(peers) = peers {
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
     }
-    executor.spawn(reload(reloads, files, Rc::clone(&hub))).detach();
+    executor.spawn(reload(reloads, files, running, Rc::clone(&hub))).detach();
     executor.spawn(clients::make_room(Rc::clone(&hub))).detach();
     executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
     log::info!("{about}");
@@ -110,10 +136,11 @@
 /// Reads the configuration again whenever told to. Danger: a signal that nobody handles ends the program, and a
 /// file caught half written must not take addresses away that still serve. So it is read as one whole or not
 /// at all; requests, the module's state and kept connections stay.
-async fn reload(mut told: Signals, files: Files, hub: Rc<Hub>) {
+async fn reload(mut told: Signals, files: Files, running: Settings, hub: Rc<Hub>) {
     while told.next().await.is_some() {
-        match files.read() {
-            Ok(config) => {
+        match files.read(Some(&running)) {
+            Ok(Setup { config, rules }) => {
+                hub.classifier.load(rules);
                 let (addresses, rates) = (config.addresses(), config.settings.module.verdicts);
                 log::info!("files read again: {addresses:?} {rates:?}");
                 let _ = hub.inputs.send(Input::Rates(rates)).await;
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -1,9 +1,10 @@
 //! Starts the program with stand-ins around it, on free ports, and speaks to it as a client.
+#![allow(dead_code)]
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use yarrowspoke_toy::{read_message, Behaviour, Discovery, Machine, Message, Platform};
@@ -38,6 +39,7 @@
     pub front: Child,
     config: String,
     path: PathBuf,
+    operator: Option<PathBuf>,
 }
 
 impl World {
@@ -48,6 +50,15 @@
 
     /// The same with a limit on descriptors.
     pub fn with_sockets(behaviours: &[Behaviour], sockets: usize) -> Self {
+        Self::with(behaviours, sockets, None)
+    }
+
+    /// A front with this operator's file.
+    pub fn with_rules(behaviours: &[Behaviour], operator: &str) -> Self {
+        Self::with(behaviours, 1024, Some(operator))
+    }
+
+    fn with(behaviours: &[Behaviour], sockets: usize, operator: Option<&str>) -> Self {
         let discovery = Discovery::start(any_port()).unwrap();
         let platform = Platform::start(any_port(), "41 0 stable 1.0 60000").unwrap();
         let machines: Vec<_> = behaviours.iter().map(|b| Machine::start(any_port(), *b).unwrap()).collect();
@@ -61,8 +72,9 @@
             .replace("127.0.0.1:6400", &platform.address.to_string())
             .replace(r#""sockets": 1024"#, &format!(r#""sockets": {sockets}"#))
             .replace(r#"{"index": 0, "snapshot": true, "endpoints": []}"#, &discovery.snapshot());
-        let (front, path) = spawn_at(&config);
-        let world = Self { listen, discovery, platform, machines, front, config, path };
+        let operator = operator.map(|text| file("operator", text));
+        let (front, path) = spawn_at(&config, operator.as_deref());
+        let world = Self { listen, discovery, platform, machines, front, config, path, operator };
         until("the front is ready", || {
             let Ok(stream) = TcpStream::connect(world.listen) else { return false };
             Client::over(stream).ask("GET /up HTTP/1.1\r\n\r\n").is_some_and(|a| a.start().contains(" 200 "))
@@ -82,6 +94,17 @@
     /// Replaces the configuration and sends SIGHUP to the front.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.path, config).unwrap();
+        self.hang_up();
+    }
+
+    /// Replaces the operator's file, in one step, and sends SIGHUP to the front.
+    pub fn reload_rules(&self, text: &str) {
+        let path = self.operator.as_ref().unwrap();
+        std::fs::rename(file("next", text), path).unwrap();
+        self.hang_up();
+    }
+
+    fn hang_up(&self) {
         let kill = Command::new("kill").args(["-HUP", &self.front.id().to_string()]).status();
         assert!(kill.unwrap().success());
     }
@@ -108,20 +131,36 @@
 
 /// Starts the program with this configuration.
 pub fn spawn(config: &str) -> Child {
-    spawn_at(config).0
+    spawn_at(config, None).0
 }
 
-fn spawn_at(config: &str) -> (Child, PathBuf) {
+/// The repository's root.
+pub fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Writes a file of this name's kind, and no other test's.
+pub fn file(name: &str, text: &str) -> PathBuf {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let name = format!("yarrowspoke-test-{}-{number}.json", std::process::id());
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, config).unwrap();
-    let front = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"))
-        .env("PROXY_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap();
+    let path = std::env::temp_dir().join(format!("yarrowspoke-test-{}-{number}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Runs the program to its end, by the example's configuration.
+pub fn program(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
+    command.args(args).env("PROXY_CONFIG", root().join("examples/config.json")).output().unwrap()
+}
+
+fn spawn_at(config: &str, operator: Option<&Path>) -> (Child, PathBuf) {
+    let path = file("config.json", config);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
+    if let Some(operator) = operator {
+        command.arg("serve").arg("--operator").arg(operator);
+    }
+    let front =
+        command.env("PROXY_CONFIG", &path).stderr(Stdio::piped()).stdout(Stdio::null()).spawn().unwrap();
     (front, path)
 }
 
--- a/crates/yarrowspoke-front/tests/operator.rs
+++ b/crates/yarrowspoke-front/tests/operator.rs
@@ -1,28 +1,15 @@
 //! The operator's file from the command line: what is refused, where, and that nothing starts on it.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+mod common;
+
+use common::{file, program, root};
+use std::process::Output;
 use yarrowspoke_front::run::Files;
 
 const BAD: &str =
     "(verdicts\n  (false-alarm 0.9)\n  (miss 0.05)\n  (least-fault -1)\n  (least-slowness 1.5))\n";
 const GOOD: &str = "(verdicts (false-alarm 0.01) (miss 0.1) (least-fault 0.1) (least-slowness 2.0))\n";
 
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
-}
-
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("yarrowspoke-{}-{name}.sexp", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
-fn program(args: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
-    command.args(args).env("PROXY_CONFIG", root().join("examples/config.json")).output().unwrap()
-}
-
 fn error(out: &Output) -> String {
     String::from_utf8_lossy(&out.stderr).into_owned()
 }
@@ -64,10 +51,10 @@
     let config = root().join("examples/config.json");
     let operator = file("turns", GOOD);
     let files = Files { config, operator: Some(operator.clone()) };
-    let read = files.read().unwrap().settings.module.verdicts.unwrap();
+    let read = files.read(None).unwrap().config.settings.module.verdicts.unwrap();
     assert_eq!((read.false_alarm, read.least_slowness), (0.01, 2.0));
     std::fs::write(&operator, BAD).unwrap();
-    assert!(files.read().is_err(), "a reload acts on what was read whole, and on nothing else");
+    assert!(files.read(None).is_err(), "a reload acts on what was read whole, and on nothing else");
     std::fs::write(&operator, "").unwrap();
-    assert_eq!(files.read().unwrap().settings.module.verdicts, None);
+    assert_eq!(files.read(None).unwrap().config.settings.module.verdicts, None);
 }
--- a/crates/yarrowspoke-front/tests/parsers.rs
+++ b/crates/yarrowspoke-front/tests/parsers.rs
@@ -16,13 +16,14 @@
 }
 
 impl FromHead for Head {
+    type Context = ();
     const STRICT: bool = true;
 
     fn unstated(&self) -> Option<Framing> {
         Some(Framing::Length(0))
     }
 
-    fn from_head(head: &RawHead) -> Result<Self, HttpError> {
+    fn from_head(head: &RawHead, _: &()) -> Result<Self, HttpError> {
         let start = head.start.iter().map(|s| (*s).to_owned()).collect();
         Ok(Self { start, mark: head.field("x-mark").map(str::to_owned) })
     }
--- a/crates/yarrowspoke-lab/src/world.rs
+++ b/crates/yarrowspoke-lab/src/world.rs
@@ -320,7 +320,16 @@
         self.out.requests += 1;
         self.after(remaining, Ev::Deadline { front, id });
         let hint = Some(rough as Micros);
-        let arrival = Arrival { id, class: class as u8, remaining, key: 0, tenant: 0, hint, repeat: false };
+        let arrival = Arrival {
+            id,
+            class: class as u8,
+            remaining,
+            key: 0,
+            tenant: 0,
+            hint,
+            repeat: false,
+            ruled: Default::default(),
+        };
         self.say(front, &Event::Request(arrival));
     }
 
--- a/crates/yarrowspoke-operator/src/lib.rs
+++ b/crates/yarrowspoke-operator/src/lib.rs
@@ -5,18 +5,22 @@
 //! expected.
 
 mod read;
+pub mod rules;
 
-use read::{Field, Form};
+use read::Form;
+use rules::Rules;
 use std::fmt;
 use std::path::Path;
 use thiserror::Error;
 use yarrowspoke::interface::Verdicts;
 
 /// All sections of an operator's file.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Debug, Default)]
 pub struct Operator {
     /// Rates of judging; the decision module's own if none.
     pub verdicts: Option<Verdicts>,
+    /// Rules by which requests are classified; none if it is not there.
+    pub rules: Option<Rules>,
 }
 
 /// One fault of a file.
@@ -71,13 +75,17 @@
 pub fn parse(text: &str) -> Result<Operator, Vec<Fault>> {
     let mut faults = Vec::new();
     let mut operator = Operator::default();
-    for section in read::sections(text, &mut faults) {
-        match section.name.as_str() {
-            "verdicts" if operator.verdicts.is_some() => {
-                faults.push(section.fault("the section verdicts once"));
-            }
-            "verdicts" => operator.verdicts = Some(verdicts(&section, &mut faults)),
-            _ => faults.push(section.fault("one of the sections: verdicts")),
+    let sections = read::sections(text, &mut faults);
+    for (n, section) in sections.iter().enumerate() {
+        let name = section.name.as_str();
+        if sections[..n].iter().any(|s| s.name == name) {
+            faults.push(section.fault(&format!("the section {name} once")));
+            continue;
+        }
+        match name {
+            "verdicts" => operator.verdicts = Some(verdicts(section, &mut faults)),
+            "rules" => operator.rules = rules::rules(section, text, &mut faults),
+            _ => faults.push(section.fault("one of the sections: rules, verdicts")),
         }
     }
     faults.sort_by_key(|f| (f.line, f.column));
@@ -92,9 +100,8 @@
     let mut v =
         Verdicts { false_alarm: f64::NAN, miss: f64::NAN, least_fault: f64::NAN, least_slowness: f64::NAN };
     for field in section.fields(faults) {
-        let Field { name, .. } = &field;
         let rate = |x: f64| x > 0.0 && x < 0.5;
-        let (slot, holds, wanted): (&mut f64, fn(f64) -> bool, &str) = match name.as_str() {
+        let (slot, holds, wanted): (&mut f64, fn(f64) -> bool, &str) = match field.name.as_str() {
             "false-alarm" => (&mut v.false_alarm, rate, "a rate above 0 and under 0.5"),
             "miss" => (&mut v.miss, rate, "a rate above 0 and under 0.5"),
             "least-fault" => (&mut v.least_fault, |x| x > 0.0 && x <= 0.9, "a share above 0, at most 0.9"),
@@ -108,12 +115,8 @@
         };
         if !slot.is_nan() {
             faults.push(field.fault("each field once"));
-        } else if let Some(x) = field.number(wanted, faults) {
-            if holds(x) {
-                *slot = x;
-            } else {
-                faults.push(field.fault_of_value(wanted));
-            }
+        } else if let Some(x) = field.number(wanted, faults, holds) {
+            *slot = x;
         }
     }
     let all = [
--- /dev/null
+++ b/crates/yarrowspoke-operator/src/rules.rs
@@ -0,0 +1,229 @@
+//! The section `rules`: matching expressions and what they say.
+
+use crate::read::{within, Form};
+use crate::Fault;
+use yarrowspoke_expr::bounds::Bounds;
+use yarrowspoke_expr::ruling::{LimitSource, Piece, RuleFault, Says, World};
+use yarrowspoke_expr::set::{Order, RuleSource, Set, SetSource};
+
+/// Keys of limits that are counted apart, if the file says nothing.
+const BUCKETS: usize = 8_192;
+
+/// The section, compiled.
+pub struct Rules {
+    /// The compiled set.
+    pub set: Set,
+    /// Keys of limits that are counted apart.
+    pub buckets: usize,
+    places: Places,
+}
+
+impl std::fmt::Debug for Rules {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Rules").field("rules", &self.set.len()).finish_non_exhaustive()
+    }
+}
+
+/// Where the rules' texts stand in the file.
+struct Places {
+    text: String,
+    section: (usize, usize),
+    rules: Vec<[Option<(usize, usize)>; 4]>,
+}
+
+impl Places {
+    fn fault(&self, f: RuleFault) -> Fault {
+        let piece = match f.piece {
+            Piece::When => 0,
+            Piece::Subject => 1,
+            Piece::LimitKey => 2,
+            Piece::Whole => 3,
+        };
+        let rule = f.rule.and_then(|n| self.rules.get(n));
+        let at = rule.and_then(|r| r[piece]);
+        let (line, column) = match at {
+            Some(at) if piece < 3 => within(&self.text, at, f.at.from),
+            Some(at) => at,
+            None => self.section,
+        };
+        Fault { line, column, found: f.found, expected: f.expected }
+    }
+}
+
+impl Rules {
+    /// Turns names into a deployment's positions; refuses what would loosen its guards.
+    pub fn bind(&mut self, world: &World) -> Result<(), Vec<Fault>> {
+        let places = &self.places;
+        self.set.bind(world).map_err(|faults| faults.into_iter().map(|f| places.fault(f)).collect())
+    }
+
+    /// What is odd in the set, each with its line and column.
+    pub fn warnings(&self) -> Vec<(usize, usize, String)> {
+        let place = |rule: Option<usize>| {
+            rule.and_then(|n| self.places.rules.get(n)).and_then(|r| r[3]).unwrap_or(self.places.section)
+        };
+        self.set.warnings.iter().map(|w| (place(w.rule).0, place(w.rule).1, w.text.clone())).collect()
+    }
+}
+
+/// Reads and compiles the section.
+pub fn rules(section: &Form, text: &str, faults: &mut Vec<Fault>) -> Option<Rules> {
+    let before = faults.len();
+    let mut source = SetSource::default();
+    let mut places = Places { text: text.to_owned(), section: section.place(), rules: Vec::new() };
+    let mut buckets = BUCKETS;
+    let mut once: Vec<String> = Vec::new();
+    for field in section.fields(faults) {
+        if field.name != "rule" {
+            if once.contains(&field.name) {
+                faults.push(field.fault("each field once"));
+                continue;
+            }
+            once.push(field.name.clone());
+        }
+        let bounds: &mut Bounds = &mut source.bounds;
+        match field.name.as_str() {
+            "order" => match field.word("first or all", faults).as_deref() {
+                Some("first") => source.order = Order::First,
+                Some("all") => source.order = Order::All,
+                Some(_) => faults.push(field.fault_of_value("first or all")),
+                None => {}
+            },
+            "steps" => {
+                let wanted = "steps for a request, 100 to 1000000";
+                let steps = field.whole(wanted, faults, |n| (100..=1_000_000).contains(&n));
+                bounds.steps = steps.unwrap_or(bounds.steps);
+            }
+            "target" => {
+                let wanted = "bytes of path and query, 16 to 8192";
+                let bytes = field.whole(wanted, faults, |n| (16..=8_192).contains(&n));
+                bounds.target = bytes.map_or(bounds.target, |n| n as usize);
+            }
+            "header" => {
+                let wanted = "bytes of a header that rules read, 8 to 8192";
+                let bytes = field.whole(wanted, faults, |n| (8..=8_192).contains(&n));
+                bounds.header = bytes.map_or(bounds.header, |n| n as usize);
+            }
+            "bytes" => {
+                let wanted = "bytes of the compiled set, 10000 to 1000000000";
+                let bytes = field.whole(wanted, faults, |n| (10_000..=1_000_000_000).contains(&n));
+                bounds.bytes = bytes.map_or(bounds.bytes, |n| n as usize);
+            }
+            "buckets" => {
+                let wanted = "keys of limits counted apart, 2 to 1000000";
+                let most = field.whole(wanted, faults, |n| (2..=1_000_000).contains(&n));
+                buckets = most.map_or(buckets, |n| n as usize);
+            }
+            "rule" => {
+                if let Some((rule, place)) = rule(&field, faults) {
+                    source.rules.push(rule);
+                    places.rules.push(place);
+                }
+            }
+            _ => faults
+                .push(field.fault("one of the fields: order, steps, target, header, bytes, buckets, rule")),
+        }
+    }
+    if faults.len() > before {
+        return None;
+    }
+    match Set::compile(&source) {
+        Ok(set) => Some(Rules { set, buckets, places }),
+        Err(found) => {
+            faults.extend(found.into_iter().map(|f| places.fault(f)));
+            None
+        }
+    }
+}
+
+const SECONDS: &str = "seconds, 0 to 3600";
+
+fn seconds(field: &Form, faults: &mut Vec<Fault>) -> Option<u64> {
+    let seconds = field.number(SECONDS, faults, |s| (0.0..=3_600.0).contains(&s))?;
+    Some((seconds * 1e6) as u64)
+}
+
+type Place = [Option<(usize, usize)>; 4];
+
+fn rule(form: &Form, faults: &mut Vec<Fault>) -> Option<(RuleSource, Place)> {
+    let Some(name) = form.title() else {
+        faults.push(form.fault("a name behind 'rule': (rule NAME (when \"...\") ...)"));
+        return None;
+    };
+    let mut when = None;
+    let mut says = Says::default();
+    let mut place: Place = [None, None, None, Some(form.place())];
+    let fields = form.fields_behind(1, faults);
+    for (n, field) in fields.iter().enumerate() {
+        if fields[..n].iter().any(|f| f.name == field.name) {
+            faults.push(field.fault("each field once"));
+            continue;
+        }
+        let expression = "an expression as a string";
+        match field.name.as_str() {
+            "when" => {
+                when = field.text(expression, faults);
+                place[0] = Some(field.value_place());
+            }
+            "subject" => {
+                says.subject = field.text(expression, faults);
+                place[1] = Some(field.value_place());
+            }
+            "class" => says.class = field.word("a class's name", faults),
+            "tenant" => says.tenant = field.word("a tenant's name", faults),
+            "zone" => says.zone = field.word("a zone's name", faults),
+            "kind" => says.kind = field.word("a kind of machine", faults),
+            "effect" => {
+                let wanted = "once: a rule can only make a request unrepeatable";
+                let word = field.take(wanted, faults, |v| v.as_symbol().filter(|s| *s == "once").map(|_| ()));
+                says.once = word.is_some();
+            }
+            "attempts" => {
+                let most = field.whole("attempts, 1 to 100", faults, |n| (1..=100).contains(&n));
+                says.attempts = most.map(|n| n as u32);
+            }
+            "budget" => {
+                let wanted = "seconds, above 0 and at most 3600";
+                let s = field.number(wanted, faults, |s| s > 0.0 && s <= 3_600.0);
+                says.budget = s.map(|s| ((s * 1e6) as u64).max(1));
+            }
+            "refuse" => says.refuse = seconds(field, faults),
+            "limit" => {
+                says.limit = limit(field, &mut place, faults);
+            }
+            _ => faults.push(field.fault(
+                "one of the fields: when, class, effect, subject, tenant, attempts, limit, zone, kind, budget, refuse",
+            )),
+        }
+    }
+    if !fields.iter().any(|f| f.name == "when") {
+        faults.push(form.fault("the field when in it"));
+    }
+    Some((RuleSource { name, when: when?, says }, place))
+}
+
+fn limit(form: &Form, place: &mut Place, faults: &mut Vec<Fault>) -> Option<LimitSource> {
+    let (mut key, mut rate, mut burst) = (None, None, None);
+    for field in form.fields(faults) {
+        match field.name.as_str() {
+            "key" => {
+                key = field.text("an expression as a string", faults);
+                place[2] = Some(field.value_place());
+            }
+            "rate" => {
+                let wanted = "requests a second of all fronts together, 0.001 to 1000000";
+                rate = field.number(wanted, faults, |n| (0.001..=1e6).contains(&n));
+            }
+            "burst" => {
+                let wanted = "requests at once of all fronts together, 1 to 1000000";
+                burst = field.number(wanted, faults, |n| (1.0..=1e6).contains(&n));
+            }
+            _ => faults.push(field.fault("one of the fields: key, rate, burst")),
+        }
+    }
+    if !form.names().iter().any(|n| n == "rate") {
+        faults.push(form.fault("the field rate in it"));
+    }
+    let rate = rate?;
+    Some(LimitSource { key, rate, burst: burst.unwrap_or(rate.max(1.0)) })
+}
--- a/crates/yarrowspoke-operator/tests/faults.rs
+++ b/crates/yarrowspoke-operator/tests/faults.rs
@@ -53,3 +53,59 @@
         assert!(parse(&RIGHT.replace(from, to)).is_err(), "{from} -> {to}");
     }
 }
+
+const RULES: &str = r#"(rules
+  (order all)
+  (steps 20000)
+  (rule comments (when "class == 'comment'") (effect once) (attempts 2))
+  (rule "election night"
+    (when "segments[1].orValue('') in ['live', \"map\"] &&
+           !repeat")
+    (limit (key "segments[2].orValue('')") (rate 20) (burst 5))
+    (budget 0.8) (zone a) (kind "big one") (subject "path") (tenant acme)))
+"#;
+
+#[test]
+fn rules_are_read_whole() {
+    let rules = parse(RULES).unwrap_or_else(|f| panic!("{f:?}")).rules.unwrap();
+    assert_eq!((rules.set.len(), rules.set.name(1)), (2, "election night"));
+    let says = rules.set.says(1);
+    assert_eq!((says.budget, says.kind.as_deref()), (Some(800_000), Some("big one")));
+    assert_eq!(says.limit.as_ref().map(|l| (l.rate, l.burst)), Some((20.0, 5.0)));
+    assert!(parse("(verdicts)").is_err() && parse("").unwrap().rules.is_none());
+}
+
+#[test]
+fn faults_in_rules_tell_the_place_in_the_file() {
+    // Each change, what then stands where the fault is, and a word of what was expected.
+    for (from, to, at, word) in [
+        ("(order all)", "(order some)", "some)", "first or all"),
+        ("(order all)", "(order all) (order first)", "(order first", "each field once"),
+        ("20000", "5", "5)", "100 to 1000000"),
+        ("20000", "100.5", "100.5", "100 to 1000000"),
+        ("class == 'comment'", "clas == 'comment'", "clas ==", "one of the fields: method"),
+        ("class == 'comment'", "class == \\\"a\\\" && clas", "clas\") (effect", "one of the fields: method"),
+        ("(effect once)", "(effect never)", "never", "once: a rule can only"),
+        ("(effect once)", "(effect repeatable)", "repeatable", "once: a rule can only"),
+        ("(attempts 2)", "(attempts 0)", "0))", "1 to 100"),
+        ("(attempts 2)", "(attempt 2)", "(attempt 2", "one of the fields: when"),
+        ("!repeat", "!repeated", "repeated", "one of the fields"),
+        ("(rule comments", "(rule (when \"true\")", "(rule (when", "a name behind 'rule'"),
+        ("(when \"class == 'comment'\") ", "", "(rule comments", "the field when"),
+        ("(rate 20) ", "", "(limit", "the field rate"),
+        ("(rate 20)", "(rate 0)", "0) (burst", "0.001 to 1000000"),
+        ("(budget 0.8)", "(budget -1)", "-1)", "above 0"),
+        ("\"path\"", "\"length\"", "length", "string"),
+        ("\"path\"", "path", "path) (tenant", "an expression as a string"),
+        ("\"election night\"", "comments", "(rule comments\n", "another name"),
+    ] {
+        let text = RULES.replace(from, to);
+        assert_ne!(text, RULES, "{from}");
+        let begun = text.find(at).unwrap();
+        let line = text[..begun].matches('\n').count() + 1;
+        let column = begun - text[..begun].rfind('\n').map_or(0, |n| n + 1) + 1;
+        let faults = said(&text);
+        let right = faults.iter().any(|f| (f.0, f.1) == (line, column) && f.2.contains(word));
+        assert!(right, "{from} -> {to}, at {line}:{column}: {faults:?}");
+    }
+}
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -2,7 +2,7 @@
 //! threshold is the caller's; nothing here decides.
 
 use crate::interface::{
-    Build, DedupScope, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Verdict,
+    Build, DedupScope, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Ruled, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -153,8 +153,12 @@
 
 /// A request that this front owes a final answer.
 pub struct Request {
-    /// The class.
+    /// The class, by which the guards go.
     pub class: usize,
+    /// The class whose aim and worth count for it.
+    pub like: usize,
+    /// What the operators' rules say of it.
+    pub ruled: Ruled,
     /// When it came.
     pub arrived: Micros,
     /// When its client stops waiting.
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -341,6 +341,29 @@
     pub hint: Option<Micros>,
     /// Marked by the client as a repeat.
     pub repeat: bool,
+    /// What the operators' rules say of it.
+    pub ruled: Ruled,
+}
+
+/// What the operators' rules say of a request. It only ever narrows: the guards go by the request's own class and key.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ruled {
+    /// Never sent again once it may have run, whatever its class allows.
+    pub once: bool,
+    /// Most attempts, if fewer than the settings allow.
+    pub attempts: Option<u32>,
+    /// The class whose aim and worth count for it.
+    pub like: Option<u8>,
+    /// Its subject for its hash position, in place of its key.
+    pub subject: Option<u64>,
+    /// Machines of this zone are preferred.
+    pub zone: Option<u16>,
+    /// Machines of this kind are preferred.
+    pub kind: Option<u8>,
+    /// Time cut off what its client would wait.
+    pub cut: Micros,
+    /// It is refused, to come back after so long.
+    pub refuse: Option<Micros>,
 }
 
 /// The end of an attempt.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -217,12 +217,25 @@
     /// Rules 2 to 5 for one send; rule 1 is `finish` and the ledger of open requests.
     fn may_send(&self, now: Micros, r: &Request, m: &Machine) -> bool {
         now < r.deadline
-            && r.attempts.len() < self.s.max_attempts as usize
+            && r.attempts.len() < self.most_attempts(r)
             && m.e.state == MachineState::Ready
             && self.may_repeat(now, r, m)
             && self.tie_allows(r, m)
             && self.cold_allows(now, r, m)
-            && self.exposure_allows(now, r.class, m.e.build)
+            && self.exposure_allows(now, r, m.e.build)
+    }
+
+    /// Its class's effect, or a stricter one that the operators' rules state; never a looser one.
+    fn effect(&self, r: &Request) -> Effect {
+        if r.ruled.once {
+            Effect::Once
+        } else {
+            self.s.classes[r.class].effect
+        }
+    }
+
+    fn most_attempts(&self, r: &Request) -> usize {
+        r.ruled.attempts.map_or(self.s.max_attempts, |n| n.min(self.s.max_attempts)) as usize
     }
 
     /// Rule 2: no effect twice, and one attempt at a time where copies are barred.
@@ -232,7 +245,7 @@
             if a.out && !self.s.second_copies {
                 return false;
             }
-            match c.effect {
+            match self.effect(r) {
                 _ if !a.maybe_ran => true,
                 Effect::Repeatable => true,
                 Effect::Once => false,
@@ -250,7 +263,7 @@
     /// Rule 2: a refusal promises that trying again is harmless.
     fn may_refuse(&self, now: Micros, r: &Request) -> bool {
         let c = &self.s.classes[r.class];
-        r.attempts.iter().filter(|a| a.maybe_ran).all(|a| match c.effect {
+        r.attempts.iter().filter(|a| a.maybe_ran).all(|a| match self.effect(r) {
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::ByKey => c.scope == DedupScope::All && now + EDGE < a.sent + c.dedup_window,
@@ -335,15 +348,15 @@
 
     /// Rule 5: attempts at a build on trial, over a span widened for safety, stay within free attempts plus
     /// cap times requests taken over a span narrowed for safety. A lower cap binds at once.
-    fn exposure_allows(&self, now: Micros, class: usize, build: Build) -> bool {
+    fn exposure_allows(&self, now: Micros, r: &Request, build: Build) -> bool {
         let Some(cap) = self.cap(build) else { return true };
         let rel = &self.s.release;
         let guarded = self.stage(build) < rel.guarded_stages;
-        if cap <= 0.0 || guarded && self.s.classes[class].effect != Effect::Repeatable {
+        if cap <= 0.0 || guarded && self.effect(r) != Effect::Repeatable {
             return false;
         }
         let (mut taken, mut sent) = (0.0, 0.0);
-        for c in (0..self.s.classes.len()).filter(|c| !rel.by_class || *c == class) {
+        for c in (0..self.s.classes.len()).filter(|c| !rel.by_class || *c == r.class) {
             taken += self.k.accepted[c].sum(now, rel.window.saturating_sub(EDGE));
             sent += self.k.exposed.get(&(build, c)).map_or(0.0, |t| t.sum(now, rel.window + EDGE));
         }
@@ -354,8 +367,8 @@
     fn finish(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.k.requests.remove(&id) else { return };
         if self.may_refuse(now, &r) {
-            let part = (self.s.classes[r.class].aim as f64 * BACK_PART) as Micros;
-            let backoff = (part + self.jitter(part)).min(self.s.max_retry_after);
+            let part = (self.s.classes[r.like].aim as f64 * BACK_PART) as Micros;
+            let backoff = r.ruled.refuse.unwrap_or(part + self.jitter(part)).min(self.s.max_retry_after);
             out.push(Action::Refuse { id, backoff: if self.s.retry_after { backoff } else { 0 } });
         } else {
             out.push(Action::Fail { id });
@@ -413,16 +426,18 @@
         self.k.retries.left += RETRY_SHARE;
         let over = self.over_share(now, a.tenant as usize);
         let work = a.hint.filter(|h| *h > 0).map_or(NOMINAL_WORK, |h| h as f64);
-        let pos = position(if key == 0 { id } else { key });
+        let pos = position(a.ruled.subject.unwrap_or(if key == 0 { id } else { key }));
         let deadline = now + a.remaining;
         // Repeats state what is left of their time. Danger: one who states an hour makes all others seem old.
         let longest = &mut self.k.budgets[class];
-        let stated = a.remaining.min(self.s.classes[class].deadline) as f64;
+        let stated = (a.remaining + a.ruled.cut).min(self.s.classes[class].deadline) as f64;
         *longest = (*longest - BUDGET_FADE * (*longest - stated)).max(stated);
         let (aged, attempts) = (*longest - stated, Vec::new());
+        let like = a.ruled.like.map(usize::from).filter(|c| *c < self.s.classes.len()).unwrap_or(class);
+        let (ruled, arrived, parked) = (a.ruled, now, false);
         let r =
-            Request { class, arrived: now, deadline, key, pos, work, over, aged, attempts, parked: false };
-        let admitted = self.admits(now, &r);
+            Request { class, like, ruled, arrived, deadline, key, pos, work, over, aged, attempts, parked };
+        let admitted = r.ruled.refuse.is_none() && self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
             self.dispatch(now, id, out);
@@ -443,12 +458,12 @@
             self.k.requests.insert(id, r);
             return;
         }
-        let c = &self.s.classes[r.class];
+        let c = &self.s.classes[r.like];
         let patience = r.arrived + (c.aim as f64 * PARK_PART) as Micros;
         let until = patience.min(r.deadline.saturating_sub(TICK));
         let idle = !r.attempts.iter().any(|a| a.out);
         // What no machine may ever take is given up at once; the rest waits a little.
-        let hope = r.attempts.len() < self.s.max_attempts as usize
+        let hope = r.attempts.len() < self.most_attempts(&r)
             && self.k.machines.values().any(|m| self.may_repeat(now, &r, m));
         r.parked = idle && hope && now < until;
         let give_up = idle && !r.parked;
@@ -483,7 +498,7 @@
     /// A request's turn on the build on trial: position, effect and in-flight ceiling.
     fn turn(&self, r: &Request, build: Build) -> bool {
         let Some(cap) = self.cap(build) else { return false };
-        let effect = self.s.classes[r.class].effect != Effect::Repeatable;
+        let effect = self.effect(r) != Effect::Repeatable;
         let open = !effect || self.stage(build) >= self.s.release.guarded_stages.max(EFFECT_STAGE);
         let held = self.k.held.get(&build).copied().unwrap_or(0);
         let ceiling = (cap * f64::from(self.k.inflight + 1)).ceil();
@@ -518,13 +533,32 @@
         let sizes: Vec<(MachineId, f64)> = of.iter().map(|m| (m.e.machine, self.capacity(now, m))).collect();
         // Departure: while answers are slow, two draws would leave some machines idle beside others' queues.
         let draws = if self.k.answer_time < EASY * self.tightest() { 2 } else { CROWDED_DRAWS };
-        let drawn = (0..draws).filter_map(|_| weighted(&sizes, position(self.rng.next_u64())));
+        // Departure: a place that the operators' rules prefer, until it carries clearly more than the rest.
+        let near = |m: &MachineId| {
+            let e = &self.k.machines[m].e;
+            r.ruled.zone.is_none_or(|z| z == e.zone) && r.ruled.kind.is_none_or(|k| k == e.kind)
+        };
+        let asked = r.ruled.zone.is_some() || r.ruled.kind.is_some();
+        let preferred: Vec<_> = sizes.iter().filter(|m| asked && near(&m.0)).copied().collect();
+        let any = self.least_loaded(now, draws, &sizes);
+        let preferred = self.least_loaded(now, draws, &preferred);
+        match (any, preferred) {
+            (Some(a), Some(p)) if self.load_of(now, p) <= self.load_of(now, a) + SPILL => Some(p),
+            _ => any,
+        }
+    }
+
+    fn least_loaded(&mut self, now: Micros, draws: usize, of: &[(MachineId, f64)]) -> Option<MachineId> {
+        if of.is_empty() {
+            return None;
+        }
+        let drawn = (0..draws).filter_map(|_| weighted(of, position(self.rng.next_u64())));
         let drawn: Vec<MachineId> = drawn.collect();
         drawn.into_iter().min_by(|a, b| self.load_of(now, *a).total_cmp(&self.load_of(now, *b)))
     }
 
     fn sound(&self, now: Micros, m: &Machine, r: &Request) -> bool {
-        let repeatable = self.s.classes[r.class].effect == Effect::Repeatable;
+        let repeatable = self.effect(r) == Effect::Repeatable;
         // Earlier machines leave after a release, whatever an old list says: those that linger look idle.
         let released = self.k.news.filter(|n| n.phase == Phase::Released && m.e.build < n.build);
         let superseded = released.is_some_and(|n| !self.list_behind(n.build));
@@ -678,7 +712,7 @@
             a.out && (m.e.state == MachineState::Gone || m.ejections > 0 && now > a.sent + SILENT_FLOOR)
         };
         let movable = |r: &Request| {
-            self.s.classes[r.class].effect != Effect::Once
+            self.effect(r) != Effect::Once
                 && r.attempts.last().is_some_and(stuck)
                 && r.attempts.iter().filter(|a| a.out).count() == 1
         };
@@ -688,7 +722,8 @@
                 if self.k.retries.take(now, 0.0, RETRY_BURST) {
                     self.dispatch(now, id, out);
                 }
-            } else if self.s.may_cancel && self.k.requests[&id].attempts.len() < self.s.max_attempts as usize
+            } else if self.s.may_cancel
+                && self.k.requests[&id].attempts.len() < self.most_attempts(&self.k.requests[&id])
             {
                 let attempt = self.k.requests[&id].attempts.len() as u16 - 1;
                 out.push(Action::Cancel { id, attempt });
@@ -714,7 +749,7 @@
         let recent = || self.k.outs.values().filter(|o| now <= o.sent + late);
         // Danger: those turned away come again, the largest last, until most of what is served is too late.
         let takes = self.k.answer_time * (r.work / self.k.answer_work.max(1.0)).min(WORK_MOST);
-        let stale = r.aged + takes > (self.s.classes[r.class].aim as f64).max(self.k.answer_time);
+        let stale = r.aged + takes > (self.s.classes[r.like].aim as f64).max(self.k.answer_time);
         // Danger: one build's queue must not turn away what another's machines have room for.
         let open = |b: &&Build| self.cap(**b).is_none_or(|_| self.turn(r, **b));
         let free = self.k.reach.keys().filter(open).any(|b| {
@@ -729,7 +764,7 @@
         let rate = self.k.best_rate;
         // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
         let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
-        let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.class].worth / dearest);
+        let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.like].worth / dearest);
         let fit = if r.over || stale { FIT_OVER } else { FIT * rank };
         (recent().count() + 1) as f64 <= fit * tightest * rate
     }
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -88,6 +88,8 @@
     pub front: Front,
     pub now: Micros,
     pub next: RequestId,
+    /// What rules say of the next requests.
+    pub ruled: Ruled,
     /// What the last event made the front do.
     pub did: Vec<Action>,
 }
@@ -97,7 +99,7 @@
     pub fn new(settings: Settings, old: u32) -> Self {
         let mut did = Vec::new();
         let front = Front::new(7, settings, 100 * S, &mut did);
-        let mut rig = Self { front, now: 100 * S, next: 1, did };
+        let mut rig = Self { front, now: 100 * S, next: 1, ruled: Ruled::default(), did };
         let entries: Vec<Entry> = (0..old).map(|m| entry(m, 1, 0)).collect();
         rig.list(ListKind::Cached, &entries);
         rig.say(Event::News(news(1, 3, Phase::Released, 1.0)));
@@ -135,7 +137,16 @@
         let id = self.next;
         self.next += 1;
         let hint = Some(work);
-        self.say(Event::Request(Arrival { id, class, remaining, key, tenant: 0, hint, repeat: false }));
+        self.say(Event::Request(Arrival {
+            id,
+            class,
+            remaining,
+            key,
+            tenant: 0,
+            hint,
+            repeat: false,
+            ruled: self.ruled,
+        }));
         id
     }
 
