A build goes back only if most of a stage's machines show its fault; laboratory's rules

Change: evidence is also weighed with the half of the machines left out that says most; in stages of three machines and more a build goes back only if the rest speaks for a fault, else 'on' waits 8 s as for one sick machine. Experiments rules and fuzz-rules of the laboratory; ways to find a rule are compared by the steps of all rules behind a constant.

--- a/crates/yarrowspoke-expr/src/index.rs
+++ b/crates/yarrowspoke-expr/src/index.rs
@@ -11,9 +11,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// Weight of a further rule behind one constant when ways to find a rule are compared, in steps.
-const CROWD: u64 = 8;
-
 /// How one part of a condition is found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Way {
@@ -84,10 +81,11 @@
         compiler: &mut Compiler,
     ) -> Self {
         let ways: Vec<Vec<Vec<Way>>> = conditions.iter().map(|c| ways(pool, *c)).collect();
+        // Steps of all rules that one constant finds: the fewer, the better it tells them apart.
         let mut crowd: HashMap<(TermId, &str, bool), u64> = HashMap::new();
-        for way in ways.iter().flatten().flatten() {
+        for (n, way) in ways.iter().enumerate().flat_map(|(n, w)| w.iter().flatten().map(move |w| (n, w))) {
             for key in way.keys() {
-                *crowd.entry((way.of(), key, matches!(way, Way::Among(..)))).or_default() += 1;
+                *crowd.entry((way.of(), key, matches!(way, Way::Among(..)))).or_default() += weights[n];
             }
         }
         let mut chosen: BTreeMap<TermId, Vec<(u32, &Way)>> = BTreeMap::new();
@@ -102,7 +100,7 @@
                     let most =
                         keys.map(|k| crowd.get(&(way.of(), k.as_ref(), shared)).copied().unwrap_or(0)).max();
                     let met = chosen.contains_key(&way.of());
-                    most.unwrap_or(0) * CROWD + if met { 0 } else { pool.facts(way.of()).whole }
+                    most.unwrap_or(0) + if met { 0 } else { pool.facts(way.of()).whole }
                 };
                 picks.push(alternative.iter().min_by_key(cost));
             }
--- a/crates/yarrowspoke-lab/src/lib.rs
+++ b/crates/yarrowspoke-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod baselines;
 pub mod machine;
 pub mod plot;
+pub mod rules;
 pub mod scenario;
 pub mod verdicts;
 pub mod world;
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -3,9 +3,10 @@
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use yarrowspoke_lab::{plot, verdicts};
+use yarrowspoke_expr::set::Order;
+use yarrowspoke_lab::{plot, rules, verdicts};
 
 #[derive(Parser)]
 #[command(name = "yarrowspoke-lab", version, about = "Experiments in a seeded world of stand-ins")]
@@ -30,6 +31,9 @@
         /// Only cells whose name contains this
         #[arg(long)]
         only: Option<String>,
+        /// Only cells of so many fronts
+        #[arg(long)]
+        fronts: Option<u32>,
         /// Draw an SVG here
         #[arg(long)]
         plot: Option<PathBuf>,
@@ -37,23 +41,142 @@
         #[arg(long)]
         logs: bool,
     },
+    /// What a large set of matching expressions costs a request, and that hostile ones are refused
+    Rules {
+        /// The same seed draws the same rules and requests
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Rules of the set
+        #[arg(long, default_value_t = 5_000, value_parser = clap::value_parser!(u32).range(1..=20_000))]
+        rules: u32,
+        /// Requests
+        #[arg(long, default_value_t = 100_000, value_parser = clap::value_parser!(u32).range(1..=10_000_000))]
+        requests: u32,
+        /// All that hold count, not the first one only
+        #[arg(long)]
+        all: bool,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// A long run against the language: drawn sets and changed texts
+    FuzzRules {
+        /// The same seed draws the same sets and texts
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Drawn sets
+        #[arg(long, default_value_t = 100_000)]
+        sets: u64,
+        /// Changed texts
+        #[arg(long, default_value_t = 1_000_000)]
+        texts: u64,
+        /// Texts to change, one a line
+        #[arg(long)]
+        corpus: PathBuf,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
-    let Experiment::Verdicts { seed, trials, json, only, plot: picture, logs } = Args::parse().experiment;
-    let named = |c: &verdicts::Cell| only.as_ref().is_none_or(|o| c.name.contains(o.as_str()));
-    let cells: Vec<_> = verdicts::cells().into_iter().filter(named).collect();
-    if cells.is_empty() || trials == 0 {
-        eprintln!("yarrowspoke-lab: no cell of that name, or no trials: at least one of each is needed");
-        return ExitCode::from(2);
+    match Args::parse().experiment {
+        Experiment::Verdicts { seed, trials, json, only, fronts, plot, logs } => {
+            play_verdicts(seed, trials, json, (only, fronts), plot, logs)
+        }
+        Experiment::Rules { seed, rules, requests, all, json } => {
+            let order = if all { Order::All } else { Order::First };
+            play_rules(
+                rules::Options { rules: rules as usize, requests: requests as usize, seed, order },
+                json,
+            )
+        }
+        Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
+            fuzz_rules(seed, (sets, texts), &corpus, json)
+        }
     }
+}
+
+/// A bar on a terminal, and nothing elsewhere.
+fn progress(steps: u64) -> ProgressBar {
     let bar = match std::io::stderr().is_terminal() {
-        true => ProgressBar::new(cells.len() as u64 * trials),
+        true => ProgressBar::new(steps),
         false => ProgressBar::hidden(),
     };
     if let Ok(style) = ProgressStyle::with_template("{wide_bar} {pos}/{len} {eta}") {
         bar.set_style(style);
     }
+    bar
+}
+
+/// Prints a report; whether what it checks held is the exit status.
+fn tell(json: bool, report: &impl serde::Serialize, table: String, held: bool) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string(report).expect("a report is plain data"));
+    } else {
+        print!("{table}");
+    }
+    if held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn fuzz_rules(seed: u64, (sets, texts): (u64, u64), corpus: &Path, json: bool) -> ExitCode {
+    let lines: Vec<String> = match std::fs::read_to_string(corpus) {
+        Ok(text) => text.lines().map(str::to_owned).collect(),
+        Err(e) => {
+            eprintln!("yarrowspoke-lab: {}: {e}", corpus.display());
+            return ExitCode::from(2);
+        }
+    };
+    let bar = progress(sets + texts);
+    let report = rules::fuzz::run(seed, sets, texts, &lines, || bar.inc(1));
+    bar.finish_and_clear();
+    let table = format!(
+        "{} sets and {} texts ({} of them accepted) on {} requests, {} of which met a rule; {} failures\n{}",
+        report.sets,
+        report.texts,
+        report.accepted,
+        report.requests,
+        report.met,
+        report.failures.len(),
+        report.failures.iter().map(|f| format!("{f}\n")).collect::<String>(),
+    );
+    tell(json, &report, table, report.failures.is_empty())
+}
+
+fn play_rules(options: rules::Options, json: bool) -> ExitCode {
+    let bar = progress(2 * options.requests as u64);
+    let report = rules::run(options, || bar.inc(1));
+    bar.finish_and_clear();
+    match report {
+        Ok(report) => tell(json, &report, rules::table(&report), report.held()),
+        Err(e) => {
+            eprintln!("yarrowspoke-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play_verdicts(
+    seed: u64,
+    trials: u64,
+    json: bool,
+    (only, fronts): (Option<String>, Option<u32>),
+    picture: Option<PathBuf>,
+    logs: bool,
+) -> ExitCode {
+    let named = |c: &verdicts::Cell| {
+        only.as_ref().is_none_or(|o| c.name.contains(o.as_str())) && fronts.is_none_or(|f| c.fronts == f)
+    };
+    let cells: Vec<_> = verdicts::cells().into_iter().filter(named).collect();
+    if cells.is_empty() || trials == 0 {
+        eprintln!("yarrowspoke-lab: no cell of that name, or no trials: at least one of each is needed");
+        return ExitCode::from(2);
+    }
+    let bar = progress(cells.len() as u64 * trials);
     let report = verdicts::run(&cells, seed, trials, || bar.inc(1));
     bar.finish_and_clear();
     if logs {
@@ -70,14 +193,5 @@
             return ExitCode::from(2);
         }
     }
-    if json {
-        println!("{}", serde_json::to_string(&report).expect("a report is plain data"));
-    } else {
-        print!("{}", verdicts::table(&report));
-    }
-    if report.held() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    tell(json, &report, verdicts::table(&report), report.held())
 }
--- a/crates/yarrowspoke-verdict/src/book.rs
+++ b/crates/yarrowspoke-verdict/src/book.rs
@@ -90,6 +90,8 @@
     pub failing: f64,
     /// The same with nothing counted of the machines that may be sick.
     pub beyond_sick: f64,
+    /// The same with nothing counted of that half of the machines which says most.
+    pub beyond_half: f64,
     /// That what was sent to it fails more, be it the build or its machines.
     pub failing_or_sick: f64,
     /// That it fails by no more than the margin.
@@ -107,6 +109,7 @@
     pub const NOTHING: Self = Self {
         failing: f64::NEG_INFINITY,
         beyond_sick: f64::NEG_INFINITY,
+        beyond_half: f64::NEG_INFINITY,
         failing_or_sick: f64::NEG_INFINITY,
         sound: 0.0,
         witnesses: 0,
@@ -303,7 +306,7 @@
 
     fn weigh(&mut self) {
         let all = LeaveOut::default();
-        let capped = LeaveOut { one_in: self.d.sick_one_in, price: self.d.sick_price, group: false };
+        let capped = LeaveOut { one_in: self.d.sick_one_in, price: self.d.sick_price, ..all };
         let zone = LeaveOut { group: true, ..all };
         let zone_price = self.d.zone_price;
         let beside: Vec<&Evidence> = self.beside.iter().collect();
@@ -330,12 +333,20 @@
             ])
         };
         let beyond_sick = failing(LeaveOut { price: 0.0, ..capped });
+        let beyond_half = failing(LeaveOut { price: 0.0, half: true, ..capped });
         let failing = failing(capped);
         let failing_or_sick = Evidence::look_at_all(&whole, all);
         let heard = |e: &[Evidence]| e.iter().map(|e| e.witnesses(self.d.heard)).max().unwrap_or(0);
         let witnesses = heard(&self.pooled).max(heard(&self.remembered));
-        self.found =
-            Findings { failing, beyond_sick, failing_or_sick, sound: self.sound, witnesses, ..self.found };
+        self.found = Findings {
+            failing,
+            beyond_sick,
+            beyond_half,
+            failing_or_sick,
+            sound: self.sound,
+            witnesses,
+            ..self.found
+        };
     }
 }
 
--- a/crates/yarrowspoke-verdict/src/evidence.rs
+++ b/crates/yarrowspoke-verdict/src/evidence.rs
@@ -60,6 +60,8 @@
 pub struct LeaveOut {
     /// One witness in so many, and one at least, may be left out; 0 leaves out none.
     pub one_in: usize,
+    /// Half of the witnesses, and two at least, are left out instead.
+    pub half: bool,
     /// Price of leaving out each, as a logarithm: what a sick machine may add at most. Danger: where traffic is thin
     /// each machine that failed did so once, and leaving them out for nothing would leave no evidence at all.
     pub price: f64,
@@ -207,6 +209,7 @@
             }
             let drop = match out.one_in {
                 0 => 0,
+                _ if out.half => (heard.len() / 2).max(2),
                 many => (heard.len() / many).max(1),
             };
             gains.sort_by(|a, b| b.0.total_cmp(&a.0));
--- a/crates/yarrowspoke-verdict/tests/rates.rs
+++ b/crates/yarrowspoke-verdict/tests/rates.rs
@@ -33,7 +33,7 @@
 #[test]
 fn under_the_null_the_mean_is_at_most_one() {
     let paths = 20_000;
-    for out in [LeaveOut::default(), LeaveOut { one_in: 4, price: 2.0, group: false }] {
+    for out in [LeaveOut::default(), LeaveOut { one_in: 4, price: 2.0, ..LeaveOut::default() }] {
         let mean =
             (0..paths).map(|s| path(s, 5, |_| ()).look(out).exp().min(1e6)).sum::<f64>() / paths as f64;
         assert!(mean <= 1.1, "mean e-value {mean} with {out:?}");
@@ -198,7 +198,7 @@
         let e = path(seed, 12, |_| ());
         let all = e.look(LeaveOut::default());
         for one_in in 1..6 {
-            let less = e.look(LeaveOut { one_in, price: 2.0, group: false });
+            let less = e.look(LeaveOut { one_in, price: 2.0, ..LeaveOut::default() });
             prop_assert!(less <= all + 1e-12);
         }
     }
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -61,6 +61,7 @@
 const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SICK_PART: usize = 4; // one machine in so many, and one at least, may be sick by itself...
+const SEVERAL: f64 = 3.0; // machines of a stage of which most must show a fault
 const SICK_PRICE: (f64, f64) = (3.0, 4.0); // ...adding at most so much each; a zone's price
 const LOOK_EVERY: Micros = 200 * MS; // paces are compared this often
 const BRIEF: Micros = 2_500 * MS; // slowness must last so long; failures have ceased if none is so recent
@@ -533,25 +534,20 @@
         let sizes: Vec<(MachineId, f64)> = of.iter().map(|m| (m.e.machine, self.capacity(now, m))).collect();
         // Departure: while answers are slow, two draws would leave some machines idle beside others' queues.
         let draws = if self.k.answer_time < EASY * self.tightest() { 2 } else { CROWDED_DRAWS };
-        // Departure: a place that the operators' rules prefer, until it carries clearly more than the rest.
-        let near = |m: &MachineId| {
-            let e = &self.k.machines[m].e;
-            r.ruled.zone.is_none_or(|z| z == e.zone) && r.ruled.kind.is_none_or(|k| k == e.kind)
-        };
-        let asked = r.ruled.zone.is_some() || r.ruled.kind.is_some();
-        let preferred: Vec<_> = sizes.iter().filter(|m| asked && near(&m.0)).copied().collect();
         let any = self.least_loaded(now, draws, &sizes);
-        let preferred = self.least_loaded(now, draws, &preferred);
-        match (any, preferred) {
-            (Some(a), Some(p)) if self.load_of(now, p) <= self.load_of(now, a) + SPILL => Some(p),
-            _ => any,
+        // Departure: a place that the operators' rules prefer, until it carries clearly more than the rest.
+        let Ruled { zone, kind, .. } = r.ruled;
+        if zone.is_none() && kind.is_none() {
+            return any;
         }
+        let e = |id: MachineId| &self.k.machines[&id].e;
+        let near = |id| zone.is_none_or(|z| z == e(id).zone) && kind.is_none_or(|k| k == e(id).kind);
+        let near: Vec<_> = sizes.iter().filter(|m| near(m.0)).copied().collect();
+        let near = self.least_loaded(now, draws, &near);
+        near.filter(|p| any.is_none_or(|a| self.load_of(now, *p) <= self.load_of(now, a) + SPILL)).or(any)
     }
 
     fn least_loaded(&mut self, now: Micros, draws: usize, of: &[(MachineId, f64)]) -> Option<MachineId> {
-        if of.is_empty() {
-            return None;
-        }
         let drawn = (0..draws).filter_map(|_| weighted(of, position(self.rng.next_u64())));
         let drawn: Vec<MachineId> = drawn.collect();
         drawn.into_iter().min_by(|a, b| self.load_of(now, *a).total_cmp(&self.load_of(now, *b)))
@@ -846,7 +842,12 @@
         // Before the last stage more machines come, and the next stage tells one from the other.
         let next = usize::from(self.stage(build)) + 1 < self.s.release.shares.len();
         let alone = self.k.ready(build).count() < 2 && !next;
+        // Danger: of a stage's few machines several may be sick, and what they add lasts into later stages. A
+        // build's own fault shows on most of its machines: the better half must not speak for it.
+        let several = self.k.news.is_some_and(|n| n.build == build && self.wanted(&n) >= SEVERAL);
+        let few_sick = several && f.witnesses > 0 && f.beyond_half < DOUBT;
         let mut worst = match () {
+            () if f.failing >= alarm && few_sick => Finding::Sickly,
             () if f.failing >= alarm => Finding::Fault,
             () if alone && f.failing_or_sick >= alarm => Finding::Sole,
             () if alone && f.failing_or_sick >= DOUBT => Finding::Alone,
