--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -116,7 +116,8 @@
             if let Some(rules) = &operator.rules {
                 told_of_rules(&mut text, &path, rules);
             }
-            for row in rows(&operator, fleet).iter().filter(|r| r.counts && !r.found_in_time()) {
+            let rows = if operator.verdicts.is_some() { rows(&operator, fleet) } else { vec![] };
+            for row in rows.iter().filter(|r| r.counts && !r.found_in_time()) {
                 let _ = writeln!(
                     text,
                     "warning: {} can't be found within a stage's {} s: {}",
