A store that survives: ledger of requests that must not run twice, on redb

Need: a front that is killed forgets which comments were out; asked again with the same id they run twice.

The front passes unsafe and keyed requests through it before they go and before they are answered; section store of the operator's file, off here; yarrowspoke store inspect, verify, compact. The laboratory's disk dies, tears, reorders, loses syncs and fills up.

--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -52,6 +52,12 @@
         #[command(flatten)]
         fleet: Tier,
     },
+    /// Look into a store's directory while no front has it open
+    Store {
+        /// What to do
+        #[command(subcommand)]
+        what: StoreCommand,
+    },
     /// Tell what the rules of an operator's file make of one request, and why
     Explain {
         /// The operator's file
@@ -68,6 +74,26 @@
     },
 }
 
+/// What can be done with a store.
+#[derive(Debug, Subcommand)]
+pub enum StoreCommand {
+    /// Tell what is in it: records, requests without an end, the list kept
+    Inspect {
+        /// The directory
+        dir: PathBuf,
+    },
+    /// Read and check everything; exit status 1 if a front would refuse it
+    Verify {
+        /// The directory
+        dir: PathBuf,
+    },
+    /// Give back what its file holds of forgotten records
+    Compact {
+        /// The directory
+        dir: PathBuf,
+    },
+}
+
 /// A fleet, as far as it decides what can be found.
 #[derive(Clone, Copy, Debug, Args)]
 pub struct Tier {
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::classify::Classifier;
 use crate::config::Addresses;
 use crate::exchange::{Answer, Call, CallIds, Exchange};
+use crate::keeper::Keeper;
 use crate::net::list::{Discovery, Row};
 use crate::net::machines::{load_values, Machines, Progress, Reply};
 use crate::net::peers::Peers;
@@ -112,6 +113,8 @@
     pub classes: Vec<ClassFacts>,
     /// The operators' rules.
     pub classifier: Rc<Classifier>,
+    /// The store.
+    pub keeper: Keeper,
     /// Ids of calls.
     pub ids: CallIds,
     /// Room for large bodies.
@@ -136,6 +139,7 @@
         places: Rc<Places>,
         bodies: usize,
         classifier: Rc<Classifier>,
+        keeper: Keeper,
     ) -> (Rc<Self>, Receiver<Input>) {
         let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
         let hub = Self {
@@ -144,6 +148,7 @@
             names: settings.names.clone(),
             classes: settings.module.classes.iter().map(ClassFacts::of).collect(),
             classifier,
+            keeper,
             ids: CallIds::default(),
             store: Store::new(bodies),
             ready: Cell::new(false),
@@ -327,8 +332,8 @@
             self.open.len(),
             self.flights.len(),
         );
-        if let Some(ruled) = self.hub.classifier.report() {
-            log::info!("{ruled}");
+        for told in [self.hub.classifier.report(), self.hub.keeper.report()].into_iter().flatten() {
+            log::info!("{told}");
         }
     }
 
@@ -366,6 +371,7 @@
                 Due::Overdue(id) => self.overdue(id),
                 Due::Sweep => {
                     self.outside.machines.sweep(now);
+                    self.hub.keeper.snapshot(now, &self.settings.names);
                     self.report();
                     self.sweeps += 1;
                     if self.sweeps.is_multiple_of(REPORT_EVERY) {
@@ -450,6 +456,7 @@
     }
 
     fn list(&mut self, kind: ListKind, rows: &[Row]) {
+        self.hub.keeper.listed(kind, rows);
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             self.listed.clear();
             self.outside.machines.keep_only(rows);
@@ -473,6 +480,7 @@
             return;
         }
         self.news = Some(news);
+        self.hub.keeper.told(self.hub.clock.now(), &news);
         // An attempt still unwritten when its build's cap falls.
         let fell = before.is_none_or(|b| b.build != news.build || news.cap < b.cap || b.phase != news.phase);
         if fell {
@@ -681,7 +689,8 @@
         // Danger: clients may say that they wait for an hour; what is kept so long for each is never given back.
         let config = config::parse(include_bytes!("../../../examples/config.json")).unwrap();
         let places = Places::new(100);
-        let (hub, _inputs) = Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1));
+        let (hub, _inputs) =
+            Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1), Keeper::default());
         let outside = Outside {
             executor: Rc::new(LocalExecutor::new()),
             machines: Machines::new(places, config.settings.transport),
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -45,6 +45,8 @@
 struct Seen {
     /// Open ones and answered ones alike.
     all: HashSet<u64>,
+    /// Open ones.
+    open: HashSet<u64>,
     /// Answered ones, in the order of their answers.
     answered: VecDeque<u64>,
 }
@@ -59,22 +61,30 @@
 }
 
 impl CallIds {
-    /// Takes an id into use; `None` if it is open or was answered lately, as ids are fresh on every request.
-    pub fn open(&self, call_id: &str) -> Option<OpenId> {
+    /// Takes an id into use; `None` if it is open or was answered lately, as ids are fresh on every request. With `again`
+    /// an answered one may come again: a ledger knows what became of it.
+    pub fn open(&self, call_id: &str, again: bool) -> Option<OpenId> {
         let mut hasher = DefaultHasher::new();
         call_id.hash(&mut hasher);
         let id = hasher.finish();
-        let fresh = self.seen.borrow_mut().all.insert(id);
-        fresh.then(|| OpenId { seen: Rc::clone(&self.seen), id })
+        let mut seen = self.seen.borrow_mut();
+        let fresh = seen.all.insert(id);
+        let free = fresh || again && !seen.open.contains(&id);
+        free.then(|| {
+            seen.open.insert(id);
+            OpenId { seen: Rc::clone(&self.seen), id }
+        })
     }
 }
 
 impl Drop for OpenId {
     fn drop(&mut self) {
         let mut seen = self.seen.borrow_mut();
+        seen.open.remove(&self.id);
         seen.answered.push_back(self.id);
         if seen.answered.len() > ANSWERED_KEPT {
-            if let Some(old) = seen.answered.pop_front() {
+            // One that came again stands in the row more than once.
+            if let Some(old) = seen.answered.pop_front().filter(|old| !seen.open.contains(old)) {
                 seen.all.remove(&old);
             }
         }
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -3,14 +3,19 @@
 use clap::Parser;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use yarrowspoke_front::cli::{self, Cli, Command};
-use yarrowspoke_front::{explain, logging, run};
+use yarrowspoke_front::cli::{self, Cli, Command, StoreCommand};
+use yarrowspoke_front::{explain, logging, run, stores};
 
 fn main() -> ExitCode {
     match Cli::parse().command {
         None => serve(None),
         Some(Command::Serve { operator }) => serve(operator),
         Some(Command::Check { file, config, fleet }) => tell(cli::check(&file, config.as_deref(), &fleet)),
+        Some(Command::Store { what }) => tell(match what {
+            StoreCommand::Inspect { dir } => stores::inspect(&dir),
+            StoreCommand::Verify { dir } => stores::verify(&dir),
+            StoreCommand::Compact { dir } => stores::compact(&dir),
+        }),
         Some(Command::Power { file, fleet }) => tell(cli::power(&file, &fleet)),
         Some(Command::Explain { file, request, config, all }) => {
             tell(explain::explain(&file, &request, config.as_deref(), all))
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -5,6 +5,7 @@
 use super::{read_some, within};
 use crate::driver::{Hub, Input};
 use crate::exchange::{Answer, Exchange};
+use crate::keeper::Kept;
 use crate::places::{Counted, Room};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -218,7 +219,7 @@
         };
         let written = match asked {
             Asked::Ready => {
-                let ready = hub.ready.get() && !hub.is_stopping();
+                let ready = hub.ready.get() && !hub.is_stopping() && !hub.keeper.is_down();
                 line.write(&plain(if ready { 200 } else { 503 }, keeps)).await && keeps
             }
             Asked::Nothing(status) => {
@@ -227,7 +228,8 @@
             }
             Asked::Call(call) => {
                 // Danger: two answers to one id are taken for each other, and an effect may happen twice.
-                let Some(_open) = hub.ids.open(&call.call_id) else {
+                let guarded = hub.keeper.guards(&call);
+                let Some(_open) = hub.ids.open(&call.call_id, guarded) else {
                     hub.count_bad();
                     if !line.write(&plain(409, keeps)).await || !keeps {
                         return;
@@ -235,10 +237,30 @@
                     Timer::after(AGAIN_PACE).await;
                     continue;
                 };
-                let aged = if served == 1 { waited } else { 0 };
+                let came = hub.clock.now();
+                let kept = if guarded { Some(hub.keeper.begin(&call).await) } else { None };
+                let answered = match &kept {
+                    Some(Kept::Answered(answer)) => Some(encode(answer, keeps)),
+                    Some(Kept::AlreadyDone | Kept::Open) => Some(plain(409, keeps)),
+                    Some(Kept::Go(_)) | None => None,
+                };
+                if let Some(bytes) = answered {
+                    line.room = None;
+                    if !line.write(&bytes).await || !keeps {
+                        return;
+                    }
+                    continue;
+                }
+                let record = if let Some(Kept::Go(id)) = kept { Some(id) } else { None };
+                let aged = (if served == 1 { waited } else { 0 }) + (hub.clock.now() - came);
                 let exchange = hub.exchange(call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
-                let answer = match answer_or_leave(&mut line, &exchange, &hub).await {
+                let wait = answer_or_leave(&mut line, &exchange, &hub).await;
+                if let Some(id) = record {
+                    let answer = if let Wait::Answer(answer) = &wait { Some(answer) } else { None };
+                    hub.keeper.end(id, &exchange.call, answer).await;
+                }
+                let answer = match wait {
                     Wait::Answer(answer) => answer,
                     Wait::Left => return,
                     Wait::MoreCame => return refuse(line, &hub, 400).await,
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -3,8 +3,9 @@
 use crate::classify::{self, Classifier};
 use crate::config::{self, Config, ConfigError};
 use crate::driver::{Driver, Hub, Input, Outside};
+use crate::keeper::{self, Keeper};
 use crate::net::clients;
-use crate::net::list::Discovery;
+use crate::net::list::{Discovery, Row};
 use crate::net::machines::Machines;
 use crate::net::peers::Peers;
 use crate::places::Places;
@@ -16,16 +17,23 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 use yarrowspoke_operator::rules::Rules;
+use yarrowspoke_operator::store::StoreSettings;
 use yarrowspoke_operator::OperatorError;
 use yarrowspoke_settings::Settings;
+use yarrowspoke_store::disk::Dir;
+use yarrowspoke_store::snapshot::{trust, Bounds, Trust};
+use yarrowspoke_store::store::Store;
+use yarrowspoke_store::writer;
 
 /// Descriptors kept for standard streams, the reactor, the listener, peers, discovery and the platform.
 const RESERVED: usize = 28;
 /// New connections keep coming for a while after a stop has begun.
 const STILL_COMING: Duration = Duration::from_millis(700);
+/// Clocks of one deployment may be apart by so much.
+const CLOCKS_APART: u64 = 2_000_000;
 /// How often a stop looks whether all clients have gone.
 const STOP_CHECK: Duration = Duration::from_millis(20);
 
@@ -54,18 +62,19 @@
     /// `running` goes by, or to those just read.
     pub fn read(&self, running: Option<&Settings>) -> Result<Setup, FilesError> {
         let mut config = config::load(&self.config)?;
-        let mut rules = None;
+        let (mut rules, mut store) = (None, None);
         if let Some(path) = &self.operator {
             let operator = yarrowspoke_operator::load(path)?;
             config.settings.module.verdicts = operator.verdicts;
             rules = operator.rules;
+            store = operator.store;
             if let Some(rules) = &mut rules {
                 let world = classify::world(running.unwrap_or(&config.settings));
                 let path = path.display().to_string();
                 rules.bind(&world).map_err(|faults| OperatorError::Faults { path, faults })?;
             }
         }
-        Ok(Setup { config, rules })
+        Ok(Setup { config, rules, store })
     }
 }
 
@@ -76,6 +85,34 @@
     pub config: Config,
     /// The operators' rules, bound to the settings.
     pub rules: Option<Rules>,
+    /// What outlasts a restart, and where. It holds from the start; a reload changes nothing of it.
+    pub store: Option<StoreSettings>,
+}
+
+/// Opens the store, starts its writer, and reads what the front knew as far as that is trusted.
+fn open_store(settings: StoreSettings, config: &Config) -> io::Result<(Keeper, Option<Vec<Row>>)> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+    let dir = Dir::open(&settings.directory)?;
+    let fresh = u128::from(config.seed) << 64 | u128::from(now);
+    let (store, report) = Store::open(&dir, fresh, settings.bytes, now).map_err(io::Error::other)?;
+    log::info!("store: {report:?}");
+    let names = &config.settings.names;
+    let bounds = Bounds { fresh: settings.fresh, stale: settings.stale, ahead: CLOCKS_APART };
+    let rows = match store.known().map_err(io::Error::other)? {
+        None => None,
+        Some(known) => match trust(&known, now, &keeper::deployment(names), 0, &bounds) {
+            Trust::None(why) => {
+                log::warn!("store: the list kept is not used: {why}");
+                None
+            }
+            trusted => {
+                log::info!("store: a list of {} machines is kept: {trusted:?}", known.lines.len());
+                Some(keeper::rows(&known, names))
+            }
+        },
+    };
+    let (hand, _) = writer::start(store, dir, Duration::from_micros(settings.delay))?;
+    Ok((Keeper::new(hand, settings, &config.settings), rows))
 }
 
 /// Runs a front to its end; `files` are read again when it is told to.
@@ -85,15 +122,20 @@
 }
 
 async fn serve(setup: Setup, files: Files, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
-    let Setup { config, rules } = setup;
+    let Setup { config, rules, store } = setup;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let reloads = Signals::new([Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
     let places = Places::new(config.limits.sockets.saturating_sub(RESERVED));
     let classifier = Classifier::new(config.seed);
     classifier.load(rules);
+    let (keeper, kept) = match store {
+        Some(settings) => open_store(settings, &config)?,
+        None => (Keeper::default(), None),
+    };
+    let bodies = config.limits.bodies();
     let (hub, inputs) =
-        Hub::new(&config.settings, Rc::clone(&places), config.limits.bodies(), Rc::clone(&classifier));
+        Hub::new(&config.settings, Rc::clone(&places), bodies, Rc::clone(&classifier), keeper);
     let module = &config.settings.module;
     let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
@@ -109,7 +151,12 @@
     };
     let about = format!("settings: {:?} {:?}", config.settings.module, config.settings.transport);
     let running = config.settings.clone();
-    let (news, rows) = (config.news.map(|s| s.news(false)), config.known.rows);
+    let news = config.news.map(|s| s.news(false));
+    // The configuration's list is the platform's word; without one, what this front knew itself is better than nothing.
+    let rows = match kept {
+        Some(rows) if config.known.rows.is_empty() => rows,
+        _ => config.known.rows,
+    };
     let driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
     if let Some(peers) = peers {
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
@@ -139,7 +186,7 @@
 async fn reload(mut told: Signals, files: Files, running: Settings, hub: Rc<Hub>) {
     while told.next().await.is_some() {
         match files.read(Some(&running)) {
-            Ok(Setup { config, rules }) => {
+            Ok(Setup { config, rules, .. }) => {
                 hub.classifier.load(rules);
                 let (addresses, rates) = (config.addresses(), config.settings.module.verdicts);
                 log::info!("files read again: {addresses:?} {rates:?}");
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -75,11 +75,34 @@
         let operator = operator.map(|text| file("operator", text));
         let (front, path) = spawn_at(&config, operator.as_deref());
         let world = Self { listen, discovery, platform, machines, front, config, path, operator };
+        world.wait_ready();
+        world
+    }
+
+    /// Ends the front without a word.
+    pub fn kill(&mut self) {
+        self.front.kill().unwrap();
+        self.front.wait().unwrap();
+    }
+
+    /// Starts it again by the same files.
+    pub fn restart(&mut self) {
+        (self.front, self.path) = spawn_at(&self.config, self.operator.as_deref());
+        self.wait_ready();
+    }
+
+    /// Leaves the list out of its configuration from now on.
+    pub fn forget_list(&mut self) {
+        let list = self.discovery.snapshot();
+        assert!(self.config.contains(&list));
+        self.config = self.config.replace(&list, r#"{"index": 0, "snapshot": true, "endpoints": []}"#);
+    }
+
+    fn wait_ready(&self) {
         until("the front is ready", || {
-            let Ok(stream) = TcpStream::connect(world.listen) else { return false };
+            let Ok(stream) = TcpStream::connect(self.listen) else { return false };
             Client::over(stream).ask("GET /up HTTP/1.1\r\n\r\n").is_some_and(|a| a.start().contains(" 200 "))
         });
-        world
     }
 
     pub fn client(&self) -> Client {
@@ -164,6 +187,11 @@
     (front, path)
 }
 
+/// A client, if somebody listens.
+pub fn connect(to: SocketAddr) -> Option<Client> {
+    TcpStream::connect(to).ok().map(Client::over)
+}
+
 /// A client on one connection.
 pub struct Client {
     pub stream: TcpStream,
--- a/crates/yarrowspoke-lab/src/lib.rs
+++ b/crates/yarrowspoke-lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod plot;
 pub mod rules;
 pub mod scenario;
+pub mod store;
 pub mod verdicts;
 pub mod world;
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use yarrowspoke_expr::set::Order;
-use yarrowspoke_lab::{plot, rules, verdicts};
+use yarrowspoke_lab::{plot, rules, store, verdicts};
 
 #[derive(Parser)]
 #[command(name = "yarrowspoke-lab", version, about = "Experiments in a seeded world of stand-ins")]
@@ -59,6 +59,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Stores that are cut, flipped, interrupted and fail, under a front that notes what ran
+    Store {
+        /// The same seed draws the same trials
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Crashes, and as many disk faults
+        #[arg(long, default_value_t = 2_000)]
+        trials: u64,
+        /// Every so many bytes a file is cut and flipped
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..))]
+        step: u32,
+        /// Groups of work in the store that is cut
+        #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u32).range(2..=10_000))]
+        groups: u32,
+        /// Where the throughput of groups is measured; the system's directory for such files if none
+        #[arg(long)]
+        dir: Option<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// A long run against the language: drawn sets and changed texts
     FuzzRules {
         /// The same seed draws the same sets and texts
@@ -91,6 +112,10 @@
                 json,
             )
         }
+        Experiment::Store { seed, trials, step, groups, dir, json } => {
+            let options = store::Options { seed, trials, step: step as usize, groups: groups as usize };
+            play_store(options, dir, json)
+        }
         Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
             fuzz_rules(seed, (sets, texts), &corpus, json)
         }
@@ -123,6 +148,28 @@
     }
 }
 
+/// Operations by which the throughput of groups is measured.
+const GROUPED_OPS: usize = 20_000;
+
+fn play_store(options: store::Options, dir: Option<PathBuf>, json: bool) -> ExitCode {
+    // What is expected of a damaged file must not fill the screen.
+    std::panic::set_hook(Box::new(|_| {}));
+    let bar = progress(2 * options.trials);
+    let mut report = store::run(options, || bar.inc(1));
+    bar.finish_and_clear();
+    let dir = dir.unwrap_or_else(std::env::temp_dir).join(format!("yarrowspoke-lab-{}", std::process::id()));
+    let grouped = std::fs::create_dir_all(&dir).and_then(|()| store::group_commit(&dir, GROUPED_OPS));
+    let _ = std::fs::remove_dir_all(&dir);
+    match grouped {
+        Ok((ratio, per_s)) => (report.group_commit_ratio, report.grouped_per_s) = (ratio, per_s),
+        Err(e) => {
+            eprintln!("yarrowspoke-lab: {}: {e}", dir.display());
+            return ExitCode::from(2);
+        }
+    }
+    tell(json, &report, store::table(&report), report.held())
+}
+
 fn fuzz_rules(seed: u64, (sets, texts): (u64, u64), corpus: &Path, json: bool) -> ExitCode {
     let lines: Vec<String> = match std::fs::read_to_string(corpus) {
         Ok(text) => text.lines().map(str::to_owned).collect(),
--- a/crates/yarrowspoke-lab/src/rules/fuzz.rs
+++ b/crates/yarrowspoke-lab/src/rules/fuzz.rs
@@ -83,7 +83,7 @@
 pub fn drawn_set(seed: u64, rules: usize) -> Report {
     let mut report = Report { sets: 1, ..Report::default() };
     let mut draw = Draw::new(seed);
-    let order = if seed % 2 == 0 { Order::First } else { Order::All };
+    let order = if seed.is_multiple_of(2) { Order::First } else { Order::All };
     let bounds = Bounds { steps: 1_000_000, target: 300, ..Bounds::default() };
     let compile = |rules| Set::compile(&SetSource { order, bounds, rules });
     // A division by a constant 0 is drawn now and then; it is refused at load.
@@ -160,7 +160,7 @@
     let mixed = |n: u64| seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(n);
     let of_sets = (0..sets).into_par_iter().map(|n| {
         done();
-        drawn_set(mixed(n), if n % 30 == 0 { 120 } else { 6 })
+        drawn_set(mixed(n), if n.is_multiple_of(30) { 120 } else { 6 })
     });
     let of_texts = (0..texts).into_par_iter().map(|n| {
         done();
--- a/crates/yarrowspoke-operator/src/lib.rs
+++ b/crates/yarrowspoke-operator/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod read;
 pub mod rules;
+pub mod store;
 
 use read::Form;
 use rules::Rules;
 use std::fmt;
 use std::path::Path;
+use store::StoreSettings;
 use thiserror::Error;
 use yarrowspoke::interface::Verdicts;
 
@@ -21,6 +23,8 @@
     pub verdicts: Option<Verdicts>,
     /// Rules by which requests are classified; none if it is not there.
     pub rules: Option<Rules>,
+    /// What outlasts a restart; nothing if it is not there.
+    pub store: Option<StoreSettings>,
 }
 
 /// One fault of a file.
@@ -85,7 +89,8 @@
         match name {
             "verdicts" => operator.verdicts = Some(verdicts(section, &mut faults)),
             "rules" => operator.rules = rules::rules(section, text, &mut faults),
-            _ => faults.push(section.fault("one of the sections: rules, verdicts")),
+            "store" => operator.store = store::store(section, &mut faults),
+            _ => faults.push(section.fault("one of the sections: rules, store, verdicts")),
         }
     }
     faults.sort_by_key(|f| (f.line, f.column));
--- /dev/null
+++ b/crates/yarrowspoke-store/src/record.rs
@@ -0,0 +1,64 @@
+//! Frames: a version, a checksum over key and content, the content in postcard.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The version written.
+pub const VERSION: u8 = 1;
+
+/// Why a frame cannot be read.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum FrameError {
+    /// It is shorter than any frame.
+    #[error("{0} bytes, expected 5 at least")]
+    Short(usize),
+    /// It is of another version.
+    #[error("version {0}, expected {VERSION}")]
+    Version(u8),
+    /// Its checksum fails.
+    #[error("checksum {found:08x}, expected {expected:08x}")]
+    Checksum {
+        /// What stands there.
+        found: u32,
+        /// What the content comes to.
+        expected: u32,
+    },
+    /// Its content is none.
+    #[error("content that cannot be read: {0}")]
+    Content(String),
+}
+
+fn checksum(key: &[u8], version: u8, content: &[u8]) -> u32 {
+    let mut crc = crc32fast::Hasher::new();
+    crc.update(key);
+    crc.update(&[version]);
+    crc.update(content);
+    crc.finalize()
+}
+
+/// A value's frame under its key.
+pub fn frame<T: Serialize>(key: &[u8], value: &T) -> Vec<u8> {
+    let content = postcard::to_stdvec(value).unwrap_or_default();
+    let mut out = Vec::with_capacity(content.len() + 5);
+    out.push(VERSION);
+    out.extend_from_slice(&checksum(key, VERSION, &content).to_le_bytes());
+    out.extend_from_slice(&content);
+    out
+}
+
+/// The value in a frame.
+pub fn unframe<T: DeserializeOwned>(key: &[u8], bytes: &[u8]) -> Result<T, FrameError> {
+    let (version, found, content) = match bytes {
+        [version, a, b, c, d, content @ ..] => (*version, u32::from_le_bytes([*a, *b, *c, *d]), content),
+        _ => return Err(FrameError::Short(bytes.len())),
+    };
+    let expected = checksum(key, version, content);
+    if found != expected {
+        return Err(FrameError::Checksum { found, expected });
+    }
+    if version != VERSION {
+        return Err(FrameError::Version(version));
+    }
+    postcard::from_bytes(content).map_err(|e| FrameError::Content(e.to_string()))
+}
--- /dev/null
+++ b/crates/yarrowspoke-store/src/store.rs
@@ -0,0 +1,603 @@
+//! The ledger and the snapshot on disk, over redb.
+
+use crate::disk::{Disk, DiskFile};
+use crate::ledger::{clock, end, may_forget, rule, Micros, Outcome, Record, Room, Ruling, State};
+use crate::mark::{Mark, Slot, FORMAT};
+use crate::record::{frame, unframe};
+use crate::snapshot::Known;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
+use serde::Serialize;
+use siphasher::sip128::{Hasher128, SipHasher13};
+use std::hash::Hasher;
+use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+use thiserror::Error;
+
+const META: TableDefinition<&str, u128> = TableDefinition::new("meta");
+const LEDGER: TableDefinition<u128, &[u8]> = TableDefinition::new("ledger");
+const DUE: TableDefinition<(u64, u128), ()> = TableDefinition::new("due");
+const KNOWN: TableDefinition<u8, &[u8]> = TableDefinition::new("known");
+
+/// Bytes that the engine may cache.
+const CACHE: usize = 1024 * 1024;
+/// Bytes that a record takes beside its frame: keys of two tables and their pages' own.
+const BESIDE: u64 = 96;
+/// Records that are forgotten in one group at the most: a step of bounded length.
+const FORGET_AT_ONCE: usize = 256;
+
+/// Why a store cannot be used. Nothing has been written.
+#[derive(Debug, Error)]
+pub enum Refused {
+    /// The disk failed.
+    #[error("store: {0}")]
+    Io(#[from] io::Error),
+    /// The engine refuses the file.
+    #[error("store: the ledger cannot be read: {0}")]
+    Engine(String),
+    /// What is there contradicts itself.
+    #[error("store: found {found}, expected {expected}")]
+    Contradiction {
+        /// What was found.
+        found: String,
+        /// What was expected.
+        expected: String,
+    },
+}
+
+impl Refused {
+    fn found(found: impl Into<String>, expected: impl Into<String>) -> Self {
+        Self::Contradiction { found: found.into(), expected: expected.into() }
+    }
+}
+
+macro_rules! from_engine {
+    ($($error:ty),*) => {
+        $(impl From<$error> for Refused {
+            fn from(e: $error) -> Self {
+                Self::Engine(e.to_string())
+            }
+        })*
+    };
+}
+
+from_engine!(
+    redb::DatabaseError,
+    redb::TransactionError,
+    redb::TableError,
+    redb::StorageError,
+    redb::CommitError,
+    redb::SetDurabilityError,
+    redb::CompactionError
+);
+
+/// What was found when a store was opened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// It was made just now.
+    pub made: bool,
+    /// How many times it has been opened.
+    pub life: u64,
+    /// The last commit.
+    pub commit: u64,
+    /// Records.
+    pub records: u64,
+    /// Those whose end is not known.
+    pub in_doubt: u64,
+    /// Those with a final answer.
+    pub done: u64,
+    /// Those known not to have run.
+    pub not_run: u64,
+    /// Bytes of all records.
+    pub bytes: u64,
+    /// Bytes of the ledger's file.
+    pub file_bytes: u64,
+    /// A snapshot is there.
+    pub snapshot: bool,
+}
+
+/// Ids and lives of requests without an end.
+pub type Doubts = Vec<(u128, u64)>;
+
+/// One thing to be done; all of a group are durable together.
+#[derive(Clone, Debug)]
+pub enum Op {
+    /// A request comes; it is kept for so long after its end.
+    Begin {
+        /// Its id.
+        id: u128,
+        /// Microseconds.
+        keep: Micros,
+    },
+    /// It has ended.
+    End {
+        /// Its id.
+        id: u128,
+        /// How.
+        state: State,
+        /// Microseconds.
+        keep: Micros,
+    },
+    /// What the front knows now.
+    Snapshot(Known),
+}
+
+/// What an operation came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Done {
+    /// Of a request that came.
+    Ruled(Ruling),
+    /// Of anything else.
+    Noted,
+}
+
+#[derive(Debug)]
+struct Backend(Arc<dyn DiskFile>);
+
+impl redb::StorageBackend for Backend {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+/// An open store.
+pub struct Store {
+    database: Database,
+    file: Arc<dyn DiskFile>,
+    mark: Arc<dyn DiskFile>,
+    last: Mark,
+    most: u64,
+    kept: Micros,
+    /// Danger: after a failed sync nobody knows what is on disk, and a later one may claim success. Nothing is promised
+    /// any more until the store is opened anew.
+    broken: Option<String>,
+}
+
+impl std::fmt::Debug for Store {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Store")
+            .field("last", &self.last)
+            .field("broken", &self.broken)
+            .finish_non_exhaustive()
+    }
+}
+
+fn engine(file: &Arc<dyn DiskFile>) -> Result<Database, Refused> {
+    let open = || {
+        let mut builder = Database::builder();
+        builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+        builder.create_with_backend(Backend(Arc::clone(file)))
+    };
+    // A damaged file must never end the program, whatever it makes of the engine.
+    match catch_unwind(AssertUnwindSafe(open)) {
+        Ok(opened) => Ok(opened?),
+        Err(_) => Err(Refused::Engine("the engine panicked on it".to_owned())),
+    }
+}
+
+impl Store {
+    /// Opens the store of a directory, or makes it with the id `fresh`; all bytes of records together stay within `most`.
+    pub fn open(disk: &dyn Disk, fresh: u128, most: u64, now: Micros) -> Result<(Self, Report), Refused> {
+        if disk.exists("ledger.new")? {
+            disk.remove("ledger.new")?;
+        }
+        let slots = if disk.exists("mark")? { Some(Mark::read(disk.open("mark")?.as_ref())?) } else { None };
+        let there = disk.exists("ledger")?;
+        let promised = match slots {
+            None => None,
+            Some(slots) => Some(Self::promised(slots, there)?),
+        };
+        let mut made = false;
+        match (&promised, there) {
+            (Some(Some(mark)), false) => {
+                let found = format!("no ledger beside a mark of commit {}", mark.commit);
+                return Err(Refused::found(found, "both files, or neither"));
+            }
+            (_, true) => {}
+            (_, false) => {
+                Self::make(disk, fresh, now)?;
+                made = true;
+            }
+        }
+        let file = disk.open("ledger")?;
+        let database = engine(&file)?;
+        let promised = promised.flatten();
+        let mut store = Self {
+            last: promised.unwrap_or(Mark { commit: 0, life: 0, id: 0 }),
+            database,
+            file,
+            mark: disk.open("mark")?,
+            most,
+            kept: 0,
+            broken: None,
+        };
+        let checked = catch_unwind(AssertUnwindSafe(|| store.check(promised)));
+        let mut report = match checked {
+            Ok(report) => report?,
+            Err(_) => return Err(Refused::Engine("the engine panicked on it".to_owned())),
+        };
+        store.kept = clock(store.kept, now);
+        store.last.life += 1;
+        store.group(&[], now)?;
+        (report.made, report.life, report.commit) = (made, store.last.life, store.last.commit);
+        Ok((store, report))
+    }
+
+    /// Reads a store without changing it: what is in it, or why it is refused.
+    pub fn verify(disk: &dyn Disk) -> Result<Report, Refused> {
+        Self::read_only(disk).map(|read| read.1)
+    }
+
+    /// The same, with the snapshot, and the ids and lives of requests without an end.
+    pub fn inspect(disk: &dyn Disk) -> Result<(Report, Option<Known>, Doubts), Refused> {
+        let (store, report) = Self::read_only(disk)?;
+        let mut doubts = Vec::new();
+        for entry in store.database.begin_read()?.open_table(LEDGER)?.iter()? {
+            let (key, value) = entry?;
+            let record = Self::read(key.value(), value.value())?;
+            if record.state == State::Intended {
+                doubts.push((key.value(), record.life));
+            }
+        }
+        Ok((report, store.known()?, doubts))
+    }
+
+    fn read_only(disk: &dyn Disk) -> Result<(Self, Report), Refused> {
+        if !disk.exists("ledger")? || !disk.exists("mark")? {
+            return Err(Refused::found("no ledger or no mark", "a store"));
+        }
+        let mark = disk.open("mark")?;
+        let promised = Self::promised(Mark::read(mark.as_ref())?, true)?;
+        let file = disk.open("ledger")?;
+        // The engine may repair after a crash: that is done on a copy in memory.
+        let copy: Arc<dyn DiskFile> = Arc::new(Copy::of(file.as_ref())?);
+        let database = engine(&copy)?;
+        let last = promised.unwrap_or(Mark { commit: 0, life: 0, id: 0 });
+        let mut store = Self { last, database, file: copy, mark, most: 0, kept: 0, broken: None };
+        let mut report = store.check(promised)?;
+        (report.life, report.commit) = (store.last.life, store.last.commit);
+        Ok((store, report))
+    }
+
+    /// The mark that counts of two slots; `None` where none was ever written whole beside a ledger in the making.
+    fn promised(slots: [Slot; 2], ledger: bool) -> Result<Option<Mark>, Refused> {
+        let mut best: Option<Mark> = None;
+        for slot in slots {
+            match slot {
+                Slot::Alien(format) => {
+                    return Err(Refused::found(format!("format {format}"), format!("format {FORMAT}")));
+                }
+                Slot::Good(mark) => best = best.max(Some(mark)),
+                Slot::Empty => {}
+            }
+        }
+        if best.is_none() && !ledger {
+            // Cut short before its first promise.
+            return Ok(None);
+        }
+        Ok(best)
+    }
+
+    /// Makes a ledger under another name, and gives it its own once it is whole.
+    fn make(disk: &dyn Disk, id: u128, now: Micros) -> Result<(), Refused> {
+        let file = disk.open("ledger.new")?;
+        file.set_len(0)?;
+        let database = engine(&file)?;
+        let write = database.begin_write()?;
+        {
+            let mut meta = write.open_table(META)?;
+            for (name, value) in [
+                ("format", u128::from(FORMAT)),
+                ("id", id),
+                ("life", 0),
+                ("commit", 0),
+                ("clock", u128::from(now)),
+            ] {
+                meta.insert(name, value)?;
+            }
+            meta.insert("bytes", 0)?;
+            meta.insert("records", 0)?;
+            write.open_table(LEDGER)?;
+            write.open_table(DUE)?;
+            write.open_table(KNOWN)?;
+        }
+        write.commit()?;
+        drop(database);
+        file.sync()?;
+        disk.rename("ledger.new", "ledger")?;
+        Ok(())
+    }
+
+    /// Holds the ledger against the mark, and reads all of it.
+    fn check(&mut self, promised: Option<Mark>) -> Result<Report, Refused> {
+        let read = self.database.begin_read()?;
+        let meta = read.open_table(META)?;
+        let number = |name: &str| -> Result<u128, Refused> {
+            let value = meta.get(name)?.map(|v| v.value());
+            value.ok_or_else(|| Refused::found(format!("no {name} in the ledger"), "one"))
+        };
+        let format = number("format")?;
+        if format != u128::from(FORMAT) {
+            return Err(Refused::found(format!("format {format}"), format!("format {FORMAT}")));
+        }
+        let (id, life, commit) = (number("id")?, number("life")? as u64, number("commit")? as u64);
+        match promised {
+            Some(mark) if mark.id != id => {
+                let found = format!("a ledger of store {id:032x}");
+                return Err(Refused::found(found, format!("{:032x}, as the mark says", mark.id)));
+            }
+            Some(mark) if commit < mark.commit || life < mark.life => {
+                let found = format!("a ledger that ends at commit {commit} of life {life}");
+                let expected = format!("commit {} of life {}, which was promised", mark.commit, mark.life);
+                return Err(Refused::found(found, expected));
+            }
+            None if commit > 0 => {
+                let found = format!("no readable mark beside a ledger of commit {commit}");
+                return Err(Refused::found(found, "the mark that tells what was promised"));
+            }
+            _ => {}
+        }
+        let mut report = Report { file_bytes: self.file.len()?, ..Report::default() };
+        let due = read.open_table(DUE)?;
+        for entry in read.open_table(LEDGER)?.iter()? {
+            let (key, value) = entry?;
+            let record = Self::read(key.value(), value.value())?;
+            report.records += 1;
+            report.bytes += value.value().len() as u64 + BESIDE;
+            match record.state {
+                State::Intended => report.in_doubt += 1,
+                State::Done(_) => report.done += 1,
+                State::NotRun => report.not_run += 1,
+            }
+            if due.get((record.until, key.value()))?.is_none() {
+                let found = format!("record {:032x} without its place in the order of time", key.value());
+                return Err(Refused::found(found, "one"));
+            }
+        }
+        if due.len()? != report.records || number("records")? as u64 != report.records {
+            let found = format!("{} records, {} in the order of time", report.records, due.len()?);
+            return Err(Refused::found(found, format!("{} of both", number("records")?)));
+        }
+        report.snapshot = Self::known_in(&read.open_table(KNOWN)?)?.is_some();
+        self.kept = number("clock")? as u64;
+        (self.last.id, self.last.life, self.last.commit) = (id, life, commit);
+        Ok(report)
+    }
+
+    fn read(key: u128, bytes: &[u8]) -> Result<Record, Refused> {
+        unframe(&key.to_le_bytes(), bytes)
+            .map_err(|e| Refused::found(format!("record {key:032x} of {e}"), "a sound record"))
+    }
+
+    fn known_in(table: &impl ReadableTable<u8, &'static [u8]>) -> Result<Option<Known>, Refused> {
+        let Some(bytes) = table.get(0)? else { return Ok(None) };
+        let known = unframe(&[0], bytes.value());
+        known.map(Some).map_err(|e| Refused::found(format!("a snapshot of {e}"), "a sound one"))
+    }
+
+    /// What the front knew, if it was ever written.
+    pub fn known(&self) -> Result<Option<Known>, Refused> {
+        Self::known_in(&self.database.begin_read()?.open_table(KNOWN)?)
+    }
+
+    /// The id of a request by its class and what identifies it.
+    pub fn id_of(&self, class: &str, identity: &str) -> u128 {
+        id_of(self.last.id, class, identity)
+    }
+
+    /// The store's own id.
+    pub fn id(&self) -> u128 {
+        self.last.id
+    }
+
+    /// Does all of a group in one durable commit. Nothing of it may be told before this returns; after an error nothing of
+    /// it counts, nor of any later group.
+    pub fn commit(&mut self, ops: &[Op], now: Micros) -> Result<Vec<Done>, Refused> {
+        if let Some(why) = &self.broken {
+            return Err(Refused::Engine(why.clone()));
+        }
+        let done = self.group(ops, now);
+        if let Err(e) = &done {
+            self.broken = Some(format!("nothing is promised since: {e}"));
+        }
+        done
+    }
+
+    fn group(&mut self, ops: &[Op], now: Micros) -> Result<Vec<Done>, Refused> {
+        let now = clock(self.kept, now);
+        let mut out = Vec::with_capacity(ops.len());
+        let next = Mark { commit: self.last.commit + 1, ..self.last };
+        let mut write = self.database.begin_write()?;
+        write.set_durability(Durability::Immediate)?;
+        {
+            let mut ledger = write.open_table(LEDGER)?;
+            let mut due = write.open_table(DUE)?;
+            let mut meta = write.open_table(META)?;
+            let mut bytes = meta.get("bytes")?.map_or(0, |v| v.value()) as u64;
+            for op in ops {
+                match op {
+                    Op::Begin { id, keep } => {
+                        let record = match ledger.get(*id)? {
+                            Some(bytes) => Some(Self::read(*id, bytes.value())?),
+                            None => None,
+                        };
+                        let first_due = due.first()?.map(|d| d.0.value().0);
+                        let room = Room { bytes, most: self.most, first_due };
+                        let intent = Record {
+                            state: State::Intended,
+                            life: next.life,
+                            until: now.saturating_add(*keep),
+                        };
+                        let needs =
+                            if record.is_some() { 0 } else { frame(&[], &intent).len() as u64 + BESIDE };
+                        let ruling = rule(record.as_ref(), next.life, now, &room, needs);
+                        if ruling == Ruling::Admit {
+                            put_record(&mut ledger, &mut due, &mut bytes, *id, &intent)?;
+                        }
+                        out.push(Done::Ruled(ruling));
+                    }
+                    Op::End { id, state, keep } => {
+                        let record = match ledger.get(*id)? {
+                            Some(bytes) => Some(Self::read(*id, bytes.value())?),
+                            None => None,
+                        };
+                        let ended = end(record.as_ref(), next.life, state.clone(), now.saturating_add(*keep));
+                        if let Some(ended) = ended {
+                            put_record(&mut ledger, &mut due, &mut bytes, *id, &ended)?;
+                        }
+                        out.push(Done::Noted);
+                    }
+                    Op::Snapshot(known) => {
+                        write.open_table(KNOWN)?.insert(0, frame(&[0], known).as_slice())?;
+                        out.push(Done::Noted);
+                    }
+                }
+            }
+            // Retention, in steps of bounded length.
+            let over: Vec<(u64, u128)> = due
+                .range(..=(now, u128::MAX))?
+                .take(FORGET_AT_ONCE)
+                .map(|entry| entry.map(|e| e.0.value()))
+                .collect::<Result<_, _>>()?;
+            for (until, id) in over {
+                let framed = ledger.get(id)?.map(|v| v.value().to_vec());
+                let Some(framed) = framed else { continue };
+                if may_forget(&Self::read(id, &framed)?, next.life, now) {
+                    ledger.remove(id)?;
+                    due.remove((until, id))?;
+                    bytes = bytes.saturating_sub(framed.len() as u64 + BESIDE);
+                }
+            }
+            let records = u128::from(ledger.len()?);
+            for (name, value) in [
+                ("bytes", u128::from(bytes)),
+                ("records", records),
+                ("commit", u128::from(next.commit)),
+                ("life", u128::from(next.life)),
+                ("clock", u128::from(now)),
+            ] {
+                meta.insert(name, value)?;
+            }
+        }
+        write.commit()?;
+        // Promised only once the witness is durable too.
+        next.write(self.mark.as_ref())?;
+        (self.last, self.kept) = (next, now);
+        Ok(out)
+    }
+
+    /// Gives back what the ledger's file holds of forgotten records; whether anything was given back.
+    pub fn compact(&mut self) -> Result<bool, Refused> {
+        Ok(self.database.compact()?)
+    }
+
+    /// Bytes of the ledger's file.
+    pub fn file_bytes(&self) -> io::Result<u64> {
+        self.file.len()
+    }
+
+    /// The commit promised last.
+    pub fn last(&self) -> Mark {
+        self.last
+    }
+}
+
+type Ledger<'t> = redb::Table<'t, u128, &'static [u8]>;
+type Order<'t> = redb::Table<'t, (u64, u128), ()>;
+
+fn put_record(
+    ledger: &mut Ledger,
+    due: &mut Order,
+    bytes: &mut u64,
+    id: u128,
+    record: &Record,
+) -> Result<(), Refused> {
+    let framed = frame(&id.to_le_bytes(), record);
+    let old = ledger.insert(id, framed.as_slice())?.map(|o| o.value().to_vec());
+    *bytes += framed.len() as u64 + BESIDE;
+    if let Some(old) = old {
+        *bytes = bytes.saturating_sub(old.len() as u64 + BESIDE);
+        due.remove((Store::read(id, &old)?.until, id))?;
+    }
+    due.insert((record.until, id), ())?;
+    Ok(())
+}
+
+/// The id of a request in the store of id `store`, by its class and what identifies it.
+pub fn id_of(store: u128, class: &str, identity: &str) -> u128 {
+    let mut hasher = SipHasher13::new_with_keys(store as u64, (store >> 64) as u64);
+    hasher.write(class.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(identity.as_bytes());
+    hasher.finish128().as_u128()
+}
+
+/// The end of a request as it is recorded, with an answer kept up to `most` bytes.
+pub fn served(answer: &[u8], most: usize) -> State {
+    State::Done(Outcome::Served((answer.len() <= most).then(|| answer.to_vec())))
+}
+
+/// A copy of a file in memory, on which an engine may work without touching the file.
+#[derive(Debug)]
+struct Copy(std::sync::Mutex<Vec<u8>>);
+
+impl Copy {
+    fn of(file: &dyn DiskFile) -> io::Result<Self> {
+        let mut bytes = vec![0; file.len()? as usize];
+        file.read(0, &mut bytes)?;
+        Ok(Self(std::sync::Mutex::new(bytes)))
+    }
+
+    fn bytes(&self) -> std::sync::MutexGuard<'_, Vec<u8>> {
+        self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl DiskFile for Copy {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.bytes().len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        let bytes = self.bytes();
+        let from = offset as usize;
+        let piece = bytes.get(from..from + out.len()).ok_or(io::ErrorKind::UnexpectedEof)?;
+        out.copy_from_slice(piece);
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut bytes = self.bytes();
+        let to = offset as usize + data.len();
+        if bytes.len() < to {
+            bytes.resize(to, 0);
+        }
+        bytes[offset as usize..to].copy_from_slice(data);
+        Ok(())
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.bytes().resize(len as usize, 0);
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-store/tests/records.rs
@@ -0,0 +1,118 @@
+//! Frames, marks, trust and the rules of the ledger by themselves.
+
+use yarrowspoke_store::ledger::{
+    clock, end, may_forget, rule, Outcome, Record, Room, Ruling, State, SHORTEST_WAIT,
+};
+use yarrowspoke_store::mark::{Mark, Slot, SLOT};
+use yarrowspoke_store::record::{frame, unframe, FrameError};
+use yarrowspoke_store::snapshot::{trust, Bounds, Known, Trust};
+use yarrowspoke_store::store::id_of;
+
+const ROOM: Room = Room { bytes: 0, most: 1_000, first_due: None };
+
+fn record(state: State, life: u64, until: u64) -> Record {
+    Record { state, life, until }
+}
+
+#[test]
+fn each_byte_of_a_frame_is_guarded_and_another_version_is_named() {
+    let value = record(State::Done(Outcome::Served(Some(b"body".to_vec()))), 3, 77);
+    let framed = frame(b"key", &value);
+    assert_eq!(unframe::<Record>(b"key", &framed).unwrap(), value);
+    assert!(matches!(unframe::<Record>(b"kez", &framed), Err(FrameError::Checksum { .. })));
+    for at in 0..framed.len() {
+        for bit in 0..8 {
+            let mut flipped = framed.clone();
+            flipped[at] ^= 1 << bit;
+            assert!(unframe::<Record>(b"key", &flipped).is_err(), "byte {at}, bit {bit}");
+        }
+        assert!(unframe::<Record>(b"key", &framed[..at]).is_err(), "cut at {at}");
+    }
+}
+
+#[test]
+fn each_byte_of_a_mark_is_guarded_and_another_format_is_named() {
+    let mark = Mark { commit: 9, life: 2, id: 0xabc };
+    let whole = mark.encode();
+    assert_eq!(Mark::decode(&whole), Slot::Good(mark));
+    for at in 0..44 {
+        let mut flipped = whole;
+        flipped[at] ^= 1;
+        assert_eq!(Mark::decode(&flipped), Slot::Empty, "byte {at}");
+    }
+    let mut other: [u8; SLOT] = whole;
+    other[4] = 2;
+    let crc = crc32fast::hash(&other[..40]);
+    other[40..44].copy_from_slice(&crc.to_le_bytes());
+    assert_eq!(Mark::decode(&other), Slot::Alien(2));
+}
+
+#[test]
+fn what_comes_again_is_ruled_by_where_it_stands() {
+    let served = |body: Option<&[u8]>| State::Done(Outcome::Served(body.map(<[u8]>::to_vec)));
+    for (state, life, ruling) in [
+        (State::NotRun, 1, Ruling::Admit),
+        (State::NotRun, 2, Ruling::Admit),
+        (State::Intended, 1, Ruling::InDoubt),
+        (State::Intended, 2, Ruling::Open),
+        (State::Done(Outcome::Failed), 1, Ruling::FailedBefore),
+        (served(None), 2, Ruling::AlreadyDone),
+        (served(Some(b"x")), 1, Ruling::Again(b"x".to_vec())),
+    ] {
+        let r = record(state, life, 100);
+        assert_eq!(rule(Some(&r), 2, 50, &ROOM, 10), ruling, "{r:?}");
+        // Once its time is over it counts as new, unless it is open in this very life.
+        let later = if ruling == Ruling::Open { Ruling::Open } else { Ruling::Admit };
+        assert_eq!(rule(Some(&r), 2, 100, &ROOM, 10), later, "{r:?}");
+        assert_eq!(may_forget(&r, 2, 100), ruling != Ruling::Open);
+        assert!(!may_forget(&r, 2, 99));
+    }
+}
+
+#[test]
+fn without_room_a_new_one_waits_until_something_is_due() {
+    let full = Room { bytes: 995, most: 1_000, first_due: Some(900_000) };
+    assert_eq!(rule(None, 1, 500_000, &full, 10), Ruling::Full(400_000));
+    assert_eq!(rule(None, 1, 899_999, &full, 10), Ruling::Full(SHORTEST_WAIT));
+    assert_eq!(rule(None, 1, 0, &full, 5), Ruling::Admit);
+}
+
+#[test]
+fn an_end_counts_only_over_an_intent_of_this_life() {
+    let ends = |r: Option<Record>| end(r.as_ref(), 2, State::NotRun, 9).is_some();
+    assert!(ends(Some(record(State::Intended, 2, 5))));
+    assert!(!ends(Some(record(State::Intended, 1, 5))), "a doubt of an earlier life stays one");
+    assert!(!ends(Some(record(State::Done(Outcome::Failed), 2, 5))) && !ends(None));
+}
+
+#[test]
+fn the_clock_never_goes_back() {
+    assert_eq!((clock(5, 3), clock(3, 5)), (5, 5));
+}
+
+#[test]
+fn ids_hang_on_store_class_and_identity() {
+    let ids =
+        [id_of(1, "a", "b"), id_of(2, "a", "b"), id_of(1, "ab", ""), id_of(1, "a", "c"), id_of(1, "", "ab")];
+    for (n, id) in ids.iter().enumerate() {
+        assert!(!ids[..n].contains(id));
+    }
+}
+
+#[test]
+fn trust_falls_with_age_and_what_is_not_ours_has_none() {
+    let bounds = Bounds { fresh: 10, stale: 110, ahead: 2 };
+    let known = Known { at: 1_000, deployment: "d".into(), index: 4, ..Known::default() };
+    let told = |now, deployment: &str, index| trust(&known, now, deployment, index, &bounds);
+    assert_eq!(told(1_010, "d", 4), Trust::Full);
+    assert_eq!(told(1_060, "d", 4), Trust::Part(0.5));
+    for (trust, word) in [
+        (told(1_110, "d", 0), "of no use"),
+        (told(997, "d", 0), "in the future"),
+        (told(1_000, "e", 0), "of deployment"),
+        (told(1_000, "d", 5), "version 4"),
+    ] {
+        assert!(matches!(&trust, Trust::None(why) if why.contains(word)), "{trust:?}");
+    }
+    assert_eq!(told(998, "d", 0), Trust::Full);
+}
--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -86,6 +86,8 @@
     Serve,
     /// Serves in chunks.
     ServeChunked,
+    /// Serves after so many milliseconds.
+    ServeLate(u64),
     /// Answers with an error.
     Fail,
     /// Turns away unseen.
@@ -154,6 +156,10 @@
                 Behaviour::Serve => {
                     answer(&mut stream, "200 OK", "X-Load-Report: mean_ms=5.0\r\n", &body)?;
                 }
+                Behaviour::ServeLate(ms) => {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    answer(&mut stream, "200 OK", "X-Load-Report: mean_ms=5.0\r\n", &body)?;
+                }
                 Behaviour::ServeChunked => {
                     let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
                     for part in body.chunks(3) {
