--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -160,10 +160,20 @@
     let dir = dir.unwrap_or_else(std::env::temp_dir).join(format!("yarrowspoke-lab-{}", std::process::id()));
     let grouped = std::fs::create_dir_all(&dir).and_then(|()| store::group_commit(&dir, GROUPED_OPS));
     let _ = std::fs::remove_dir_all(&dir);
-    match grouped {
-        Ok((ratio, per_s)) => (report.group_commit_ratio, report.grouped_per_s) = (ratio, per_s),
-        Err(e) => {
-            eprintln!("yarrowspoke-lab: {}: {e}", dir.display());
+    let slow: std::io::Result<Vec<_>> = [1, 50].iter().map(|ms| store::slow_disk(*ms, 10_000, 3)).collect();
+    match (grouped, slow, store::days(30)) {
+        (Ok((ratio, per_s)), Ok(slow), Ok(month)) => {
+            (report.group_commit_ratio, report.grouped_per_s) = (ratio, per_s);
+            (report.slow, report.month_bytes) = (slow, month);
+        }
+        (grouped, slow, month) => {
+            eprintln!(
+                "yarrowspoke-lab: {}: {:?} {:?} {:?}",
+                dir.display(),
+                grouped.err(),
+                slow.err(),
+                month.err()
+            );
             return ExitCode::from(2);
         }
     }
--- a/crates/yarrowspoke-lab/src/store/disk.rs
+++ b/crates/yarrowspoke-lab/src/store/disk.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use yarrowspoke_store::disk::{Disk, DiskFile};
 
 /// Bytes that a disk writes whole or not at all.
@@ -58,6 +59,8 @@
     faults: Faults,
     steps: u64,
     dead: bool,
+    /// How long each sync takes.
+    sync_takes: Duration,
 }
 
 impl Inner {
@@ -117,6 +120,11 @@
         (inner.faults, inner.steps) = (faults, 0);
     }
 
+    /// Makes every sync take so long.
+    pub fn slow_down(&self, sync_takes: Duration) {
+        self.inner().sync_takes = sync_takes;
+    }
+
     /// Steps since faults were last set.
     pub fn steps(&self) -> u64 {
         self.inner().steps
@@ -226,6 +234,10 @@
     }
 
     fn sync(&self) -> io::Result<()> {
+        let takes = self.disk.inner().sync_takes;
+        if !takes.is_zero() {
+            std::thread::sleep(takes);
+        }
         let mut inner = self.disk.inner();
         inner.step()?;
         let fails = inner.faults.failed_sync_at.is_some_and(|at| inner.steps >= at);
--- a/crates/yarrowspoke-lab/src/store/mod.rs
+++ b/crates/yarrowspoke-lab/src/store/mod.rs
@@ -63,6 +63,10 @@
     pub group_commit_ratio: f64,
     /// Operations a second in groups, for the record.
     pub grouped_per_s: f64,
+    /// Ten thousand unsafe requests a second on slow disks, for the record.
+    pub slow: Vec<Slow>,
+    /// Largest file after the first day of a month, and over the whole month, in bytes.
+    pub month_bytes: (u64, u64),
     /// What went wrong, the first few.
     pub failures: Vec<String>,
 }
@@ -88,6 +92,7 @@
         self.answered_twice += o.answered_twice;
         self.lost_promised += o.lost_promised;
         self.worst_recovery_ms = self.worst_recovery_ms.max(o.worst_recovery_ms);
+        self.slow.extend(o.slow);
         self.failures.extend(o.failures);
         self.failures.truncate(20);
         self
@@ -450,6 +455,80 @@
     Ok((grouped / single, grouped))
 }
 
+/// A slow disk under many requests.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slow {
+    /// Each sync takes so long; a group has two.
+    pub sync_ms: u64,
+    /// Requests that came, at an even rate.
+    pub offered: usize,
+    /// Those turned away as too much waited.
+    pub crowded: usize,
+    /// Median time until an intent was durable, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// Offers `per_s` intents a second for `seconds` to a disk whose syncs take `sync_ms`; arrivals do not wait for answers.
+pub fn slow_disk(sync_ms: u64, per_s: usize, seconds: usize) -> std::io::Result<Slow> {
+    let failed = |e: yarrowspoke_store::store::Refused| std::io::Error::other(e.to_string());
+    let disk = SimDisk::default();
+    let (store, _) = Store::open(&disk, ID, 1 << 40, S).map_err(failed)?;
+    disk.slow_down(Duration::from_millis(sync_ms));
+    let (hand, thread) = writer::start(store, disk, Duration::ZERO)?;
+    let (given, waiting) = std::sync::mpsc::channel::<(Instant, writer::Pending)>();
+    let heard = std::thread::spawn(move || {
+        let mut took: Vec<f64> = Vec::new();
+        // Answers come in the order of their groups, so that waiting in turn hides none.
+        for (at, pending) in waiting {
+            if pending.wait().is_ok() {
+                took.push(at.elapsed().as_secs_f64() * 1e3);
+            }
+        }
+        took.sort_by(f64::total_cmp);
+        took
+    });
+    let (offered, begun) = (per_s * seconds, Instant::now());
+    let mut crowded = 0;
+    for n in 0..offered {
+        // Timed by when it should have come: a late generator must not look like a quick disk.
+        let due = begun + Duration::from_secs_f64(n as f64 / per_s as f64);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        match hand.give(Op::Begin { id: n as u128, keep: KEEP }) {
+            Ok(pending) => drop(given.send((due, pending))),
+            Err(_) => crowded += 1,
+        }
+    }
+    drop((given, hand));
+    let took = heard.join().unwrap_or_default();
+    let _ = thread.join();
+    let at = |p: f64| took.get(((took.len() as f64 * p) as usize).min(took.len().saturating_sub(1)));
+    let (p50_ms, p99_ms) = (at(0.5).copied().unwrap_or(0.0), at(0.99).copied().unwrap_or(0.0));
+    Ok(Slow { sync_ms, offered, crowded, p50_ms, p99_ms })
+}
+
+/// Plays so many days of requests, one group a minute, each request kept for ten; the largest the ledger's file was after
+/// the first day and over all, in bytes.
+pub fn days(days: u64) -> Result<(u64, u64), String> {
+    let disk = SimDisk::default();
+    let said = |e: yarrowspoke_store::store::Refused| e.to_string();
+    let (mut store, _) = Store::open(&disk, ID, MOST, S).map_err(said)?;
+    let (mut first, mut most) = (0, 0);
+    for minute in 0..days * 24 * 60 {
+        let now = S + minute * 60 * S;
+        let id = |n: u64| u128::from(minute * 100 + n);
+        let mut ops: Vec<Op> = (0..30).map(|n| Op::Begin { id: id(n), keep: KEEP }).collect();
+        ops.extend((0..30).map(|n| Op::End { id: id(n), state: served(&[1; 100], 200), keep: KEEP }));
+        store.commit(&ops, now).map_err(said)?;
+        most = most.max(store.file_bytes().map_err(|e| e.to_string())?);
+        if minute == 24 * 60 - 1 {
+            first = most;
+        }
+    }
+    Ok((first, most))
+}
+
 /// How the experiment is run.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -486,7 +565,8 @@
         "cuts {} of a ledger of {} bytes: {} recovered, {} refused; flips {}: {} recovered\n\
          crashes {} ({} refused), disk faults {}\n\
          panicked {}, ran twice {}, answered twice {}, promised and lost {}\n\
-         worst recovery {:.1} ms; groups {:.0} times one sync each ({:.0} a second)\n{}",
+         worst recovery {:.1} ms; groups {:.0} times one sync each ({:.0} a second)\n\
+         a month: {} bytes at the most on the first day, {} over all\n{}{}",
         r.cuts,
         r.ledger_bytes,
         r.recovered,
@@ -503,6 +583,15 @@
         r.worst_recovery_ms,
         r.group_commit_ratio,
         r.grouped_per_s,
+        r.month_bytes.0,
+        r.month_bytes.1,
+        r.slow
+            .iter()
+            .map(|s| format!(
+                "syncs of {} ms, {} requests in all: durable after p50 {:.1} ms, p99 {:.1} ms; {} turned away\n",
+                s.sync_ms, s.offered, s.p50_ms, s.p99_ms, s.crowded
+            ))
+            .collect::<String>(),
         r.failures.iter().map(|f| format!("{f}\n")).collect::<String>(),
     )
 }
--- a/crates/yarrowspoke-store/benches/engines.rs
+++ b/crates/yarrowspoke-store/benches/engines.rs
@@ -174,7 +174,8 @@
         engine.group(from..(from + GROUP).min(SINGLE + GROUPED))?;
     }
     let grouped = GROUPED as f64 / begun.elapsed().as_secs_f64();
-    let held = (own("VmRSS") - before.0.min(own("VmRSS")), own("Threads") - before.1, descriptors() - before.2);
+    let held =
+        (own("VmRSS") - before.0.min(own("VmRSS")), own("Threads") - before.1, descriptors() - before.2);
     drop(engine);
     let size: u64 = files(&dir).iter().map(|f| f.1).sum();
     let begun = Instant::now();
