--- a/crates/yarrowspoke-expr/src/syntax.rs
+++ b/crates/yarrowspoke-expr/src/syntax.rs
@@ -209,8 +209,8 @@
             }
             Kind::Unary(op, of) => {
                 f.write_str(if *op == Unary::Not { "!" } else { "-" })?;
-                // `--1` would read as the same, yet `-(-1)` says what is meant.
-                of.put(f, 8)
+                // Without brackets round a further sign: they would count as a level of nesting more.
+                of.put(f, 7)
             }
             Kind::Binary(op, a, b) => {
                 let s = op.strength();
--- a/crates/yarrowspoke-store/src/store.rs
+++ b/crates/yarrowspoke-store/src/store.rs
@@ -218,7 +218,12 @@
             Self::make(disk, fresh, now)?;
         }
         let (mut store, mut report) = Self::opened(disk.open("ledger")?, promised)?;
-        (store.mark, store.most) = (Some(disk.open("mark")?), most);
+        let mark = disk.open("mark")?;
+        if promised.is_none() {
+            // Danger: a front that dies between the first commit and its mark would leave a ledger whose mark seems lost.
+            store.last.write(mark.as_ref())?;
+        }
+        (store.mark, store.most) = (Some(mark), most);
         store.kept = clock(store.kept, now);
         store.last.life += 1;
         store.group(&[], now)?;
