The front's parts no longer use each other in a circle: input and hub are files of their own

Need: driver.rs, config.rs and net/* used each other in a circle; the tier's roles and peers can't be added to that.

Change: what passes between them (Input, the clock, a machine's row, an answer, addresses) stands in input.rs, a leaf; what connections share with the driver in hub.rs. No change of behaviour.

--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration file, read into a typed value; an error names the field.
 
+use crate::input::Addresses;
 use crate::net::list::{self, Listing};
 use crate::net::platform::{self, State};
 use serde::Deserialize;
@@ -121,19 +122,6 @@
     }
 }
 
-/// What a new configuration changes in a front that runs; all else holds from its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Addresses {
-    /// Where discovery is.
-    pub discovery: SocketAddr,
-    /// Where the platform is.
-    pub platform: Option<SocketAddr>,
-    /// Where each front of the tier is reached, by number.
-    pub peers: Vec<SocketAddr>,
-    /// Where all of them are reached at once.
-    pub peers_all: Option<SocketAddr>,
-}
-
 /// Reads the configuration file at `path`.
 pub fn load(path: &Path) -> Result<Config, ConfigError> {
     let named = || path.display().to_string();
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -1,15 +1,13 @@
 //! Drives the decision module: one clock, its timers, events in order, actions carried out.
 
-use crate::classify::Classifier;
-use crate::config::Addresses;
-use crate::exchange::{Answer, Call, CallIds, Exchange};
-use crate::keeper::Keeper;
-use crate::net::list::{Discovery, Row};
-use crate::net::machines::{load_values, Machines, Progress, Reply};
+use crate::exchange::{Answer, Exchange};
+use crate::hub::Hub;
+use crate::input::{Addresses, Input, Row};
+use crate::net::list::Discovery;
+use crate::net::machines::{load_values, Machines, Progress};
 use crate::net::peers::Peers;
 use crate::net::platform::{self, Ballot};
-use crate::places::{Places, Store};
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::{future, FutureExt};
@@ -18,16 +16,13 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke::interface::{
-    Action, Arrival, Build, Class, Effect, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState,
-    Micros, News, RequestId, Verdicts,
+    Action, Arrival, Build, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState, Micros, News,
+    RequestId,
 };
 use yarrowspoke::Front;
-use yarrowspoke_settings::{Names, Settings};
+use yarrowspoke_settings::Settings;
 
-/// Inputs that may wait for the driver; who brings more waits himself.
-const INPUT_LIMIT: usize = 4_096;
 /// Inputs taken before the other tasks have their turn.
 const INPUTS_AT_ONCE: usize = 64;
 /// Votes that may be on their way together.
@@ -37,159 +32,6 @@
 /// Sweeps from one report of what is held to the next.
 const REPORT_EVERY: u32 = 10;
 
-/// One clock for all: it goes forward evenly, and began at the Unix time of the start.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    begun: Instant,
-    base: Micros,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        Self { begun: Instant::now(), base }
-    }
-
-    /// Microseconds, comparable with the start times in the list.
-    pub fn now(&self) -> Micros {
-        self.base + self.begun.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.begun + Duration::from_micros(at.saturating_sub(self.base))
-    }
-}
-
-/// What the peers' modules bring to the driver.
-pub enum Input {
-    /// A request has come.
-    Arrived(Rc<Exchange>),
-    /// Its client has left.
-    Left(RequestId),
-    /// An attempt has ended by itself.
-    Ended(RequestId, u16, Result<Reply, Ending>),
-    /// Discovery has told something, or failed.
-    List(ListKind, Vec<Row>),
-    /// The platform has told something, or answered a vote.
-    News(News),
-    /// A peer's message.
-    Message(u32, Vec<u8>),
-    /// A new configuration names other addresses.
-    Moved(Addresses),
-    /// Rates of judging that the operators state from now on.
-    Rates(Option<Verdicts>),
-}
-
-/// What the protocol ties to a class.
-pub struct ClassFacts {
-    /// Its deadline, for requests that state no budget.
-    pub deadline: Micros,
-    /// Its method, where the protocol names one.
-    pub method: Option<&'static str>,
-}
-
-impl ClassFacts {
-    /// Of a class as the settings tell it.
-    pub fn of(class: &Class) -> Self {
-        let method = match class.effect {
-            Effect::Repeatable => Some("GET"),
-            Effect::Once => Some("POST"),
-            Effect::ByKey => None,
-        };
-        Self { deadline: class.deadline, method }
-    }
-}
-
-/// What all client connections share with the driver.
-pub struct Hub {
-    /// The clock.
-    pub clock: Clock,
-    /// Where inputs go.
-    pub inputs: Sender<Input>,
-    /// Names behind positions.
-    pub names: Names,
-    /// What the protocol ties to each class.
-    pub classes: Vec<ClassFacts>,
-    /// The operators' rules.
-    pub classifier: Rc<Classifier>,
-    /// The store.
-    pub keeper: Keeper,
-    /// Ids of calls.
-    pub ids: CallIds,
-    /// Room for large bodies.
-    pub store: Store,
-    /// The driver serves.
-    pub ready: Cell<bool>,
-    /// Descriptors.
-    pub places: Rc<Places>,
-    /// Longest wait for a new connection's first bytes since it was last told.
-    pub first_bytes: Cell<Micros>,
-    /// Client connections that have brought no request yet, and those between two requests.
-    pub idle: [Rc<Cell<usize>>; 2],
-    next_id: Cell<RequestId>,
-    bad: Cell<u64>,
-    stop: (Sender<()>, Receiver<()>),
-}
-
-impl Hub {
-    /// A hub, and where its inputs come out; large bodies together hold `bodies` bytes at most.
-    pub fn new(
-        settings: &Settings,
-        places: Rc<Places>,
-        bodies: usize,
-        classifier: Rc<Classifier>,
-        keeper: Keeper,
-    ) -> (Rc<Self>, Receiver<Input>) {
-        let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
-        let hub = Self {
-            clock: Clock::start(),
-            inputs,
-            names: settings.names.clone(),
-            classes: settings.module.classes.iter().map(ClassFacts::of).collect(),
-            classifier,
-            keeper,
-            ids: CallIds::default(),
-            store: Store::new(bodies),
-            ready: Cell::new(false),
-            places,
-            first_bytes: Cell::new(0),
-            idle: Default::default(),
-            next_id: Cell::new(1),
-            bad: Cell::new(0),
-            stop: async_channel::bounded(1),
-        };
-        (Rc::new(hub), receiver)
-    }
-
-    /// Begins the stop: what is there and what still comes is served, then connections end.
-    pub fn begin_stop(&self) {
-        self.stop.0.close();
-    }
-
-    /// Whether the stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.0.is_closed()
-    }
-
-    /// Waits for the stop to begin.
-    pub async fn stopped(&self) {
-        let _ = self.stop.1.recv().await;
-    }
-
-    /// Counts a request that could not be read or is none.
-    pub fn count_bad(&self) {
-        self.bad.set(self.bad.get() + 1);
-    }
-
-    /// A request just read, which came `aged` before.
-    pub fn exchange(&self, call: Call, aged: Micros) -> Rc<Exchange> {
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
-        Exchange::new(id, call, self.clock.now().saturating_sub(aged))
-    }
-}
-
 /// An attempt on its way; dropping its task closes its connection.
 struct Flight {
     machine: MachineId,
@@ -682,7 +524,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::classify::Classifier;
     use crate::config;
+    use crate::exchange::Call;
+    use crate::keeper::Keeper;
+    use crate::places::Places;
 
     #[test]
     fn a_request_that_has_ended_leaves_no_timer_behind() {
--- a/crates/yarrowspoke-front/src/explain.rs
+++ b/crates/yarrowspoke-front/src/explain.rs
@@ -3,7 +3,7 @@
 use crate::classify::{as_request, world, Classifier};
 use crate::cli::Told;
 use crate::config;
-use crate::driver::ClassFacts;
+use crate::input::ClassFacts;
 use crate::net::asked::{Asked, AskedHead};
 use crate::net::http::{Decoder, BODY_LIMIT};
 use std::fmt::Write;
--- /dev/null
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -0,0 +1,105 @@
+//! What passes between the parts of the front: inputs, the clock, a machine's address row. A leaf: it uses none of them.
+
+use crate::exchange::Exchange;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use yarrowspoke::interface::{Class, Effect, Ending, Entry, ListKind, Micros, News, RequestId, Verdicts};
+
+/// One clock for all: it goes forward evenly, and began at the Unix time of the start.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    begun: Instant,
+    base: Micros,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Self { begun: Instant::now(), base }
+    }
+
+    /// Microseconds, comparable with the start times in the list.
+    pub fn now(&self) -> Micros {
+        self.base + self.begun.elapsed().as_micros() as Micros
+    }
+
+    /// The same point in time for timers.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.begun + Duration::from_micros(at.saturating_sub(self.base))
+    }
+}
+
+/// A machine as listed.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Where it listens, as this front reaches it; a removed one may have none.
+    pub address: Option<SocketAddr>,
+    /// What the module is told.
+    pub entry: Entry,
+}
+
+/// A machine's answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// The outcome that it stands for.
+    pub ending: Ending,
+    /// The load report as it came.
+    pub load: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What a new configuration changes in a front that runs; all else holds from its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Where the platform is.
+    pub platform: Option<SocketAddr>,
+    /// Where each front of the tier is reached, by number.
+    pub peers: Vec<SocketAddr>,
+    /// Where all of them are reached at once.
+    pub peers_all: Option<SocketAddr>,
+}
+
+/// What the protocol ties to a class.
+pub struct ClassFacts {
+    /// Its deadline, for requests that state no budget.
+    pub deadline: Micros,
+    /// Its method, where the protocol names one.
+    pub method: Option<&'static str>,
+}
+
+impl ClassFacts {
+    /// Of a class as the settings tell it.
+    pub fn of(class: &Class) -> Self {
+        let method = match class.effect {
+            Effect::Repeatable => Some("GET"),
+            Effect::Once => Some("POST"),
+            Effect::ByKey => None,
+        };
+        Self { deadline: class.deadline, method }
+    }
+}
+
+/// What the peers' modules bring to the driver.
+pub enum Input {
+    /// A request has come.
+    Arrived(Rc<Exchange>),
+    /// Its client has left.
+    Left(RequestId),
+    /// An attempt has ended by itself.
+    Ended(RequestId, u16, Result<Reply, Ending>),
+    /// Discovery has told something, or failed.
+    List(ListKind, Vec<Row>),
+    /// The platform has told something, or answered a vote.
+    News(News),
+    /// A peer's message.
+    Message(u32, Vec<u8>),
+    /// A new configuration names other addresses.
+    Moved(Addresses),
+    /// Rates of judging that the operators state from now on.
+    Rates(Option<Verdicts>),
+}
--- a/crates/yarrowspoke-front/src/keeper.rs
+++ b/crates/yarrowspoke-front/src/keeper.rs
@@ -4,7 +4,7 @@
 //! What a record means and when there is room is decided in `yarrowspoke_store::ledger`; here it is only carried out.
 
 use crate::exchange::{Answer, Call};
-use crate::net::list::Row;
+use crate::input::Row;
 use crate::net::within;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod driver;
 pub mod exchange;
 pub mod explain;
+pub mod hub;
+pub mod input;
 pub mod keeper;
 pub mod logging;
 pub mod net;
--- a/crates/yarrowspoke-front/src/net/asked.rs
+++ b/crates/yarrowspoke-front/src/net/asked.rs
@@ -2,8 +2,8 @@
 
 use super::http::{Framing, FromHead, HttpError, RawHead};
 use crate::classify::{Classifier, Loaded};
-use crate::driver::ClassFacts;
 use crate::exchange::Call;
+use crate::input::ClassFacts;
 use std::rc::Rc;
 use yarrowspoke::interface::{Micros, Ruled};
 use yarrowspoke_settings::Names;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -3,8 +3,9 @@
 use super::asked::{Asked, AskedHead};
 use super::http::{Decoder, Encoder, BODY_LIMIT};
 use super::{read_some, within};
-use crate::driver::{Hub, Input};
 use crate::exchange::{Answer, Exchange};
+use crate::hub::Hub;
+use crate::input::Input;
 use crate::keeper::Kept;
 use crate::places::{Counted, Room};
 use async_executor::LocalExecutor;
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -2,7 +2,7 @@
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
 use super::{read_some, within};
-use crate::driver::Input;
+use crate::input::{Input, Row};
 use async_channel::Sender;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
@@ -28,15 +28,6 @@
 /// Longest wait that discovery grants.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
-/// A machine as listed.
-#[derive(Clone, Debug)]
-pub struct Row {
-    /// Where it listens, as this front reaches it; a removed one may have none.
-    pub address: Option<SocketAddr>,
-    /// What the module is told.
-    pub entry: Entry,
-}
-
 /// An answer of discovery.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -3,9 +3,9 @@
 //! An attempt is dropped to give it up, which closes its connection. Nothing is ever resent here.
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
-use super::list::Row;
 use super::{read_some, span, within};
 use crate::exchange::Exchange;
+use crate::input::{Clock, Reply, Row};
 use crate::places::{Place, Places};
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
@@ -87,17 +87,6 @@
     }
 }
 
-/// A machine's answer.
-#[derive(Debug)]
-pub struct Reply {
-    /// The outcome that it stands for.
-    pub ending: Ending,
-    /// The load report as it came.
-    pub load: Option<String>,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
 struct ReplyHead {
     status: u16,
     rejected: bool,
@@ -304,7 +293,7 @@
         exchange: &Exchange,
         wait: Micros,
         progress: &Cell<Progress>,
-        clock: &crate::driver::Clock,
+        clock: &Clock,
     ) -> Result<Reply, AttemptError> {
         let tried = self.exchange(machine, exchange, wait, progress, clock).await;
         tried.map_err(|cause| {
@@ -324,7 +313,7 @@
         exchange: &Exchange,
         wait: Micros,
         progress: &Cell<Progress>,
-        clock: &crate::driver::Clock,
+        clock: &Clock,
     ) -> Result<Reply, Cause> {
         let address = self.hosts.borrow().get(&machine).and_then(|h| h.address).ok_or(Cause::Unknown)?;
         let begun = clock.now();
--- a/crates/yarrowspoke-front/src/net/peers.rs
+++ b/crates/yarrowspoke-front/src/net/peers.rs
@@ -1,6 +1,6 @@
 //! Other fronts: datagrams, unreliable and untrusted.
 
-use crate::driver::Input;
+use crate::input::Input;
 use async_channel::Sender;
 use async_io::Async;
 use std::cell::{Cell, RefCell};
--- a/crates/yarrowspoke-front/src/net/platform.rs
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: votes and what it tells, in lines of words.
 
 use super::{read_some, span, within};
-use crate::driver::Input;
+use crate::input::Input;
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -2,10 +2,12 @@
 
 use crate::classify::{self, Classifier};
 use crate::config::{self, Config, ConfigError};
-use crate::driver::{Driver, Hub, Input, Outside};
+use crate::driver::{Driver, Outside};
+use crate::hub::Hub;
+use crate::input::{Input, Row};
 use crate::keeper::{self, Keeper};
 use crate::net::clients;
-use crate::net::list::{Discovery, Row};
+use crate::net::list::Discovery;
 use crate::net::machines::Machines;
 use crate::net::peers::Peers;
 use crate::places::Places;
