--- a/crates/yarrowspoke-front/tests/rules.rs
+++ b/crates/yarrowspoke-front/tests/rules.rs
@@ -216,3 +216,14 @@
         assert!(told.contains(line), "{line}: {told}");
     }
 }
+
+#[test]
+fn the_examples_are_right() {
+    let config = common::root().join("examples/config.json");
+    for name in ["rules.sexp", "quiet.sexp"] {
+        let file = common::root().join("examples").join(name);
+        let out = common::program(&["check", file.to_str().unwrap(), "--config", config.to_str().unwrap()]);
+        let told = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert!(out.status.success() && !told.contains("warning"), "{name}: {out:?}");
+    }
+}
