Only loud evidence needs most machines: faults under load go back as before

Change: the rule acts only where the evidence, machines that may be sick included, is 2.5 times the alarm.

--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -62,6 +62,7 @@
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SICK_PART: usize = 4; // one machine in so many, and one at least, may be sick by itself...
 const SEVERAL: f64 = 3.0; // machines of a stage of which most must show a fault
+const LOUD: f64 = 2.5; // evidence over the alarm, machines that may be sick included, that is so
 const SICK_PRICE: (f64, f64) = (3.0, 4.0); // ...adding at most so much each; a zone's price
 const LOOK_EVERY: Micros = 200 * MS; // paces are compared this often
 const BRIEF: Micros = 2_500 * MS; // slowness must last so long; failures have ceased if none is so recent
@@ -843,9 +844,11 @@
         let next = usize::from(self.stage(build)) + 1 < self.s.release.shares.len();
         let alone = self.k.ready(build).count() < 2 && !next;
         // Danger: of a stage's few machines several may be sick, and what they add lasts into later stages. A
-        // build's own fault shows on most of its machines: the better half must not speak for it.
+        // build's own fault shows on most of its machines: the better half must not speak for it. But a fault
+        // under load shows now here, now there, and no machine says much.
         let several = self.k.news.is_some_and(|n| n.build == build && self.wanted(&n) >= SEVERAL);
-        let few_sick = several && f.witnesses > 0 && f.beyond_half < DOUBT;
+        let loud = several && f.witnesses > 0 && f.failing_or_sick > LOUD * alarm;
+        let few_sick = loud && f.beyond_half < DOUBT;
         let mut worst = match () {
             () if f.failing >= alarm && few_sick => Finding::Sickly,
             () if f.failing >= alarm => Finding::Fault,
