The better half is weighed only where something speaks against the build

Change: the look without the half that says most is taken only if the evidence is above nothing; elsewhere it decides nothing.

--- a/crates/yarrowspoke-verdict/src/book.rs
+++ b/crates/yarrowspoke-verdict/src/book.rs
@@ -333,8 +333,11 @@
             ])
         };
         let beyond_sick = failing(LeaveOut { price: 0.0, ..capped });
-        let beyond_half = failing(LeaveOut { price: 0.0, half: true, ..capped });
-        let failing = failing(capped);
+        let against = failing(capped);
+        // Looked at only where there is something against the build: at hundreds of fronts each look costs.
+        let half = LeaveOut { price: 0.0, half: true, ..capped };
+        let beyond_half = if against > 0.0 { failing(half) } else { f64::NEG_INFINITY };
+        let failing = against;
         let failing_or_sick = Evidence::look_at_all(&whole, all);
         let heard = |e: &[Evidence]| e.iter().map(|e| e.witnesses(self.d.heard)).max().unwrap_or(0);
         let witnesses = heard(&self.pooled).max(heard(&self.remembered));
