Laboratory's store: one restart that must open, for crashes and for disk faults

Need: both trials ended in the same restart, written twice.

Change: come_back serves both; the message names what came before. No check changes.

--- a/crates/yarrowspoke-lab/src/store/mod.rs
+++ b/crates/yarrowspoke-lab/src/store/mod.rs
@@ -351,16 +351,20 @@
             play.now = play.now.saturating_sub(3_600 * S).max(S);
         }
     }
-    let disk = SimDisk::holding(&files);
-    match open(&disk, play.now, &mut report) {
-        Some(mut store) => play.restarted(&mut store, &mut report),
+    come_back(&files, &mut play, &format!("seed {seed}: after crashes alone"), &mut report);
+    report
+}
+
+/// A restart on what a trial has left, which must open; then everybody asks again.
+fn come_back(files: &BTreeMap<String, Vec<u8>>, play: &mut Play, after: &str, report: &mut Report) {
+    match open(&SimDisk::holding(files), play.now, report) {
+        Some(mut store) => play.restarted(&mut store, report),
         None => {
             report.crashes_refused += 1;
-            let why = Store::open(&SimDisk::holding(&files), ID, MOST, play.now).err();
-            report.failures.push(format!("seed {seed}: refused after crashes alone: {why:?}"));
+            let why = Store::open(&SimDisk::holding(files), ID, MOST, play.now).err();
+            report.failures.push(format!("{after}: refused: {why:?}"));
         }
     }
-    report
 }
 
 impl Play {
@@ -407,14 +411,7 @@
     disk.fail(Faults::default());
     // What a power cut then leaves, and a restart on a disk that is well again.
     let files = disk.after_crash(&mut rng);
-    match open(&SimDisk::holding(&files), play.now, &mut report) {
-        Some(mut store) => play.restarted(&mut store, &mut report),
-        None => {
-            report.crashes_refused += 1;
-            let why = Store::open(&SimDisk::holding(&files), ID, MOST, play.now).err();
-            report.failures.push(format!("seed {seed}: refused after {faults:?}: {why:?}"));
-        }
-    }
+    come_back(&files, &mut play, &format!("seed {seed}: after {faults:?}"), &mut report);
     report
 }
 
