--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -755,7 +755,7 @@
             let slots = FREE_SLOTS * self.k.ready(*b).count() as f64 / f64::from(self.s.fronts.max(1));
             (recent().filter(|o| o.build == *b).count() as f64) < slots
         });
-        // Danger: a front that turns all away learns no more: one that has served nothing lately takes what it can.
+        // Danger: who turns all away learns no more: one that has served nothing lately takes what it can.
         let held = (recent().count() + 1) as f64;
         let idle = held < 2.0 && self.k.served.sum(now, RATE_SPAN) == 0.0;
         if free && !stale || idle || self.k.answer_time < EASY * tightest {
