--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -5,7 +5,6 @@
     Build, DedupScope, Entry, LoadField, MachineId, MachineState, Micros, News, RequestId, Ruled, Verdict,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use yarrowspoke_verdict::book::Outcome;
 
 /// Amounts noted over time, summed over a span that the caller names.
 ///
@@ -208,7 +207,7 @@
     pub class: usize,
     /// It was served.
     pub ok: bool,
-    /// Reported service time.
+    /// Reported service time, else `own`.
     pub pace: Option<f64>,
     /// Answer time over expected work, of a served answer from a fully warm machine.
     pub own: Option<f64>,
@@ -253,11 +252,10 @@
 /// Median of own paces over the figures for their kind and class, if there are `least` of them.
 pub fn pace_over<'a>(
     samples: impl Iterator<Item = &'a Sample>,
-    of: fn(&Sample) -> Option<f64>,
     figures: &Figures,
     least: usize,
 ) -> Option<f64> {
-    let ratio = |s: &Sample| Some(of(s)? / figures.get(&(s.kind, s.class))?.max(f64::MIN_POSITIVE));
+    let ratio = |s: &Sample| Some(s.own? / figures.get(&(s.kind, s.class))?.max(f64::MIN_POSITIVE));
     let mut paces: Vec<f64> = samples.filter_map(ratio).collect();
     median(&mut paces).filter(|_| paces.len() >= least)
 }
@@ -357,14 +355,10 @@
     pub retries: Bucket,
     /// Each tenant's requests in hand.
     pub tenants: Vec<Bucket>,
-    /// This front's part in pooling what all fronts see, where they may speak to each other.
-    pub pool: Option<yarrowspoke_tier::pool::Pool>,
     /// The newest build that was on trial, and the evidence on it.
     pub book: Option<(Build, yarrowspoke_verdict::book::Book)>,
-    /// Usual paces from before the newest build, as this front measured them.
+    /// Usual paces from before the newest build.
     pub figures: Figures,
-    /// The same as machines reported them.
-    pub told: Figures,
     /// Since when a finding that must last has lasted.
     pub suspect_from: Option<Micros>,
     /// Since when failures have been seen that may be a sick machine's.
@@ -558,19 +552,13 @@
         self.samples.get(&build).map_or(0, VecDeque::len)
     }
 
-    /// Keeps `n` outcomes, of which `bad` failed, and at most `most` of their build; `o` holds all else.
-    pub fn note_sample(&mut self, build: Build, most: usize, o: &Outcome, n: u32, bad: u32) {
+    /// Keeps an outcome, and at most `most` of its build.
+    pub fn note_sample(&mut self, build: Build, most: usize, sample: Sample) {
         let ring = self.samples.entry(build).or_default();
-        let (at, machine, kind, class, own) = (o.at, o.machine, o.kind, o.class, o.own);
-        let pace = o.reported;
-        ring.extend((0..n).map(|i| Sample { at, machine, kind, class, ok: i >= bad, pace, own }));
-        ring.drain(..ring.len().saturating_sub(most));
-    }
-
-    /// The machine whose number ends in these 16 bits, if there is just one.
-    pub fn short(&self, machine: u16) -> Option<&Machine> {
-        let mut of = self.machines.values().filter(|m| m.e.machine as u16 == machine);
-        of.next().filter(|_| of.next().is_none())
+        ring.push_back(sample);
+        if ring.len() > most {
+            ring.pop_front();
+        }
     }
 }
 
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -8,8 +8,6 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
-use yarrowspoke_tier::pool::{gatherers, is_large, Pool};
-use yarrowspoke_tier::report::Pace;
 use yarrowspoke_verdict::book::{Book, Design, Findings, Outcome};
 use yarrowspoke_verdict::{evidence::Beginnings, pace::PaceDesign, split};
 
@@ -137,11 +135,6 @@
     Fault,
 }
 
-const FINDINGS: [Finding; 9] = {
-    use Finding::*;
-    [Clear, Thin, Sickly, Doubt, FleetSlow, Alone, Sole, Slow, Fault]
-};
-
 /// One front: its settings, its random source and what it knows, fed by [`Front::handle`].
 pub struct Front {
     s: Settings,
@@ -162,7 +155,6 @@
             boot: BOOT_LIMIT,
             retries: Bucket { left: RETRY_BURST, at: now },
             ask_at: now,
-            pool: s.peers.then(|| Pool::new(s.me, s.fronts)),
             ..Knowledge::default()
         };
         let mut front = Self { alarms: judging(&s).1, s, rng: Pcg64Mcg::seed_from_u64(seed), k };
@@ -180,7 +172,9 @@
             Event::Outcome(ref e) => self.on_outcome(now, e, out),
             Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
             Event::News(news) => self.on_news(now, news),
-            Event::Withdrawn { id } => drop(self.k.requests.remove(&id)),
+            Event::Withdrawn { id } => {
+                self.k.requests.remove(&id);
+            }
             Event::Tally { build, class, count, bad, mean, age }
                 if bad <= count
                     && self.s.classes.len() > class.into()
@@ -191,8 +185,7 @@
                 self.k.note_count(c, now.saturating_sub(COUNT_SPAN));
             }
             Event::FirstByte { .. } | Event::Probed { .. } => {}
-            Event::Message { from, bytes } => self.on_message(now, from, bytes),
-            Event::Tally { .. } => self.k.ignored += 1,
+            Event::Message { .. } | Event::Tally { .. } => self.k.ignored += 1,
         }
     }
 
@@ -214,7 +207,6 @@
         self.rescue(now, out);
         let parked: Vec<_> = self.k.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
         parked.into_iter().for_each(|id| self.dispatch(now, id, out));
-        self.confer(now, out);
         self.vote(now, out);
     }
 
@@ -653,7 +645,10 @@
             let settled = o.sent >= started + 3 * self.s.warm_after / 2;
             let service = load_value(&self.s.report_fields, e.load, LoadField::MeanMs);
             let reports = self.s.report_fields.contains(&LoadField::MeanMs);
-            let reported = service.filter(|_| reports && timed && settled);
+            let pace = if reports { service.filter(|_| timed && settled) } else { own };
+            let sample = Sample { at: now, machine: o.machine, kind, class, ok, pace, own };
+            self.k.note_sample(o.build, RING, sample);
+            let reported = if reports { pace } else { None };
             let (machine, failed, age) = (o.machine, !ok, o.sent.saturating_sub(started));
             let outcome = Outcome { at: now, machine, zone, kind, age, class, failed, reported, own };
             self.note_evidence(o.build, &outcome);
@@ -672,6 +667,8 @@
         let outcome =
             Outcome { at: now, machine, zone, kind, age, class, failed: true, reported: None, own: None };
         self.note_evidence(build, &outcome);
+        let sample = Sample { at: now, machine, kind, class, ok: false, pace: None, own: None };
+        self.k.note_sample(build, RING, sample);
     }
 
     /// Ejects a machine that fails far more than the middle machine of its build: one sick machine is no
@@ -783,70 +780,19 @@
         self.alarms = judging(&self.s).1;
     }
 
-    /// Takes an outcome of this front's own, and has it told to those that gather.
+    /// Takes an outcome as evidence on the newest build, for or against it. A build that was taken off is no
+    /// measure for the next.
     fn note_evidence(&mut self, build: Build, o: &Outcome) {
-        self.weigh(build, o, 1, u32::from(o.failed));
-        self.k.note_sample(build, RING, o, 1, u32::from(o.failed));
-        let pace = o.reported.map(Pace::Reported).or(o.own.map(Pace::Own));
-        if let (Some(pool), Some((on, _))) = (&mut self.k.pool, &self.k.book) {
-            pool.note(*on, build == *on, o.machine, o.class, o.failed, pace);
-        }
-    }
-
-    /// Takes outcomes as evidence on the newest build, for or against it. A build that was taken off is no measure
-    /// for the next.
-    fn weigh(&mut self, build: Build, o: &Outcome, n: u32, bad: u32) {
         if self.cap(build).is_some() {
             self.open_book(build);
         }
         match &mut self.k.book {
-            Some((on, book)) if *on == build => book.note_many(true, o, n, bad),
-            Some((on, book)) if *on > build && !self.k.withdrawn.contains(&build) => {
-                book.note_many(false, o, n, bad);
-            }
+            Some((on, book)) if *on == build => book.note(true, o),
+            Some((on, book)) if *on > build && !self.k.withdrawn.contains(&build) => book.note(false, o),
             _ => {}
         }
     }
 
-    /// What another front saw, or makes of the build. It counts only for machines and builds that the list shows.
-    fn on_message(&mut self, now: Micros, from: u32, bytes: &[u8]) {
-        let heard = self.k.pool.as_mut().and_then(|p| p.hear(now, from, bytes));
-        let on = self.k.book.as_ref().map_or(0, |b| b.0);
-        self.k.ignored += u64::from(heard.is_none());
-        for row in heard.unwrap_or_default() {
-            let Some(m) = self.k.short(row.machine).filter(|m| (m.e.build == on) == row.trial) else {
-                continue;
-            };
-            let (build, machine, zone, kind) = (m.e.build, m.e.machine, m.e.zone, m.e.kind);
-            let (class, age) = (row.class.into(), now.saturating_sub(m.e.started));
-            let (reported, own) = match row.pace {
-                Some(Pace::Reported(p)) => (Some(p), None),
-                pace => (None, pace.map(|p| p.value())),
-            };
-            let o = Outcome { at: now, machine, zone, kind, age, class, failed: false, reported, own };
-            self.weigh(build, &o, row.n.into(), row.bad.into());
-            if row.trial && o.class < self.s.classes.len() {
-                self.k.note_sample(build, RING, &o, row.n.into(), row.bad.into());
-            }
-        }
-    }
-
-    /// Departure: what each front sees too little of is judged where it is gathered.
-    fn confer(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let on = self.k.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)).map(|n| n.build);
-        let (Some(build), Some(pool)) = (on, self.k.pool.as_ref().filter(|p| p.is_due(now))) else { return };
-        let opinion = if pool.gathers() { self.judge(now, build).0 as u8 } else { 0 };
-        if pool.speaks() {
-            out.push(Action::Log(format!(
-                "opinion {:?} {}",
-                FINDINGS[opinion as usize],
-                self.judge(now, build).1
-            )));
-        }
-        let letters = self.k.pool.as_mut().map(|p| p.tell(now, build, opinion)).unwrap_or_default();
-        out.extend(letters.into_iter().map(|(peer, bytes)| Action::Tell { peer, bytes }));
-    }
-
     fn open_book(&mut self, build: Build) {
         if self.k.book.as_ref().is_none_or(|b| b.0 < build) {
             self.k.book = Some((build, Book::new(judging(&self.s).0)));
@@ -855,23 +801,16 @@
 
     /// Median pace now against the figures taken when `build` was named; earlier machines first.
     fn fleet_pace(&self, now: Micros, build: Build) -> Option<f64> {
-        let over = |of: fn(&Sample) -> Option<f64>, figures: &Figures| {
-            let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-            let all = self.k.samples.values().flatten().filter(late);
-            let before = self.k.kept_below(build).flatten().filter(late);
-            pace_over(before, of, figures, PACE_LEAST).or(pace_over(all, of, figures, PACE_LEAST))
-        };
-        // Danger: own answers hold waiting, which a trouble of machines brings too, and reports may be false.
-        let own = over(|s| s.own, &self.k.figures)?;
-        Some(own.min(over(|s| s.pace, &self.k.told).unwrap_or(own)))
+        let late = |s: &&Sample| s.at + FLEET_SPAN > now;
+        let before = pace_over(self.k.kept_below(build).flatten().filter(late), &self.k.figures, PACE_LEAST);
+        let all = self.k.samples.values().flatten().filter(late);
+        before.or(pace_over(all, &self.k.figures, PACE_LEAST))
     }
 
     /// Figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
-        let lately = || self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now);
-        let (own, told) =
-            (middles(lately(), |s| s.own, ENOUGH / 2), middles(lately(), |s| s.pace, ENOUGH / 2));
-        (self.k.figures, self.k.told) = (own, told);
+        let lately = self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now);
+        self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
     /// Whether the platform's counts of all fronts send `build` back: one class fails and the others do not.
@@ -937,7 +876,7 @@
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = trial().filter(|s| s.at + PACE_SPAN > now);
-        let trial_pace = pace_over(near, |s| s.own, &self.k.figures, PACE_LEAST);
+        let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
         let fleet = self.fleet_pace(now, build).unwrap_or(1.0).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and once they are gone a busy moment of the new ones
         // has no match. Reports may be false: own answers must agree.
@@ -1044,9 +983,7 @@
     }
 
     fn verdict(&mut self, now: Micros, n: &News) -> Option<Verdict> {
-        let heard = self.k.pool.as_ref().and_then(|p| p.opinion(now, n.build));
-        let heard = heard.and_then(|o| FINDINGS.get(usize::from(o)));
-        let finding = heard.copied().unwrap_or_else(|| self.judge(now, n.build).0);
+        let finding = self.judge(now, n.build).0;
         // Danger: a front that restarted has seen little, and taking off a released build is dear.
         let unsure = n.phase == Phase::Released && self.k.seen(n.build) < RELEASED_LEAST;
         let lasts = match finding {
@@ -1064,13 +1001,7 @@
             self.k.condemned = Some(n.build);
         }
         self.k.sickly_from = (finding == Finding::Sickly).then(|| self.k.sickly_from.unwrap_or(now));
-        // Gathered, what the others say is soon heard.
-        let held = if heard.is_some() || self.k.pool.as_ref().is_some_and(Pool::speaks) {
-            BRIEF
-        } else {
-            SICKLY_HELD
-        };
-        let waits = self.k.sickly_from.is_some_and(|t| now < t + held);
+        let waits = self.k.sickly_from.is_some_and(|t| now < t + SICKLY_HELD);
         let condemned = self.k.condemned == Some(n.build);
         if condemned || n.phase != Phase::Trial {
             return condemned.then_some(Verdict::Back);
@@ -1124,7 +1055,6 @@
 /// each front on requests of its own; paces are the machines' and the same for all.
 pub fn judging(s: &Settings) -> (Design, (f64, f64)) {
     let (rates, votes) = (s.verdicts.unwrap_or(VERDICTS), s.release.back_votes);
-    let gathers = s.peers && Pool::new(s.me, s.fronts).gathers();
     let pace = PaceDesign {
         weight: PACE_WEIGHT,
         least: PACE_LEAST as u32 / 2,
@@ -1148,8 +1078,7 @@
         beginnings: Beginnings { ages: AGES.to_vec(), times: BEGUN.0, weights: (BEGUN.1, BEGUN.2) },
         most: WITNESSES,
         sick_one_in: SICK_PART,
-        // Gathered, outcomes tell a sick machine by itself: nothing is counted of it.
-        sick_price: if gathers && is_large(s.fronts) { 0.0 } else { SICK_PRICE.0 },
+        sick_price: SICK_PRICE.0,
         zone_price: SICK_PRICE.1,
         slower: (TOLERATED, rates.least_slowness),
         pace_every: LOOK_EVERY,
@@ -1161,14 +1090,9 @@
         weights: TESTS,
         pace,
     };
-    let (rate, gatherers) = (rates.false_alarm, gatherers(s.fronts).count() as u32);
-    let split = |part| split::of_fronts(rate * part, s.fronts, votes);
-    if gathers {
-        // What is gathered is the same for all who gather: their middle opinion, or enough votes of their own.
-        let split = |part| split::of_fronts(rate * part, gatherers, votes.min(gatherers.div_ceil(2)));
-        return (design, (-split(ALARMS.0).ln(), -split(ALARMS.1).ln()));
-    }
+    let rate = rates.false_alarm;
     let bound = split::of_fronts_given_all(rate * ALARMS.0, s.fronts, votes);
     let failing = if votes > 1 { (bound / CROSSED).min(CROSSED_MOST) } else { bound };
-    (design, (-failing.ln(), -split(ALARMS.1).ln()))
+    let slow = split::of_fronts(rate * ALARMS.1, s.fronts, votes);
+    (design, (-failing.ln(), -slow.ln()))
 }
