--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -108,7 +108,7 @@
 const FIT_OVER: f64 = 0.25; // the same for tenants over their share, and for what would miss its aim
 const CROWDED_DRAWS: usize = 6; // machines drawn for a request while answers are slow, instead of two
 const BUDGET_FADE: f64 = 0.001; // by which a class's longest time to wait fades with each request
-const CHANCE: f64 = 2.0; // standard deviations up to which what one of many fronts holds is taken as chance
+const CHANCE: f64 = 4.0; // requests one of many fronts may hold by chance, over the root of what it bears
 const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
 const QUOTA_LEAST: f64 = 5.0; // requests that a tenant may send at once to any front
 const FREE_SLOTS: f64 = 3.0; // requests a machine always admitted
@@ -769,7 +769,7 @@
         // Danger: of a hundred fronts each holds a request or two by chance, whatever the machines hold: what
         // chance explains is no queue. There the answer time tells of the queue, and lots shed what is over.
         let bears = fit * self.k.best_rate;
-        let chance = (bears * (1.0 - 1.0 / f64::from(self.s.fronts.max(1)))).sqrt() * CHANCE;
+        let chance = CHANCE * ((1.0 - 1.0 / f64::from(self.s.fronts.max(1))) / bears.max(1.0)).sqrt();
         held <= bears || held <= bears + chance && lot * self.k.answer_time < fit
     }
 
