--- a/crates/yarrowspoke-verdict/src/book.rs
+++ b/crates/yarrowspoke-verdict/src/book.rs
@@ -130,14 +130,15 @@
         Self { from, trial: vec![BTreeMap::new(); classes], earlier: vec![Side::default(); classes] }
     }
 
-    fn note(&mut self, trial: bool, o: &Outcome, n: u32, bad: u32) {
+    fn note(&mut self, trial: bool, o: &Outcome) {
+        let bad = u32::from(o.failed);
         if trial {
             let fresh = Part { machine: o.machine, zone: o.zone, age: o.age, n: 0, bad: 0 };
             let part = self.trial[o.class].entry(o.machine).or_insert(fresh);
-            (part.n, part.bad) = (part.n + n, part.bad + bad);
+            (part.n, part.bad) = (part.n + 1, part.bad + bad);
         } else {
             let side = &mut self.earlier[o.class];
-            (side.n, side.bad) = (side.n + f64::from(n), side.bad + f64::from(bad));
+            (side.n, side.bad) = (side.n + 1.0, side.bad + f64::from(bad));
         }
     }
 
@@ -195,21 +196,15 @@
 
     /// Takes an outcome of the build on trial, or of the earlier one.
     pub fn note(&mut self, trial: bool, o: &Outcome) {
-        self.note_many(trial, o, 1, u32::from(o.failed));
-    }
-
-    /// Takes `n` outcomes of one machine and class at once, of which `bad` failed, as other fronts tell them; `o` holds
-    /// all else, and the newest pace.
-    pub fn note_many(&mut self, trial: bool, o: &Outcome, n: u32, bad: u32) {
-        if o.class >= self.d.classes || n == 0 || bad > n {
+        if o.class >= self.d.classes {
             return;
         }
         let classes = self.d.classes;
         if trial {
             self.begun.get_or_insert(o.at);
         }
-        self.blocks.entry(o.zone % ZONES).or_insert_with(|| Block::new(o.at, classes)).note(trial, o, n, bad);
-        self.whole.get_or_insert_with(|| Block::new(o.at, classes)).note(trial, o, n, bad);
+        self.blocks.entry(o.zone % ZONES).or_insert_with(|| Block::new(o.at, classes)).note(trial, o);
+        self.whole.get_or_insert_with(|| Block::new(o.at, classes)).note(trial, o);
         if o.reported.is_some() || o.own.is_some() {
             self.paces.note(trial, o.at, o.machine, (o.zone, o.kind), o.reported, o.own);
         }
