--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -349,6 +349,10 @@
     pub best_rate: f64,
     /// Smoothed answer time.
     pub answer_time: f64,
+    /// When an answer last told of it.
+    pub answered: Micros,
+    /// Smoothed share of attempts that got no answer.
+    pub unheard: f64,
     /// Smoothed expected work of served requests.
     pub answer_work: f64,
     /// Retries saved up.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -99,7 +99,9 @@
 const QUEUE_TIMES: f64 = 3.0; // multiple of it up to which an attempt counts as queue
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const LOT_PART: f64 = 0.75; // ...and of that where lots decide, which scatter
-const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time
+const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time...
+const TIME_SPAN: f64 = 3_000_000.0; // ...or more where answers are so rare that they tell of this span only
+const UNHEARD_WEIGHT: f64 = 0.15; // weight of the newest attempt in the share that got no answer
 const RATE_SPAN: Micros = 1_000 * MS; // span over which completions are counted
 const EASY: f64 = 0.4; // nothing is shed while answers take less than this part of the tightest aim
 const RATE_FADE: f64 = 0.985; // by which the best rate fades each tick
@@ -577,9 +579,17 @@
         self.note_machine(now, &o, e);
         if ending == Ending::Ok {
             self.k.served.add(now, 1.0, RATE_SPAN);
-            self.k.answer_time += TIME_WEIGHT * (e.took as f64 - self.k.answer_time);
+            self.note_time(now, e.took as f64);
             self.k.answer_work += TIME_WEIGHT * (o.work - self.k.answer_work);
         }
+        // Danger: where most attempts end unanswered, those that are answered in time tell of luck only.
+        let unheard = matches!(ending, Ending::Timeout | Ending::Full);
+        if matches!(ending, Ending::Ok | Ending::Timeout | Ending::Full) {
+            self.k.unheard += UNHEARD_WEIGHT * (f64::from(u8::from(unheard)) - self.k.unheard);
+        }
+        if unheard && self.k.unheard > HALF {
+            self.note_time(now, self.s.classes[o.class].deadline as f64);
+        }
         if e.settled {
             if let Some(mut r) = self.k.requests.remove(&id) {
                 r.attempts.iter_mut().skip(attempt.into()).take(1).for_each(|a| a.out = false);
@@ -606,6 +616,14 @@
         self.dispatch(now, id, out);
     }
 
+    /// The usual answer time; a front that hears little goes by the last seconds, not by the last answers.
+    fn note_time(&mut self, now: Micros, took: f64) {
+        let since = now.saturating_sub(self.k.answered) as f64;
+        let weight = if self.k.answered == 0 { 1.0 } else { (since / (since + TIME_SPAN)).max(TIME_WEIGHT) };
+        self.k.answer_time += weight * (took - self.k.answer_time);
+        self.k.answered = now;
+    }
+
     fn note_machine(&mut self, now: Micros, o: &Out, e: &Ended) {
         let ending = e.ending;
         let Some(m) = self.k.machines.get_mut(&o.machine) else { return };
@@ -697,7 +715,8 @@
 
     /// Ejects machines that hold work and have answered nothing for long: hung, dead, cut off or paused.
     fn eject_silent(&mut self, now: Micros) {
-        let limit = SILENT_FLOOR + (SILENT_TIMES * self.k.answer_time) as Micros;
+        let usual = if self.k.answered == 0 { self.tightest() } else { self.k.answer_time };
+        let limit = SILENT_FLOOR + (SILENT_TIMES * usual) as Micros;
         let silent = |m: &&Machine| m.inflight > 0 && now > m.quiet_from + limit && now >= m.ejected_until;
         let ids: Vec<_> = self.k.machines.values().filter(silent).map(|m| m.e.machine).collect();
         ids.into_iter().for_each(|id| self.eject(now, id));
