--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -483,7 +483,8 @@
         let builds: Vec<Build> = self.k.reach.keys().copied().collect();
         let (trial, earlier): (Vec<Build>, Vec<_>) = builds.iter().partition(|b| self.cap(**b).is_some());
         let turns: Vec<Build> = trial.iter().filter(|b| self.turn(r, **b)).copied().collect();
-        let (e, t) = (self.draw(now, r, &earlier), self.draw(now, r, &turns));
+        let e = self.draw(now, r, &earlier, false);
+        let t = self.draw(now, r, &turns, e.is_some());
         match (e, t) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
@@ -496,7 +497,7 @@
             (Some(e), None) => Some(e),
             (None, Some(t)) => Some(t),
             // Departure: with no earlier machine left, position, ceiling and effect turns yield.
-            (None, None) => self.draw(now, r, &trial),
+            (None, None) => self.draw(now, r, &trial, false),
         }
     }
 
@@ -518,12 +519,16 @@
 
     /// Two random choices, drawn by capacity, by fewest in flight for it, among machines of `builds` that the
     /// guards allow. Ejected machines stand aside while others are left, then the whole fleet is asked.
-    fn draw(&mut self, now: Micros, r: &Request, builds: &[Build]) -> Option<MachineId> {
+    ///
+    /// Danger: of a stage's machines most are cold at first, and those that may be sent to would get the turns of
+    /// all: `fair` draws among all of them, and a turn that falls to one that may not be sent to is given back.
+    fn draw(&mut self, now: Micros, r: &Request, builds: &[Build], fair: bool) -> Option<MachineId> {
         let near = builds.iter().filter_map(|b| self.k.reach.get(b)).flatten();
         let near: Vec<&Machine> = near.map(|id| &self.k.machines[id]).collect();
         let allowed = |m: &&&Machine| self.may_send(now, r, m);
+        let waits = |m: &&&Machine| fair && m.e.state == MachineState::Ready && self.warmth(now, m) < 1.0;
         let untried = |m: &Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
-        let good = |m: &&&Machine| untried(m) && self.sound(now, m, r) && allowed(m);
+        let good = |m: &&&Machine| untried(m) && self.sound(now, m, r) && (allowed(m) || waits(m));
         let mut of: Vec<&Machine> = near.iter().filter(good).copied().collect();
         if of.is_empty() {
             let all: Vec<_> = self.k.machines.values().filter(|m| builds.contains(&m.e.build)).collect();
@@ -539,16 +544,18 @@
         // Departure: while answers are slow, two draws would leave some machines idle beside others' queues.
         let draws = if self.k.answer_time < EASY * self.tightest() { 2 } else { CROWDED_DRAWS };
         let any = self.least_loaded(now, draws, &sizes);
+        let free = |id: &MachineId| !fair || self.may_send(now, r, &self.k.machines[id]);
         // Departure: a place that the operators' rules prefer, until it carries clearly more than the rest.
         let Ruled { zone, kind, .. } = r.ruled;
         if zone.is_none() && kind.is_none() {
-            return any;
+            return any.filter(free);
         }
         let e = |id: MachineId| &self.k.machines[&id].e;
         let near = |id| zone.is_none_or(|z| z == e(id).zone) && kind.is_none_or(|k| k == e(id).kind);
         let near: Vec<_> = sizes.iter().filter(|m| near(m.0)).copied().collect();
         let near = self.least_loaded(now, draws, &near);
-        near.filter(|p| any.is_none_or(|a| self.load_of(now, *p) <= self.load_of(now, a) + SPILL)).or(any)
+        let near = near.filter(|p| any.is_none_or(|a| self.load_of(now, *p) <= self.load_of(now, a) + SPILL));
+        near.or(any).filter(|id| !fair || self.may_send(now, r, &self.k.machines[id]))
     }
 
     fn least_loaded(&mut self, now: Micros, draws: usize, of: &[(MachineId, f64)]) -> Option<MachineId> {
