--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -237,7 +237,7 @@
     for part in PARTS {
         for fault in [v.least_fault / 2.0, v.least_fault, 2.0 * v.least_fault, 0.25, 0.6] {
             let beside = (1.0 - part) / part;
-            let needed = outcomes(fault, design.floor, &design.effects, beside, alarms.0 + spent);
+            let needed = outcomes(fault, design.floor, &design.effects, beside, alarms[0] + spent);
             let each = fleet.requests / f64::from(fleet.fronts) * part;
             out.push(Row {
                 fault: format!(
@@ -259,7 +259,7 @@
                 earlier: (f64::from(fleet.machines) - f64::from(there)).max(2.0),
                 sick_one_in: design.sick_one_in,
             };
-            let needed = machines(times, world, (-alarms.1).exp() / 2.0, v.miss, 10_000);
+            let needed = machines(times, world, (-alarms[2]).exp() / 2.0, v.miss, 10_000);
             out.push(Row {
                 fault: format!("{times:.2} times as slow, on {:.0} % of places", 100.0 * part),
                 counts: true,
--- a/crates/yarrowspoke-verdict/src/failures.rs
+++ b/crates/yarrowspoke-verdict/src/failures.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// Evidence that what is reported of `n` outcomes, `seen` times, comes more often than at the share `usual`: the
+/// logarithm of the mean likelihood ratio over those of `shares` that are above it, by Poisson's law. Under any lesser
+/// share the ratio is an e-value at every look; none above it says nothing.
+pub fn rare(usual: f64, shares: &[f64], seen: f64, n: f64) -> f64 {
+    let above: Vec<f64> = shares.iter().copied().filter(|s| *s > usual).collect();
+    let ratio = |s: &f64| (seen * (s / usual).ln() - n * (s - usual)).exp();
+    match above.len() {
+        0 => 0.0,
+        many => (above.iter().map(ratio).sum::<f64>() / many as f64).ln(),
+    }
+}
+
 /// Takes a block in which both builds have outcomes. `usual` is the earlier build's share as known before.
 pub fn compare(into: &mut Evidence, effects: &[f64], usual: f64, trial: &[Part], earlier: Side) {
     if earlier.n > 0.0 {
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -213,6 +213,25 @@
     pub own: Option<f64>,
 }
 
+/// What clients said of a build's answers.
+#[derive(Default)]
+pub struct Complaints {
+    /// Served answers.
+    pub answers: f64,
+    /// Complaints.
+    pub count: f64,
+    /// The machines that they were about.
+    pub machines: BTreeSet<MachineId>,
+}
+
+impl Complaints {
+    /// Takes a complaint about an answer of `machine`.
+    pub fn note(&mut self, machine: MachineId) {
+        self.count += 1.0;
+        self.machines.insert(machine);
+    }
+}
+
 /// One of the platform's counts of all fronts' attempts.
 pub struct Count {
     /// When its period ended.
@@ -361,6 +380,12 @@
     pub tenants: Vec<Bucket>,
     /// The newest build that was on trial, and the evidence on it.
     pub book: Option<(Build, yarrowspoke_verdict::book::Book)>,
+    /// What clients said of answers, by build.
+    pub complaints: BTreeMap<Build, Complaints>,
+    /// Smoothed share of failures on builds that are not on trial.
+    pub rife: f64,
+    /// It was large since the newest build came.
+    pub common: bool,
     /// Usual paces from before the newest build.
     pub figures: Figures,
     /// Since when a finding that must last has lasted.
@@ -428,6 +453,7 @@
         stay.extend(self.samples.keys().rev().take(builds));
         self.samples.retain(|b, _| stay.contains(b));
         self.held.retain(|b, _| stay.contains(b));
+        self.complaints.retain(|b, _| stay.contains(b));
         self.exposed.retain(|b, _| stay.contains(&b.0));
         self.withdrawn.retain(|b| stay.contains(b));
         if let Some(news) = &self.news {
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use yarrowspoke_verdict::book::{Book, Design, Findings, Outcome};
-use yarrowspoke_verdict::{evidence::Beginnings, pace::PaceDesign, split};
+use yarrowspoke_verdict::{evidence::Beginnings, failures::rare, pace::PaceDesign, split};
 
 // ---- Values (time in microseconds) ---------------------------------------------------------------
 const MS: Micros = 1_000;
@@ -30,6 +30,7 @@
 };
 const ALARMS: (f64, f64) = (0.7, 0.3); // parts of the false alarms for failures and for slowness
 const CROSSED: f64 = 0.05; // part of the bound at which fronts of good builds cross...
+const RIFE: (f64, f64) = (0.05, 0.08); // weight of the newest, and share of failures at which they are common
 const CROSSED_MOST: f64 = 0.4; // ...and the most a front may use; measured, for counted votes only
 const EFFECTS: [f64; 3] = [0.4, 2.0, 8.0]; // alternatives weighed, in least faults
 const TOLERATED: f64 = 1.15; // pace over the earlier build's that a good build may have
@@ -66,7 +67,8 @@
 const SICK_PRICE: (f64, f64) = (3.0, 4.0); // ...adding at most so much each; a zone's price
 const LOOK_EVERY: Micros = 200 * MS; // paces are compared this often
 const BRIEF: Micros = 2_500 * MS; // slowness must last so long; failures have ceased if none is so recent
-const SOUND: usize = 8; // sound outcomes in a row that clear of a fault
+const SOUND: f64 = 8.0; // sound outcomes in a row that clear of a fault...
+const CEASED: f64 = 2.5; // ...or so many times those from one failure to the next
 const SOLE_LASTS: Micros = 6_000 * MS; // a fault seen on one machine only counts once it has lasted this long
 const UNSURE_LASTS: Micros = 3_000 * MS; // the same for...
 const SICKLY_HELD: Micros = 8_000 * MS; // 'on' waits so long for failures of what may be a sick machine
@@ -142,7 +144,7 @@
     s: Settings,
     rng: Pcg64Mcg,
     k: Knowledge,
-    alarms: (f64, f64),
+    alarms: [f64; 3],
 }
 
 impl Front {
@@ -585,6 +587,7 @@
         let Some(o) = self.k.note_end(id, attempt) else { return };
         self.note_machine(now, &o, e);
         if ending == Ending::Ok {
+            self.k.complaints.entry(o.build).or_default().answers += 1.0;
             self.k.served.add(now, 1.0, RATE_SPAN);
             self.note_time(now, e.took as f64);
             self.k.answer_work += TIME_WEIGHT * (o.work - self.k.answer_work);
@@ -689,6 +692,7 @@
             return;
         };
         let (build, zone, kind, age) = (m.e.build, m.e.zone, m.e.kind, now.saturating_sub(m.e.started));
+        self.k.complaints.entry(build).or_default().note(machine);
         let outcome =
             Outcome { at: now, machine, zone, kind, age, class, failed: true, reported: None, own: None };
         self.note_evidence(build, &outcome);
@@ -812,6 +816,11 @@
         if self.cap(build).is_some() {
             self.open_book(build);
         }
+        // Danger: what fails everywhere brings fronts nearer to the bound than they come where next to none does.
+        if self.k.book.as_ref().is_none_or(|b| build < b.0) {
+            self.k.rife += RIFE.0 * (f64::from(u8::from(o.failed)) - self.k.rife);
+            self.k.common |= self.k.rife > RIFE.1;
+        }
         match &mut self.k.book {
             Some((on, book)) if *on == build => book.note(true, o),
             Some((on, book)) if *on > build && !self.k.withdrawn.contains(&build) => book.note(false, o),
@@ -822,6 +831,7 @@
     fn open_book(&mut self, build: Build) {
         if self.k.book.as_ref().is_none_or(|b| b.0 < build) {
             self.k.book = Some((build, Book::new(judging(&self.s).0)));
+            self.k.common = false;
         }
     }
 
@@ -855,6 +865,17 @@
         })
     }
 
+    /// Evidence of wrong answers. Danger: only a part is reported, so that a few complaints among a thin front's
+    /// answers say more than as many errors would; but one machine may spoil its answers by itself, and counts once.
+    fn complained(&self, build: Build) -> f64 {
+        let (rates, reported) = (self.s.verdicts.unwrap_or(VERDICTS), self.s.release.flag_share);
+        let kept = self.k.complaints.range(..build).filter(|c| !self.k.withdrawn.contains(c.0));
+        let known = kept.fold((FLOOR.0 * FLOOR.1, FLOOR.1), |s, (_, c)| (s.0 + c.count, s.1 + c.answers));
+        let Some(of) = self.k.complaints.get(&build).filter(|_| reported > 0.0) else { return 0.0 };
+        let shares = EFFECTS.map(|e| e * rates.least_fault * reported);
+        rare(known.0 / known.1, &shares, of.machines.len() as f64, of.answers)
+    }
+
     /// What the evidence on `build` comes to; the worst finding stands.
     fn judge(&self, now: Micros, build: Build) -> (Finding, String) {
         let Some(book) = self.k.book.as_ref().filter(|b| b.0 == build).map(|b| &b.1) else {
@@ -862,8 +883,8 @@
         };
         let rates = self.s.verdicts.unwrap_or(VERDICTS);
         let f: Findings = book.look();
-        let (alarm, slow_alarm) = self.alarms;
-        let trial = || self.k.samples.get(&build).into_iter().flatten();
+        let (alarm, slow_alarm) = (self.alarms[usize::from(self.k.common)], self.alarms[2]);
+        let trial = || self.k.samples.get(&build).into_iter().flat_map(|ring| ring.iter());
         let lately = || trial().filter(|s| s.at + JUDGE_SPAN > now);
         let of = |class| lately().filter(|s| s.class == class).count();
         let thin = (0..self.s.classes.len()).all(|class| of(class) < ENOUGH);
@@ -888,16 +909,24 @@
             () => Finding::Clear,
         };
         // A build does not recover by itself: failures that have ceased were a machine's or the network's.
+        // Danger: where few of a front's few requests fail, some sound ones in a row are no end of it.
+        let (all, failed) = (trial().count() as f64, trial().filter(|s| !s.ok).count() as f64);
+        let run = trial().rev().take_while(|s| s.ok).count() as f64;
+        let last = trial().rev().find(|s| !s.ok).map_or(0, |s| s.at);
         let ceased = |span, least| {
-            let mut recent = trial().filter(|s| s.at + span > now).peekable();
-            recent.peek().is_some()
-                && recent.try_fold(0, |n, s| s.ok.then_some(n + 1)).is_some_and(|n| n >= least)
+            all > 0.0 && last + span <= now && run >= f64::max(least, CEASED * all / failed.max(1.0))
         };
-        if ceased(JUDGE_SPAN, ENOUGH) {
+        if ceased(JUDGE_SPAN, ENOUGH as f64) {
             worst = Finding::Clear;
         } else if ceased(BRIEF, SOUND) {
             worst = worst.min(Finding::Doubt);
         }
+        let wrong = self.complained(build);
+        if wrong >= self.alarms[1] {
+            worst = Finding::Fault;
+        } else if wrong > 0.0 {
+            worst = worst.max(Finding::Doubt);
+        }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         // Danger: a build that slows old and new alike shows only against figures from before it came.
         // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
@@ -1074,12 +1103,12 @@
     }
 }
 
-/// How evidence on a build is gathered, and that at which a front acts on failures and on slowness, so that
-/// the fleet keeps its rate of false alarms. The statistics are the verdict crate's, the values are here.
+/// How evidence on a build is gathered, and that at which a front acts on failures, on failures where they are
+/// common on any build, and on slowness, so that the fleet keeps its rate of false alarms. The statistics are the verdict crate's, the values are here.
 ///
 /// Danger: where one of hundreds of fronts sends a build back, the unluckiest decides. Failures are seen by
 /// each front on requests of its own; paces are the machines' and the same for all.
-pub fn judging(s: &Settings) -> (Design, (f64, f64)) {
+pub fn judging(s: &Settings) -> (Design, [f64; 3]) {
     let (rates, votes) = (s.verdicts.unwrap_or(VERDICTS), s.release.back_votes);
     let pace = PaceDesign {
         weight: PACE_WEIGHT,
@@ -1120,5 +1149,5 @@
     let bound = split::of_fronts_given_all(rate * ALARMS.0, s.fronts, votes);
     let failing = if votes > 1 { (bound / CROSSED).min(CROSSED_MOST) } else { bound };
     let slow = split::of_fronts(rate * ALARMS.1, s.fronts, votes);
-    (design, (-failing.ln(), -slow.ln()))
+    (design, [-failing.ln(), -bound.ln(), -slow.ln()])
 }
