--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -110,6 +110,8 @@
     pub inflight: u32,
     /// Last answer, or the send that ended its idleness.
     pub quiet_from: Micros,
+    /// Its last answer.
+    pub heard: Micros,
     /// Smoothed failing share.
     pub fail: f64,
     /// End of its ejection.
@@ -370,6 +372,8 @@
     pub answer_time: f64,
     /// When an answer last told of it.
     pub answered: Micros,
+    /// Smoothed share of attempts that got no connection.
+    pub unmade: f64,
     /// Smoothed share of attempts that got no answer.
     pub unheard: f64,
     /// Smoothed expected work of served requests.
@@ -415,6 +419,7 @@
             e: e.clone(),
             inflight: 0,
             quiet_from: now,
+            heard: 0,
             fail: 0.0,
             ejected_until: 0,
             ejections: 0,
@@ -425,6 +430,7 @@
         let m = self.machines.entry(e.machine).or_insert_with(fresh);
         if m.e.started != e.started || m.e.build != e.build {
             (m.fail, m.ejected_until, m.ejections, m.quiet_from, m.pace) = (0.0, 0, 0, now, 1.0);
+            m.heard = 0;
         }
         m.e = e.clone();
         if !(m.e.weight > 0.0 && m.e.weight.is_finite()) {
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -91,6 +91,8 @@
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
 const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to exceed its kind's
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
+const UNMADE: f64 = 0.1; // share of attempts that got no connection above which...
+const KEPT: Micros = 4_000 * MS; // ...machines heard so lately go first: their connections still stand
 const EJECT_SHARE: f64 = 0.3; // failing share of a machine's recent answers that ejects it
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
 const HALF: f64 = 0.5; // part of a build's machines that stays, and of a stage's that a list not late shows
@@ -542,6 +544,11 @@
                 of = all.iter().filter(allowed).copied().collect();
             }
         }
+        // Danger: where machines take few connections, a front that spreads its requests finds most of them shut.
+        let kept = |m: &Machine| m.heard + KEPT > now;
+        if self.k.unmade > UNMADE && of.iter().any(|m| kept(m)) {
+            of.retain(|m| kept(m));
+        }
         let sizes: Vec<(MachineId, f64)> = of.iter().map(|m| (m.e.machine, self.capacity(now, m))).collect();
         // Departure: while answers are slow, two draws would leave some machines idle beside others' queues.
         let draws = if self.k.answer_time < EASY * self.tightest() { 2 } else { CROWDED_DRAWS };
@@ -642,11 +649,13 @@
             return;
         }
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
-            m.quiet_from = now;
+            (m.quiet_from, m.heard) = (now, now);
         }
+        self.k.unmade += UNHEARD_WEIGHT * (f64::from(u8::from(ending == Ending::ConnectFailed)) - self.k.unmade);
         m.done.add(now, if ending == Ending::Ok { o.work } else { 0.0 }, self.s.fall);
         m.fail += FAIL_WEIGHT * (f64::from(u8::from(ending != Ending::Ok)) - m.fail);
         if ending == Ending::ConnectFailed {
+            m.heard = 0;
             m.fail = m.fail.max(EJECT_SHARE) + FAIL_WEIGHT;
         }
         if ending == Ending::Ok && m.ejections > 0 && now >= m.ejected_until {
