--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -179,6 +179,10 @@
     pub attempts: Vec<Attempt>,
     /// It waits for a machine.
     pub parked: bool,
+    /// The machine that was asked whether it has a queue.
+    pub probed: Option<MachineId>,
+    /// That one's answer is to come.
+    pub asking: bool,
 }
 
 /// An attempt whose outcome is still to come.
@@ -372,6 +376,8 @@
     pub answer_time: f64,
     /// When an answer last told of it.
     pub answered: Micros,
+    /// Smoothed share of probes that were not answered in time.
+    pub probes_late: f64,
     /// Smoothed share of attempts that got no connection.
     pub unmade: f64,
     /// Smoothed share of attempts that got no answer.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -88,6 +88,10 @@
 const REACH: usize = 20; // machines of each build that one front sends to
 const PUSH: f64 = 1.25; // positions that go to trial while answers are quick, over its part of capacity...
 const BLIND: f64 = 0.2; // ...while this front holds fewer requests for each machine that it meets
+const PROBE_FROM: f64 = 0.3; // part of the tightest aim from which answers are slow enough to ask
+const PROBE_WAIT: Micros = 25 * MS; // a machine that answers a probe within this has no queue
+const PROBES_TELL: f64 = 0.02; // share of probes that are late above which they tell of queues...
+const PROBES_TRIED: f64 = 0.05; // ...and part of requests by which that is found out
 const PACE_WEIGHT: f64 = 0.1; // weight of the newest answer in a machine's pace
 const PACE_BOUND: f64 = 3.0; // most that a machine's pace is taken to exceed its kind's
 const SPILL: f64 = 1.0; // in-flight per unit of size by which one build's pick must exceed the other's
@@ -159,6 +163,7 @@
             tenants: s.tenants.iter().map(|t| Bucket { left: t.quota_rps / share, at: now }).collect(),
             stage_from: now,
             boot: BOOT_LIMIT,
+            probes_late: 1.0,
             retries: Bucket { left: RETRY_BURST, at: now },
             ask_at: now,
             ..Knowledge::default()
@@ -174,7 +179,8 @@
         match *event {
             Event::List { kind, entries } => self.on_list(now, kind, entries),
             Event::Request(ref r) => self.on_request(now, r, out),
-            Event::Timer { .. } => self.on_tick(now, out),
+            Event::Timer { name: 0 } => self.on_tick(now, out),
+            Event::Timer { name } => self.on_probed(now, None, name - 1, out),
             Event::Outcome(ref e) => self.on_outcome(now, e, out),
             Event::Complaint { machine, class, .. } => self.on_complaint(now, machine, class),
             Event::News(news) => self.on_news(now, news),
@@ -190,7 +196,13 @@
                 let c = Count { ended, build, class, n: count.into(), bad: bad.into(), mean: mean as f64 };
                 self.k.note_count(c, now.saturating_sub(COUNT_SPAN));
             }
-            Event::FirstByte { .. } | Event::Probed { .. } => {}
+            Event::Probed { machine, ending, .. } => {
+                let told = (ending == Ending::Ok).then_some(machine);
+                let asked = |r: &(&RequestId, &Request)| r.1.asking && r.1.probed == Some(machine);
+                let ids: Vec<_> = self.k.requests.iter().filter(asked).map(|r| *r.0).collect();
+                ids.into_iter().for_each(|id| self.on_probed(now, told, id, out));
+            }
+            Event::FirstByte { .. } => {}
             Event::Message { .. } | Event::Tally { .. } => self.k.ignored += 1,
         }
     }
@@ -444,8 +456,23 @@
         let (aged, attempts) = (*longest - stated, Vec::new());
         let like = a.ruled.like.map(usize::from).filter(|c| *c < self.s.classes.len()).unwrap_or(class);
         let (ruled, arrived, parked) = (a.ruled, now, false);
-        let r =
-            Request { class, like, ruled, arrived, deadline, key, pos, work, over, aged, attempts, parked };
+        let (probed, asking) = (None, false);
+        let r = Request {
+            class,
+            like,
+            ruled,
+            arrived,
+            deadline,
+            key,
+            pos,
+            work,
+            over,
+            aged,
+            attempts,
+            parked,
+            probed,
+            asking,
+        };
         let admitted = r.ruled.refuse.is_none() && self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
@@ -461,10 +488,14 @@
         let picked = self.route(now, &r);
         if let Some(machine) = picked {
             r.parked = false;
-            let fall = (self.s.fall + EDGE).max(RATE_SPAN);
-            self.k.note_send(now, id, &mut r, machine, self.s.release.window + EDGE, fall);
-            out.push(Action::Send { id, machine, timeout: 0 });
-            self.k.requests.insert(id, r);
+            if self.asks(now, &r) {
+                (r.probed, r.asking) = (Some(machine), true);
+                out.push(Action::Probe { machine });
+                out.push(Action::Timer { name: id + 1, after: PROBE_WAIT });
+                self.k.requests.insert(id, r);
+                return;
+            }
+            self.send(now, id, r, machine, out);
             return;
         }
         let c = &self.s.classes[r.like];
@@ -482,6 +513,48 @@
         }
     }
 
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        mut r: Request,
+        machine: MachineId,
+        out: &mut Vec<Action>,
+    ) {
+        let fall = (self.s.fall + EDGE).max(RATE_SPAN);
+        self.k.note_send(now, id, &mut r, machine, self.s.release.window + EDGE, fall);
+        out.push(Action::Send { id, machine, timeout: 0 });
+        self.k.requests.insert(id, r);
+    }
+
+    /// Departure: to a front that holds next to nothing all machines look idle. Where it may, it asks the machine
+    /// picked first: one that answers at once has no queue. Probes that are never late tell of none.
+    fn asks(&mut self, now: Micros, r: &Request) -> bool {
+        let lot = position(self.rng.next_u64());
+        let tells = self.k.probes_late > PROBES_TELL || lot < PROBES_TRIED;
+        let blind = f64::from(self.k.inflight) < BLIND * self.k.reached().count() as f64;
+        let busy = self.k.answer_time > PROBE_FROM * self.tightest();
+        let fresh = r.attempts.is_empty() && r.probed.is_none() && now + 4 * PROBE_WAIT < r.deadline;
+        self.s.probes && busy && blind && tells && fresh
+    }
+
+    /// The machine asked has answered, or has not in time: then another is taken.
+    fn on_probed(&mut self, now: Micros, told: Option<MachineId>, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.k.requests.get_mut(&id).filter(|r| r.asking) else { return };
+        r.asking = false;
+        self.k.probes_late += TIME_WEIGHT * (f64::from(u8::from(told.is_none())) - self.k.probes_late);
+        let r = &self.k.requests[&id];
+        let free = told.filter(|m| self.k.machines.get(m).is_some_and(|m| self.may_send(now, r, m)));
+        match (free, self.k.requests.remove(&id)) {
+            (Some(machine), Some(r)) => self.send(now, id, r, machine, out),
+            (None, Some(r)) => {
+                self.k.requests.insert(id, r);
+                self.dispatch(now, id, out);
+            }
+            _ => {}
+        }
+    }
+
     /// The ordinary path of the design, with its departures marked.
     fn route(&mut self, now: Micros, r: &Request) -> Option<MachineId> {
         let builds: Vec<Build> = self.k.reach.keys().copied().collect();
@@ -531,7 +604,8 @@
         let near: Vec<&Machine> = near.map(|id| &self.k.machines[id]).collect();
         let allowed = |m: &&&Machine| self.may_send(now, r, m);
         let waits = |m: &&&Machine| fair && m.e.state == MachineState::Ready && self.warmth(now, m) < 1.0;
-        let untried = |m: &Machine| !r.attempts.iter().any(|a| a.machine == m.e.machine);
+        let tried = |m: MachineId| r.probed == Some(m) || r.attempts.iter().any(|a| a.machine == m);
+        let untried = |m: &Machine| !tried(m.e.machine);
         let good = |m: &&&Machine| untried(m) && self.sound(now, m, r) && (allowed(m) || waits(m));
         let mut of: Vec<&Machine> = near.iter().filter(good).copied().collect();
         if of.is_empty() {
@@ -651,7 +725,8 @@
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             (m.quiet_from, m.heard) = (now, now);
         }
-        self.k.unmade += UNHEARD_WEIGHT * (f64::from(u8::from(ending == Ending::ConnectFailed)) - self.k.unmade);
+        self.k.unmade +=
+            UNHEARD_WEIGHT * (f64::from(u8::from(ending == Ending::ConnectFailed)) - self.k.unmade);
         m.done.add(now, if ending == Ending::Ok { o.work } else { 0.0 }, self.s.fall);
         m.fail += FAIL_WEIGHT * (f64::from(u8::from(ending != Ending::Ok)) - m.fail);
         if ending == Ending::ConnectFailed {
