--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -154,6 +154,7 @@
 }
 
 /// A request that this front owes a final answer.
+#[derive(Default)]
 pub struct Request {
     /// The class, by which the guards go.
     pub class: usize,
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -30,8 +30,8 @@
 };
 const ALARMS: (f64, f64) = (0.7, 0.3); // parts of the false alarms for failures and for slowness
 const CROSSED: f64 = 0.05; // part of the bound at which fronts of good builds cross...
-const RIFE: (f64, f64) = (0.05, 0.08); // weight of the newest, and share of failures at which they are common
 const CROSSED_MOST: f64 = 0.4; // ...and the most a front may use; measured, for counted votes only
+const RIFE: (f64, f64) = (0.05, 0.08); // weight of the newest, and share of failures at which they are common
 const EFFECTS: [f64; 3] = [0.4, 2.0, 8.0]; // alternatives weighed, in least faults
 const TOLERATED: f64 = 1.15; // pace over the earlier build's that a good build may have
 const SLOW_PART: f64 = 0.6; // part of the least slowness (as a logarithm) that the middle must show
@@ -53,13 +53,6 @@
 const REPORTS_ABSURD: f64 = 20.0; // a pace so many times off is a broken report
 const REPORTS_FROZEN: u32 = 200; // answers with the same report after which it is taken as frozen
 const PACE_APART: (f64, f64) = (0.15, 4.0); // spread of good machines' paces, believed like so many machines
-const BACK_MARGIN: f64 = 0.05; // failure share above the earlier build's in the platform's counts
-const SLOW_RATIO: f64 = 1.5; // the same for times there, and for own answers against those before the build
-const COLD_SLOW: f64 = 1.75; // the same, in the counts of cold machines, that holds 'on' back
-const FLEET_SLOW: f64 = 1.5; // pace of all machines over the figures before the build, that holds 'on' back
-const FLEET_UNEASY: f64 = 1.3; // above this one build's slowness must last as long as one machine's
-const FLEET_SPAN: Micros = 3_000 * MS; // age up to which outcomes speak for the fleet's pace
-const FLEET_LASTS: Micros = 15_000 * MS; // ...and that sends the build back once it has lasted this long
 const QUEUE_FREE: f64 = 2.0; // requests that a machine is taken to serve side by side
 const SICK_PART: usize = 4; // one machine in so many, and one at least, may be sick by itself...
 const SEVERAL: f64 = 3.0; // machines of a stage of which most must show a fault
@@ -77,9 +70,6 @@
 const PACE_LEAST: usize = 12; // answers by which pace is judged
 const PACE_GAP: Micros = 1_000 * MS; // pace is not judged once the last earlier answer is this old
 const ENOUGH: usize = 20; // outcomes of a class that the judge wants
-const LEAST_BAD: f64 = 3.0; // fewer failures prove nothing
-const CERTAIN: f64 = 3.0; // the same for counts that all fronts see
-const COUNT_SPAN: Micros = 40_000 * MS; // age up to which the platform's counts are kept
 const JUDGE_SPAN: Micros = 8_000 * MS; // age up to which outcomes speak for the build on trial
 const RING: usize = 3_000; // outcomes kept for each build
 const BUILDS_KEPT: usize = 4; // newest builds of which outcomes are kept though no machine runs them
@@ -101,6 +91,7 @@
 const EJECT_TIMES: f64 = 3.0; // ...if it is also this multiple of its build's middle machine
 const HALF: f64 = 0.5; // part of a build's machines that stays, and of a stage's that a list not late shows
 const EJECT_FOR: Micros = 1_500 * MS; // first ejection; doubles up to eight times this
+const EJECT_THIN: Micros = 8_000 * MS; // ...and where a front comes by so seldom, its first lasts up to this
 const FAIL_WEIGHT: f64 = 0.15; // weight of the newest answer in a machine's failing share
 const SILENT_FLOOR: Micros = 300 * MS; // a machine holding work is silent after this...
 const SILENT_TIMES: f64 = 4.0; // ...plus this multiple of the usual answer time
@@ -138,7 +129,6 @@
     Thin,
     Sickly,
     Doubt,
-    FleetSlow,
     Alone,
     Sole,
     Slow,
@@ -187,15 +177,6 @@
             Event::Withdrawn { id } => {
                 self.k.requests.remove(&id);
             }
-            Event::Tally { build, class, count, bad, mean, age }
-                if bad <= count
-                    && self.s.classes.len() > class.into()
-                    && self.k.reach.contains_key(&build) =>
-            {
-                let (class, ended) = (usize::from(class), now.saturating_sub(age));
-                let c = Count { ended, build, class, n: count.into(), bad: bad.into(), mean: mean as f64 };
-                self.k.note_count(c, now.saturating_sub(COUNT_SPAN));
-            }
             Event::Probed { machine, ending, .. } => {
                 let told = (ending == Ending::Ok).then_some(machine);
                 let asked = |r: &(&RequestId, &Request)| r.1.asking && r.1.probed == Some(machine);
@@ -453,26 +434,11 @@
         let longest = &mut self.k.budgets[class];
         let stated = (a.remaining + a.ruled.cut).min(self.s.classes[class].deadline) as f64;
         *longest = (*longest - BUDGET_FADE * (*longest - stated)).max(stated);
-        let (aged, attempts) = (*longest - stated, Vec::new());
+        let aged = *longest - stated;
         let like = a.ruled.like.map(usize::from).filter(|c| *c < self.s.classes.len()).unwrap_or(class);
-        let (ruled, arrived, parked) = (a.ruled, now, false);
-        let (probed, asking) = (None, false);
-        let r = Request {
-            class,
-            like,
-            ruled,
-            arrived,
-            deadline,
-            key,
-            pos,
-            work,
-            over,
-            aged,
-            attempts,
-            parked,
-            probed,
-            asking,
-        };
+        let (ruled, arrived) = (a.ruled, now);
+        let none = Request::default();
+        let r = Request { class, like, ruled, arrived, deadline, key, pos, work, over, aged, ..none };
         let admitted = r.ruled.refuse.is_none() && self.admits(now, &r);
         self.k.requests.insert(id, r);
         if admitted {
@@ -802,9 +768,14 @@
     }
 
     fn eject(&mut self, now: Micros, id: MachineId) {
-        let spread = self.jitter(EJECT_FOR / 4);
+        // Danger: a thin front comes to a machine so seldom that a short ejection is over before it would matter.
+        let window = self.s.release.window;
+        let taken: f64 = self.k.accepted.iter().map(|t| t.sum(now, window)).sum();
+        let turn = (self.k.reached().count() as f64 * window as f64 / (taken + 1.0)) as Micros;
+        let base = EJECT_FOR.max(turn.min(EJECT_THIN));
+        let spread = self.jitter(base / 4);
         let Some(m) = self.k.machines.get_mut(&id) else { return };
-        m.ejected_until = now + EJECT_FOR * (1 << m.ejections.min(3)) + spread;
+        m.ejected_until = now + base * (1 << m.ejections.min(3)) + spread;
         m.ejections += 1;
     }
 
@@ -919,36 +890,12 @@
         }
     }
 
-    /// Median pace now against the figures taken when `build` was named; earlier machines first.
-    fn fleet_pace(&self, now: Micros, build: Build) -> Option<f64> {
-        let late = |s: &&Sample| s.at + FLEET_SPAN > now;
-        let before = pace_over(self.k.kept_below(build).flatten().filter(late), &self.k.figures, PACE_LEAST);
-        let all = self.k.samples.values().flatten().filter(late);
-        before.or(pace_over(all, &self.k.figures, PACE_LEAST))
-    }
-
     /// Figures against which the build just named will be held.
     fn take_figures(&mut self, now: Micros, build: Build) {
         let lately = self.k.kept_below(build).flatten().filter(|s| s.at + JUDGE_SPAN > now);
         self.k.figures = middles(lately, |s| s.own, ENOUGH / 2);
     }
 
-    /// Whether the platform's counts of all fronts send `build` back: one class fails and the others do not.
-    /// Danger: dead, silent and unreachable machines count as failures there; but they do not pick a class.
-    fn counted_out(&self, now: Micros, build: Build) -> bool {
-        let from = now.saturating_sub(JUDGE_SPAN);
-        let base = self.k.counted_base(build);
-        let part = |c: Sums| c.1 / c.0.max(1.0);
-        let usual = part(self.k.counted(base, from, |_| true));
-        (0..self.s.classes.len()).any(|class| {
-            let picked = self.k.counted(build, from, |c| c == class);
-            let rest = self.k.counted(build, from, |c| c != class);
-            let margin = BACK_MARGIN + part(rest).max(part(self.k.counted(base, from, |c| c == class)));
-            let sound = rest.0 >= ENOUGH as f64 && part(rest) < usual + BACK_MARGIN;
-            sound && picked.1 >= LEAST_BAD && lower_bound(picked.1, picked.0, CERTAIN) > margin
-        })
-    }
-
     /// Evidence of wrong answers. Danger: only a part is reported, so that a few complaints among a thin front's
     /// answers say more than as many errors would; but one machine may spoil its answers by itself, and counts once.
     fn complained(&self, build: Build) -> f64 {
@@ -1012,11 +959,8 @@
             worst = worst.max(Finding::Doubt);
         }
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
-        // Danger: a build that slows old and new alike shows only against figures from before it came.
-        // A trial that keeps its pace is not the cause: the earlier build may be the sick one.
         let near = trial().filter(|s| s.at + PACE_SPAN > now);
         let trial_pace = pace_over(near, &self.k.figures, PACE_LEAST);
-        let fleet = self.fleet_pace(now, build).unwrap_or(1.0).min(trial_pace.unwrap_or(f64::MAX));
         // Danger: earlier machines left idle look quick, and once they are gone a busy moment of the new ones
         // has no match. Reports may be false: own answers must agree.
         let slowed = trial_pace.is_none_or(|p| p > rates.least_slowness.powf(SLOW_PART));
@@ -1024,30 +968,12 @@
         let (ratio, slow) = (f.slowness.ratio, f.slow >= slow_alarm);
         let text = format!(
             "failing {:.1} ({:.1} with sick machines) of {alarm:.1} on {}, sound {:.1}, \
-             pace {ratio:.2} at {:.1} on {}, fleet {fleet:.2}",
+             pace {ratio:.2} at {:.1} on {}",
             f.failing, f.failing_or_sick, f.witnesses, f.sound, f.slow, f.slowness.witnesses
         );
         if matched && slow && slowed && ratio > rates.least_slowness.powf(SLOW_PART) {
-            worst = worst.max(if fleet < FLEET_UNEASY { Finding::Slow } else { Finding::Sole });
-        } else if matched && f.slow >= SLOW_DOUBT && ratio > rates.least_slowness.sqrt() {
-            worst = worst.max(Finding::Doubt);
-        }
-        if fleet > FLEET_UNEASY {
-            worst = worst.max(if fleet > FLEET_SLOW { Finding::FleetSlow } else { Finding::Doubt });
-        }
-        // Danger: cold machines are slow too; in a trouble of links earlier machines fail as well, and a
-        // class that is new to the build seems to be picked.
-        let warm = self.k.newest_start(build) + self.s.warm_after + self.s.release.tally_every;
-        let recent = now.saturating_sub(JUDGE_SPAN / 2);
-        let last = usize::from(self.stage(build)) + 1 >= self.s.release.shares.len();
-        let early = !last && now < warm + 2 * self.s.release.tally_every;
-        let e = self.k.counted(self.k.counted_base(build), recent, |_| true);
-        let calm = e.1 < BACK_MARGIN / 2.0 * e.0;
-        if calm && self.counted_out(now, build) {
-            worst = Finding::Fault;
-        } else if calm && !released && self.k.counted_pace(build, warm, ENOUGH) > SLOW_RATIO {
             worst = worst.max(Finding::Slow);
-        } else if calm && early && self.k.counted_pace(build, recent, ENOUGH) > COLD_SLOW {
+        } else if matched && f.slow >= SLOW_DOUBT && ratio > rates.least_slowness.sqrt() {
             worst = worst.max(Finding::Doubt);
         }
         (if worst == Finding::Clear && thin { Finding::Thin } else { worst }, text)
@@ -1130,7 +1056,6 @@
             Finding::Fault => 0,
             Finding::Slow => BRIEF,
             Finding::Sole => SOLE_LASTS,
-            Finding::FleetSlow => FLEET_LASTS,
             _ => Micros::MAX,
         };
         // 'Back' cannot be undone: what may pass by itself must last before it counts.
