--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -762,17 +762,17 @@
         let stood = peers.iter().filter(|o| now >= o.ejected_until).count();
         let spare = stood as f64 > HALF * peers.len() as f64;
         // Unreachable machines are no use whatever their build's others do: the list may be long out of date.
-        if m.fail > EJECT_TIMES * middle && spare || unreachable {
-            self.eject(now, id);
+        if m.fail > EJECT_TIMES * middle.max(self.k.rife) && spare || unreachable {
+            self.eject(now, id, unreachable);
         }
     }
 
-    fn eject(&mut self, now: Micros, id: MachineId) {
+    fn eject(&mut self, now: Micros, id: MachineId, mute: bool) {
         // Danger: a thin front comes to a machine so seldom that a short ejection is over before it would matter.
         let window = self.s.release.window;
         let taken: f64 = self.k.accepted.iter().map(|t| t.sum(now, window)).sum();
         let turn = (self.k.reached().count() as f64 * window as f64 / (taken + 1.0)) as Micros;
-        let base = EJECT_FOR.max(turn.min(EJECT_THIN));
+        let base = if mute { EJECT_FOR.max(turn.min(EJECT_THIN)) } else { EJECT_FOR };
         let spread = self.jitter(base / 4);
         let Some(m) = self.k.machines.get_mut(&id) else { return };
         m.ejected_until = now + base * (1 << m.ejections.min(3)) + spread;
@@ -785,7 +785,7 @@
         let limit = SILENT_FLOOR + (SILENT_TIMES * usual) as Micros;
         let silent = |m: &&Machine| m.inflight > 0 && now > m.quiet_from + limit && now >= m.ejected_until;
         let ids: Vec<_> = self.k.machines.values().filter(silent).map(|m| m.e.machine).collect();
-        ids.into_iter().for_each(|id| self.eject(now, id));
+        ids.into_iter().for_each(|id| self.eject(now, id, true));
     }
 
     /// Requests held by an ejected or gone machine go elsewhere where their class allows.
