--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -110,7 +110,7 @@
 const CROWDED_DRAWS: usize = 6; // machines drawn for a request while answers are slow, instead of two
 const BUDGET_FADE: f64 = 0.001; // by which a class's longest time to wait fades with each request
 const CHANCE: f64 = 4.0; // requests one of many fronts may hold by chance, over the root of what it bears
-const WORTH_SPREAD: f64 = 0.3; // part of it that the least worthy class gives up first
+const WORTH_POWER: f64 = 0.5; // power of its worth over the dearest by which a class is given up first
 const QUOTA_LEAST: f64 = 5.0; // requests that a tenant may send at once to any front
 const FREE_SLOTS: f64 = 3.0; // requests a machine always admitted
 const RETRY_SHARE: f64 = 0.2; // retry budget earned by each request
@@ -834,11 +834,13 @@
         // Danger: those turned away come again, the largest last, until most of what is served is too late.
         let takes = self.k.answer_time * (r.work / self.k.answer_work.max(1.0)).min(WORK_MOST);
         let stale = r.aged + takes > (self.s.classes[r.like].aim as f64).max(self.k.answer_time);
+        let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
+        let rank = (self.s.classes[r.like].worth / dearest).powf(WORTH_POWER);
         // Danger: one build's queue must not turn away what another's machines have room for.
         let open = |b: &&Build| self.cap(**b).is_none_or(|_| self.turn(r, **b));
         let free = self.k.reach.keys().filter(open).any(|b| {
             let slots = FREE_SLOTS * self.k.ready(*b).count() as f64 / f64::from(self.s.fronts.max(1));
-            (recent().filter(|o| o.build == *b).count() as f64) < slots
+            recent().filter(|o| o.build == *b).count() as f64 + lot < slots * rank
         });
         // Danger: who turns all away learns no more: one that has served nothing lately takes what it can.
         let held = (recent().count() + 1) as f64;
@@ -848,8 +850,6 @@
         }
         // Danger: a stalled front sees a second's answers at once; the best recent rate, fading, bridges it.
         // One queue serves all: it is kept short enough for the tightest aim, or that class starves first.
-        let dearest = self.s.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
-        let rank = 1.0 - WORTH_SPREAD * (1.0 - self.s.classes[r.like].worth / dearest);
         let fit = if r.over || stale { FIT_OVER } else { FIT * rank } * tightest;
         // Danger: of a hundred fronts each holds a request or two by chance, whatever the machines hold: what
         // chance explains is no queue. There the answer time tells of the queue, and lots shed what is over.
