--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -98,6 +98,7 @@
 const QUEUE_TIMES: f64 = 3.0; // multiple of it up to which an attempt counts as queue
 const COLD_PART: f64 = 0.5; // part of a cold machine's bearable work that this front may send it
 const LOT_PART: f64 = 0.75; // ...and of that where lots decide, which scatter
+const LOT_MOST: f64 = 5.0; // part, as so many times, of all fronts' that one request may take by lot
 const TIME_WEIGHT: f64 = 0.05; // weight of the newest answer in the usual answer time...
 const TIME_SPAN: f64 = 3_000_000.0; // ...or more where answers are so rare that they tell of this span only
 const UNHEARD_WEIGHT: f64 = 0.15; // weight of the newest attempt in the share that got no answer
@@ -290,14 +291,20 @@
             return true;
         }
         let span = self.s.fall + EDGE;
-        let bears = self.k.usual_work * span as f64 * m.e.weight * warmth * self.s.tip_multiple;
+        // Danger: a kind that takes longer for the same work bears less of it than the rest.
+        let pace = |kind: u8| self.k.kind_pace.get(&kind).copied().unwrap_or(1.0);
+        let fastest = self.k.kind_pace.values().copied().fold(pace(m.e.kind), f64::min) / pace(m.e.kind);
+        let bears = self.k.usual_work * span as f64 * m.e.weight * warmth * self.s.tip_multiple * fastest;
         let near = self.k.reach.get(&m.e.build).filter(|r| r.contains(&m.e.machine));
         let part = COLD_PART * bears * near.and(self.k.fewer.get(&m.e.build)).copied().unwrap_or(0.0);
         let sent = m.sent.sum(now, span);
         let mine = u64::from(m.e.machine) | u64::from(self.s.me) << 32;
         let lot = position(mine ^ (now / span) << 48);
+        // Danger: a few large requests would take all that the fronts' lots leave together.
+        let fronts = f64::from(self.s.fronts.max(1));
+        let large = r.work * LOT_MOST > part * fronts;
         sent + r.work <= part
-            || sent == 0.0 && lot < (LOT_PART * part / r.work).max(1.0 / f64::from(self.s.fronts.max(1)))
+            || sent == 0.0 && lot < (LOT_PART * part / r.work).max(1.0 / fronts) && !(large && part > 0.0)
     }
 
     /// Work that a warm machine serves (not: is sent), by size and time. With none left the last figure is
