--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -915,8 +915,8 @@
             () if f.failing.max(f.failing_or_sick) >= DOUBT => Finding::Sickly,
             () => Finding::Clear,
         };
-        // A build does not recover: failures that have ceased were a machine's or the network's. Danger: where
-        // few fail, some sound ones are no end of it; a released one has none beside it to hold rife ones against.
+        // A build does not recover: failures that ceased were a machine's or the network's. Danger: where few
+        // fail, some sound ones are no end of it; a released one has none beside it to hold rife ones against.
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let (all, failed, run, last) = self.k.run(build);
         let long = |least| run >= f64::max(least, SOUND.1 * all / failed.max(1.0));
