--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -916,7 +916,7 @@
             () => Finding::Clear,
         };
         // A build does not recover: failures that ceased were a machine's or the network's. Danger: where few
-        // fail, some sound ones are no end of it; a released one has none beside it to hold rife ones against.
+        // fail, some sound ones are no end of it; a released one has none beside it to hold rife ones to.
         let released = self.k.news.is_some_and(|n| n.phase == Phase::Released);
         let (all, failed, run, last) = self.k.run(build);
         let long = |least| run >= f64::max(least, SOUND.1 * all / failed.max(1.0));
