--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -513,7 +513,7 @@
         let (trial, earlier): (Vec<Build>, Vec<_>) = builds.iter().partition(|b| self.cap(**b).is_some());
         let turns: Vec<Build> = trial.iter().filter(|b| self.turn(r, **b)).copied().collect();
         let e = self.draw(now, r, &earlier, false);
-        let t = self.draw(now, r, &turns, e.is_some());
+        let t = self.draw(now, r, &turns, e.is_some() && self.s.release.parallel);
         match (e, t) {
             (Some(e), Some(t)) => {
                 let (le, lt) = (self.load_of(now, e), self.load_of(now, t));
