--- a/crates/yarrowspoke/tests/thin.rs
+++ b/crates/yarrowspoke/tests/thin.rs
@@ -204,7 +204,7 @@
     let mut n = 0u32;
     let mut bad = move |_| {
         n += 1;
-        if n % 3 == 0 {
+        if n.is_multiple_of(3) {
             (Ending::Error, MS)
         } else {
             (Ending::Ok, 60 * MS)
