The rig: processes of the program with faults between them, and how long each acts on what is old

Need: what matters to the operators is how many copies behave together when some break, stall or lose contact.

--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use yarrowspoke_expr::set::Order;
-use yarrowspoke_lab::{plot, rules, store, verdicts};
+use yarrowspoke_lab::{fleet, plot, rules, store, verdicts};
 
 #[derive(Parser)]
 #[command(name = "yarrowspoke-lab", version, about = "Experiments in a seeded world of stand-ins")]
@@ -80,6 +80,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Processes of the built program with faults between them: how long each acts on an old list and old news
+    Stale {
+        /// Draws the clients' calls
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Planners beside the fronts; 0 for fronts that know nothing of each other
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u32).range(0..=5))]
+        planners: u32,
+        /// The program; the one beside this one if none
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// A long run against the language: drawn sets and changed texts
     FuzzRules {
         /// The same seed draws the same sets and texts
@@ -116,6 +131,16 @@
             let options = store::Options { seed, trials, step: step as usize, groups: groups as usize };
             play_store(options, dir, json)
         }
+        Experiment::Stale { seed, planners, program, json } => {
+            let played = in_own_directory("stale", |dir| {
+                let program = fleet::program(program.as_deref())?;
+                fleet::before::run(&fleet::before::options(&program, dir, seed, planners as usize))
+            });
+            match played {
+                Ok(report) => tell(json, &report, fleet::before::table(&report), true),
+                Err(e) => failed(&e),
+            }
+        }
         Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
             fuzz_rules(seed, (sets, texts), &corpus, json)
         }
@@ -148,6 +173,22 @@
     }
 }
 
+/// Does `work` in a directory of its own, which is gone afterwards unless it failed.
+fn in_own_directory<T>(what: &str, work: impl FnOnce(&Path) -> std::io::Result<T>) -> std::io::Result<T> {
+    let dir = std::env::temp_dir().join(format!("yarrowspoke-lab-{what}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    let done = work(&dir);
+    if done.is_ok() {
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+    done
+}
+
+fn failed(e: &std::io::Error) -> ExitCode {
+    eprintln!("yarrowspoke-lab: {e}");
+    ExitCode::from(2)
+}
+
 /// Operations by which the throughput of groups is measured.
 const GROUPED_OPS: usize = 20_000;
 
