--- /dev/null
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -0,0 +1,607 @@
+//! A planner's side: who is there, who is behind, who gets a lease and who is to be out.
+
+use crate::book::{Book, Contradiction};
+use crate::mutant;
+use crate::settings::{Fleet, Role};
+use crate::span::Stance;
+use crate::version::{News, Source, Standing, Version};
+use crate::wire::{Answer, Ask, Heard, Place, Pull, Pushed, Ready, Refused, REPORTS_AT_ONCE};
+use crate::Micros;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Fresh asks in a row after which another life of a front counts as the one that lives.
+const FRESH: u32 = 3;
+/// Changes of life within the span of a lease, twice over, that show two processes under one name.
+const FLIPS: u32 = 4;
+/// Most bytes of reports in one answer to another planner.
+const PUSH_LIMIT: u64 = 128 * 1024;
+/// Steps of the ladder kept for each front.
+const MARKS: usize = 256;
+
+/// A step of the ladder, as one planner sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// Never heard, or not for as long as a lease lasts, or this planner has just started: nothing is known of it.
+    Unknown,
+    /// Acts on what the newest of the others act on.
+    Current,
+    /// Behind the others, and not yet for longer than the bound.
+    Lagging,
+    /// Behind the others for longer than the bound, and not yet brought up.
+    Noted,
+    /// Behind by its own sources; what planners relayed takes away all that it must not do.
+    BroughtUp,
+    /// Says that it holds no lease.
+    Narrowed,
+    /// To be out; neither acknowledged nor surely lapsed.
+    OrderedOut,
+    /// Out, by its own word or because no lease can be left.
+    Out,
+    /// Current again, and not yet for long enough to come back in.
+    Returning,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    incarnation: u64,
+    number: u64,
+    /// It was surely alive after this: when the answer was given that its newest ask echoes.
+    heard: Option<Micros>,
+    /// When its newest ask came.
+    came: Micros,
+    ask: Ask,
+    behind_since: Option<Micros>,
+    current_since: Option<Micros>,
+    granted: Option<Micros>,
+    fresh: u32,
+    flips: Vec<Micros>,
+    /// The highest ask number of each earlier life.
+    past: BTreeMap<u64, u64>,
+    marks: Vec<(Micros, Step)>,
+}
+
+/// A place given away by this planner.
+#[derive(Clone, Copy, Debug)]
+struct Vote {
+    place: Place,
+    incarnation: u64,
+    since: Micros,
+    /// Taken back in the answer to this ask; free once a later one shows that the front knows.
+    lifted: Option<u64>,
+}
+
+/// The planner's side.
+#[derive(Debug)]
+pub struct Planner {
+    fleet: Fleet,
+    name: String,
+    incarnation: u64,
+    begun: Micros,
+    /// The merged record.
+    pub book: Book,
+    fronts: BTreeMap<String, Known>,
+    votes: BTreeMap<String, Vote>,
+    cool: BTreeMap<String, Micros>,
+    ready: Option<Ready>,
+    /// What other planners last said of each front, and when that came.
+    elsewhere: BTreeMap<String, BTreeMap<String, (Micros, Heard)>>,
+    refused: BTreeMap<String, u64>,
+}
+
+/// One front in a planner's status.
+#[derive(Clone, Debug, Serialize)]
+pub struct FrontStatus {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its step.
+    pub step: Step,
+    /// Its life.
+    pub incarnation: u64,
+    /// Milliseconds since it was surely alive, by what it echoed; `None` if that was never known.
+    pub heard_ms_ago: Option<u64>,
+    /// Milliseconds since its newest ask came, which may have been on its way for long.
+    pub came_ms_ago: Option<u64>,
+    /// What it acted on when last heard.
+    pub version: Option<Version>,
+    /// Milliseconds before that at which discovery had last confirmed its list.
+    pub list_age_ms: u64,
+    /// Milliseconds for which it has been behind the others.
+    pub behind_ms: Option<u64>,
+    /// Index of the list that planners brought it up to; 0 = none.
+    pub brought_index: u64,
+    /// How it said it stands.
+    pub stance: Option<Stance>,
+    /// Where it is to be out: acknowledged, lapsed, or ordered and not confirmed.
+    pub out: Option<&'static str>,
+    /// Two processes under its name.
+    pub twin: bool,
+    /// Spans closed by it that are not here.
+    pub missing: u64,
+    /// Steps of the ladder lately: milliseconds ago, and which.
+    pub marks: Vec<(u64, Step)>,
+}
+
+/// What a planner knows, for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// The planner.
+    pub planner: String,
+    /// Its life.
+    pub incarnation: u64,
+    /// Most fronts that may be out at once.
+    pub most_out: usize,
+    /// Milliseconds since each other planner was heard.
+    pub planners_ms_ago: BTreeMap<String, u64>,
+    /// Fronts.
+    pub fronts: Vec<FrontStatus>,
+    /// What can't both be.
+    pub contradictions: Vec<Contradiction>,
+    /// What was refused, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Bytes of reports kept, about.
+    pub bytes: u64,
+}
+
+impl Planner {
+    /// A planner that starts now; `book` is what it kept.
+    pub fn new(fleet: Fleet, name: &str, incarnation: u64, now: Micros, book: Book) -> Self {
+        Self {
+            fleet,
+            name: name.to_owned(),
+            incarnation,
+            begun: now,
+            book,
+            fronts: BTreeMap::new(),
+            votes: BTreeMap::new(),
+            cool: BTreeMap::new(),
+            ready: None,
+            elsewhere: BTreeMap::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+
+    fn me(&self) -> usize {
+        self.fleet.planners().position(|p| p.name == self.name).unwrap_or(0)
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn count_refused(&mut self, why: &Refused) {
+        *self.refused.entry(why.to_string()).or_default() += 1;
+    }
+
+    fn is_live(&self, known: &Known, now: Micros) -> bool {
+        known.heard.is_some_and(|at| now.saturating_sub(at) <= self.fleet.lease_held())
+    }
+
+    /// Fronts, this one aside, that act on something newer; only those heard lately, so that all behind together are not
+    /// behind each other.
+    fn is_behind(&self, front: &str, version: &Version, now: Micros) -> bool {
+        let others = self.fronts.iter().filter(|(name, k)| *name != front && self.is_live(k, now));
+        others.into_iter().any(|(_, k)| version.stands(&k.ask.version).contains(&Standing::Older))
+    }
+
+    /// Takes a front's ask, and answers it.
+    pub fn take(&mut self, now: Micros, ask: Ask) -> Result<Answer, Refused> {
+        let done = self.take_checked(now, ask);
+        if let Err(why) = &done {
+            self.count_refused(why);
+        }
+        done
+    }
+
+    fn take_checked(&mut self, now: Micros, mut ask: Ask) -> Result<Answer, Refused> {
+        if self.fleet.member(&ask.front).is_none_or(|m| m.role != Role::Front) {
+            return Err(Refused::Stranger(ask.front));
+        }
+        if ask.reports.len() > REPORTS_AT_ONCE {
+            return Err(Refused::Many(ask.reports.len()));
+        }
+        // All or nothing: of an ask with a report that can't be, nothing is believed.
+        ask.reports.iter().try_for_each(Book::check)?;
+        for report in std::mem::take(&mut ask.reports) {
+            self.book.insert(&ask.front, ask.incarnation, report)?;
+        }
+        self.book.head(&ask.front, ask.incarnation, ask.head);
+        self.learn_list(ask.ready.take());
+        let (front, number) = (ask.front.clone(), ask.number);
+        let acked = self.book.held_to(&front, ask.incarnation);
+        let mut answer = Answer {
+            planner: self.name.clone(),
+            incarnation: self.incarnation,
+            number,
+            now,
+            acked,
+            lease: 0,
+            vote: None,
+            again: false,
+            ready: None,
+            news: None,
+            knows: self.ready.as_ref().map_or((0, 0), |r| (r.index, r.digest)),
+            twin: false,
+        };
+        if !self.hear(now, ask) {
+            return Ok(answer);
+        }
+        self.judge(now, &front);
+        let Some(known) = self.fronts.get(&front) else { return Ok(answer) };
+        let version = known.ask.version;
+        answer.twin = self.is_twin(known, now);
+        answer.again = known.behind_since.is_some();
+        answer.news = self.newest_news(&front, &version, now);
+        let list = version.list;
+        let lacks =
+            |r: &&Ready| r.epoch == list.epoch && r.index > list.index && r.index > known.ask.brought.0;
+        let newer = self.ready.as_ref().filter(lacks);
+        answer.ready = newer.map(|r| Ready { vouched: self.vouched(r), ..r.clone() });
+        answer.vote = self.vote(now, &front);
+        let fenced = self.votes.contains_key(&front);
+        if !fenced {
+            answer.lease = self.fleet.lease;
+            if let Some(known) = self.fronts.get_mut(&front) {
+                known.granted = Some(now);
+            }
+        }
+        self.mark(now, &front);
+        Ok(answer)
+    }
+
+    /// Notes an ask; false if it is an old one come late, which tells nothing of now.
+    fn hear(&mut self, now: Micros, ask: Ask) -> bool {
+        let span = 2 * self.fleet.lease_held();
+        let echoed = (ask.echo.0 == self.incarnation).then_some(ask.echo.1.min(now));
+        let Some(known) = self.fronts.get_mut(&ask.front) else {
+            let (incarnation, number, front) = (ask.incarnation, ask.number, ask.front.clone());
+            let known = Known {
+                incarnation,
+                number,
+                heard: echoed,
+                came: now,
+                ask,
+                behind_since: None,
+                current_since: None,
+                granted: None,
+                fresh: 1,
+                flips: vec![],
+                past: BTreeMap::new(),
+                marks: vec![],
+            };
+            self.fronts.insert(front, known);
+            return true;
+        };
+        if ask.incarnation == known.incarnation {
+            if ask.number <= known.number {
+                return false;
+            }
+            known.fresh += 1;
+        } else {
+            if known.past.get(&ask.incarnation).is_some_and(|n| ask.number <= *n) {
+                return false;
+            }
+            known.past.insert(known.incarnation, known.number);
+            known.flips.retain(|at| now.saturating_sub(*at) <= span);
+            known.flips.push(now);
+            (known.incarnation, known.fresh) = (ask.incarnation, 1);
+            (known.behind_since, known.current_since) = (None, None);
+            known.heard = None;
+        }
+        known.heard = known.heard.max(echoed);
+        (known.number, known.came, known.ask) = (ask.number, now, ask);
+        true
+    }
+
+    fn is_twin(&self, known: &Known, now: Micros) -> bool {
+        let span = 2 * self.fleet.lease_held();
+        known.flips.iter().filter(|at| now.saturating_sub(**at) <= span).count() >= FLIPS as usize
+    }
+
+    fn judge(&mut self, now: Micros, front: &str) {
+        let Some(version) = self.fronts.get(front).map(|k| k.ask.version) else { return };
+        let behind = self.is_behind(front, &version, now);
+        if let Some(known) = self.fronts.get_mut(front) {
+            if behind {
+                known.behind_since.get_or_insert(now);
+                known.current_since = None;
+            } else {
+                known.current_since.get_or_insert(now);
+                known.behind_since = None;
+            }
+        }
+    }
+
+    /// A front's own list: the newest is kept.
+    fn learn_list(&mut self, told: Option<Ready>) {
+        let Some(told) = told else { return };
+        match &mut self.ready {
+            Some(held) if (held.epoch, held.index) >= (told.epoch, told.index) => {}
+            held => *held = Some(told),
+        }
+    }
+
+    /// How many fronts were heard, here or at another planner, to hold this list from their own source.
+    fn vouched(&self, list: &Ready) -> u32 {
+        let holds = |v: &Version| {
+            let l = v.list;
+            l.source == Source::Discovery
+                && (l.epoch, l.index, l.digest) == (list.epoch, list.index, list.digest)
+        };
+        let here = self.fronts.iter().filter(|(_, k)| holds(&k.ask.version)).map(|(name, _)| name);
+        let there =
+            self.elsewhere.values().flatten().filter(|(_, (_, h))| holds(&h.version)).map(|(name, _)| name);
+        here.chain(there).collect::<BTreeSet<_>>().len() as u32
+    }
+
+    /// News of a live front that takes away from what this one acts on.
+    fn newest_news(&self, front: &str, version: &Version, now: Micros) -> Option<News> {
+        let told = version.news?;
+        let live = self.fronts.iter().filter(|(n, k)| *n != front && self.is_live(k, now));
+        let by_hearsay = self.elsewhere.values().flat_map(|m| m.values());
+        let hearsay = by_hearsay.filter(|(at, h)| now.saturating_sub(*at) + h.ago <= self.fleet.lease_held());
+        let all = live.filter_map(|(_, k)| k.ask.version.news);
+        let all = all.chain(hearsay.filter_map(|(_, h)| h.version.news));
+        let narrower = all.filter(|n| n.narrows(&told) && n.stands(&told) != Standing::Older);
+        narrower.reduce(|a, b| if b.narrows(&a) { b } else { a })
+    }
+
+    /// The place that a front is voted into, after what its last ask says of earlier ones.
+    fn vote(&mut self, now: Micros, front: &str) -> Option<Place> {
+        let me = self.me();
+        let known = self.fronts.get(front)?.clone();
+        let told = known.ask.votes.get(me).copied().flatten();
+        match self.votes.get(front).copied() {
+            // What the front knows from this planner's earlier life still binds.
+            None => {
+                if let Some(place) = told {
+                    let vote = Vote { place, incarnation: known.incarnation, since: now, lifted: None };
+                    self.votes.insert(front.to_owned(), vote);
+                }
+            }
+            Some(vote) if vote.incarnation != known.incarnation => {
+                // The life that was voted out is over only once another has spoken for a while.
+                if known.fresh >= FRESH && !self.is_twin(&known, now) {
+                    self.votes.remove(front);
+                }
+            }
+            Some(Vote { lifted: Some(at), .. }) if known.number > at && told.is_none() => {
+                self.votes.remove(front);
+            }
+            Some(vote) if vote.lifted.is_none() => {
+                let back =
+                    known.current_since.is_some_and(|at| now.saturating_sub(at) >= self.fleet.back_after);
+                let counted = |p: &Place| known.ask.votes.iter().flatten().filter(|v| *v == p).count();
+                let waited = now.saturating_sub(vote.since) > self.fleet.lease_held();
+                let unmet =
+                    waited && known.ask.stance != Stance::Out && counted(&vote.place) < self.fleet.majority();
+                if back || unmet {
+                    let lifted = Some(known.number);
+                    self.votes.insert(front.to_owned(), Vote { lifted, ..vote });
+                    // Planners that chose differently try again at different times.
+                    let pause = self.fleet.lease * (1 + me as u64);
+                    self.cool.insert(front.to_owned(), now + pause);
+                }
+            }
+            Some(_) => {}
+        }
+        let held = self.votes.get(front).copied();
+        if let Some(vote) = held {
+            return vote.lifted.is_none().then_some(vote.place);
+        }
+        let due = known.behind_since.is_some_and(|at| now.saturating_sub(at) > self.fleet.shut_after);
+        // A planner that has just started may have voted before: those that it voted for tell it, once they are heard.
+        let knows = now.saturating_sub(self.begun) > self.fleet.lease_held();
+        let cools = self.cool.get(front).is_some_and(|until| now < *until);
+        if !due || !knows || cools {
+            return None;
+        }
+        let place = self.place_for(now, front, &known)?;
+        let vote = Vote { place, incarnation: known.incarnation, since: now, lifted: None };
+        self.votes.insert(front.to_owned(), vote);
+        Some(place)
+    }
+
+    /// A free place for a front, within the limits; fronts that are silent by themselves take one up.
+    fn place_for(&self, now: Micros, front: &str, known: &Known) -> Option<Place> {
+        let zone_of = |name: &str| self.fleet.member(name).map_or("", |m| m.zone.as_str());
+        let zone = zone_of(front);
+        let silent = |name: &str| {
+            !self.votes.contains_key(name) && self.fronts.get(name).is_none_or(|k| !self.is_live(k, now))
+        };
+        let places = |whole: bool| -> Option<Vec<u16>> {
+            let group: Vec<&str> = self
+                .fleet
+                .fronts()
+                .map(|m| m.name.as_str())
+                .filter(|n| whole || zone_of(n) == zone)
+                .collect();
+            let most = if whole { self.fleet.most_out } else { self.fleet.most_out_zone }.of(group.len());
+            let forgotten = mutant::is(if whole { "limit-forgotten" } else { "zone-limit-forgotten" });
+            let most = if forgotten { group.len() } else { most };
+            let lost = if forgotten { 0 } else { group.iter().filter(|n| **n != front && silent(n)).count() };
+            let votes = group.iter().filter_map(|n| self.votes.get(*n));
+            let used: Vec<u16> = votes.map(|v| if whole { v.place.all } else { v.place.zone }).collect();
+            if used.len() + lost >= most {
+                return None;
+            }
+            Some((0..most as u16).filter(|n| !used.contains(n)).collect())
+        };
+        let (all, in_zone) = (places(true)?, places(false)?);
+        let free = |p: &Place| all.contains(&p.all) && in_zone.contains(&p.zone);
+        // What other planners chose is chosen too, so that a majority comes together.
+        let wanted = known.ask.votes.iter().flatten().copied().filter(free).min();
+        wanted.or_else(|| Some(Place { all: *all.first()?, zone: *in_zone.first()? }))
+    }
+
+    fn lapsed_here(&self, front: &str, now: Micros) -> bool {
+        let Some(known) = self.fronts.get(front) else { return false };
+        let over = known.granted.is_none_or(|at| now.saturating_sub(at) > self.fleet.lease_held());
+        over && (self.votes.contains_key(front) || !self.is_live(known, now))
+    }
+
+    /// No majority can have a lease out to it: enough planners know that theirs has lapsed.
+    fn surely_lapsed(&self, front: &str, now: Micros) -> bool {
+        let planners = self.fleet.planners().count();
+        let needed = planners - self.fleet.majority() + 1;
+        let others = self.elsewhere.values().filter_map(|m| m.get(front));
+        let fresh = others.filter(|(at, h)| h.lapsed && now.saturating_sub(*at) <= self.fleet.lease_held());
+        usize::from(self.lapsed_here(front, now)) + fresh.count() >= needed
+    }
+
+    /// The step on which a front stands.
+    pub fn step(&self, front: &str, now: Micros) -> Step {
+        let Some(known) = self.fronts.get(front) else { return Step::Unknown };
+        let live = self.is_live(known, now) || mutant::is("silence-called-current");
+        let out = known.ask.stance == Stance::Out;
+        if let Some(vote) = self.votes.get(front) {
+            let confirmed = live && out || self.surely_lapsed(front, now);
+            return match (vote.lifted, confirmed) {
+                (Some(_), _) => Step::Returning,
+                (None, true) => Step::Out,
+                (None, false) => Step::OrderedOut,
+            };
+        }
+        if !live {
+            return Step::Unknown;
+        }
+        match (known.ask.stance, known.behind_since) {
+            (Stance::Out, _) => Step::Out,
+            (Stance::Narrowed, _) => Step::Narrowed,
+            // Whoever has just started has not heard the others, against whom a front is held.
+            _ if now.saturating_sub(self.begun) <= self.fleet.lease_held() => Step::Unknown,
+            (_, Some(at)) if now.saturating_sub(at) > self.fleet.behind => {
+                let newest = self.ready.as_ref().map_or(0, |r| r.index);
+                let list = known.ask.version.list.index.max(known.ask.brought.0) >= newest;
+                let news = self.newest_news(front, &known.ask.version, now);
+                let told = news.is_none_or(|n| known.ask.brought.1.is_some_and(|b| !n.narrows(&b)));
+                if list && told {
+                    Step::BroughtUp
+                } else {
+                    Step::Noted
+                }
+            }
+            (_, Some(_)) => Step::Lagging,
+            (_, None) => Step::Current,
+        }
+    }
+
+    fn mark(&mut self, now: Micros, front: &str) {
+        let step = self.step(front, now);
+        if let Some(known) = self.fronts.get_mut(front) {
+            if known.marks.last().is_none_or(|m| m.1 != step) {
+                known.marks.push((now, step));
+                if known.marks.len() > MARKS {
+                    known.marks.remove(0);
+                }
+            }
+        }
+    }
+
+    /// Steps that have changed since they were last marked, so that each is logged once: the front, and its step now.
+    pub fn moved(&mut self, now: Micros) -> Vec<(String, Step)> {
+        let names: Vec<String> = self.fronts.keys().cloned().collect();
+        let mut out = Vec::new();
+        for name in names {
+            let before = self.fronts[&name].marks.last().map(|m| m.1);
+            self.mark(now, &name);
+            let after = self.fronts[&name].marks.last().map(|m| m.1);
+            out.extend(after.filter(|_| before != after).map(|step| (name, step)));
+        }
+        out
+    }
+
+    /// What is asked of another planner.
+    pub fn pull(&self) -> Pull {
+        let knows = self.ready.as_ref().map_or((0, 0), |r| (r.index, r.digest));
+        Pull { planner: self.name.clone(), have: self.book.have(), knows }
+    }
+
+    /// What another planner is given.
+    pub fn push(&self, now: Micros, pull: &Pull) -> Result<Pushed, Refused> {
+        if self.fleet.member(&pull.planner).is_none_or(|m| m.role != Role::Planner) {
+            return Err(Refused::Stranger(pull.planner.clone()));
+        }
+        let heard = |(name, k): (&String, &Known)| Heard {
+            front: name.clone(),
+            incarnation: k.incarnation,
+            ago: now.saturating_sub(k.heard.unwrap_or(0)),
+            version: k.ask.version,
+            stance: k.ask.stance,
+            lapsed: self.lapsed_here(name, now),
+        };
+        Ok(Pushed {
+            planner: self.name.clone(),
+            reports: self.book.lacking(&pull.have, PUSH_LIMIT),
+            heard: self.fronts.iter().map(heard).collect(),
+            ready: self
+                .ready
+                .clone()
+                .filter(|r| (r.index, r.digest) != pull.knows && r.index >= pull.knows.0),
+        })
+    }
+
+    /// Takes what another planner gave; the reports that were not here.
+    pub fn pushed(&mut self, now: Micros, pushed: Pushed) -> Vec<(String, u64, crate::span::Report)> {
+        let mut fresh = Vec::new();
+        for (front, incarnation, report) in pushed.reports {
+            match self.book.insert(&front, incarnation, report.clone()) {
+                Ok(true) => fresh.push((front, incarnation, report)),
+                Ok(false) => {}
+                Err(why) => self.count_refused(&why),
+            }
+        }
+        self.learn_list(pushed.ready);
+        let of = self.elsewhere.entry(pushed.planner).or_default();
+        for heard in pushed.heard {
+            of.insert(heard.front.clone(), (now, heard));
+        }
+        fresh
+    }
+
+    /// What is known now.
+    pub fn status(&self, now: Micros) -> Status {
+        let front = |member: &crate::settings::Member| {
+            let known = self.fronts.get(&member.name);
+            let ago = |at: Micros| now.saturating_sub(at) / 1_000;
+            let out = self.votes.get(&member.name).map(|_| match known {
+                Some(k) if k.ask.stance == Stance::Out && self.is_live(k, now) => "acknowledged",
+                _ if self.surely_lapsed(&member.name, now) => "lapsed: narrowed at the most",
+                _ => "ordered, not confirmed",
+            });
+            let gaps = known.map(|k| self.book.gaps(&member.name, k.incarnation)).unwrap_or_default();
+            FrontStatus {
+                name: member.name.clone(),
+                zone: member.zone.clone(),
+                step: self.step(&member.name, now),
+                incarnation: known.map_or(0, |k| k.incarnation),
+                heard_ms_ago: known.and_then(|k| k.heard).map(ago),
+                came_ms_ago: known.map(|k| ago(k.came)),
+                version: known.map(|k| k.ask.version),
+                list_age_ms: known.map_or(0, |k| k.ask.ages.list / 1_000),
+                behind_ms: known.and_then(|k| k.behind_since).map(ago),
+                brought_index: known.map_or(0, |k| k.ask.brought.0),
+                stance: known.map(|k| k.ask.stance),
+                out,
+                twin: known.is_some_and(|k| self.is_twin(k, now)),
+                missing: gaps.iter().map(|g| g.1 - g.0 + 1).sum(),
+                marks: known.map(|k| k.marks.iter().map(|m| (ago(m.0), m.1)).collect()).unwrap_or_default(),
+            }
+        };
+        let last = |m: &BTreeMap<String, (Micros, Heard)>| m.values().map(|h| h.0).max().unwrap_or(0);
+        Status {
+            planner: self.name.clone(),
+            incarnation: self.incarnation,
+            most_out: self.fleet.most_out.of(self.fleet.fronts().count()),
+            planners_ms_ago: self
+                .elsewhere
+                .iter()
+                .map(|(name, m)| (name.clone(), now.saturating_sub(last(m)) / 1_000))
+                .collect(),
+            fronts: self.fleet.fronts().map(front).collect(),
+            contradictions: self.book.contradictions(),
+            refused: self.refused.clone(),
+            bytes: self.book.bytes(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -0,0 +1,194 @@
+//! What passes between fronts and planners: one schema, told at the head of every message.
+//!
+//! Bodies are postcard behind a magic word and the schema's number, so that an alien or a newer one is refused by its name
+//! before anything of it is believed.
+
+use crate::span::{Report, Stance};
+use crate::version::{Ages, News, Version};
+use crate::Micros;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// What every body begins with.
+const MAGIC: [u8; 4] = *b"yspF";
+/// The schema spoken here.
+pub const SCHEMA: u16 = 1;
+/// Most bytes of a body.
+pub const BODY_LIMIT: usize = 256 * 1024;
+/// Most reports of one ask.
+pub const REPORTS_AT_ONCE: usize = 64;
+
+/// Why a message is refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Refused {
+    /// Not of this schema's family.
+    #[error("alien schema: the body does not begin as a fleet's message does")]
+    Alien,
+    /// Another version of it.
+    #[error("schema {0}, expected {SCHEMA}")]
+    Schema(u16),
+    /// Its bytes can't be read.
+    #[error("cannot be read: {0}")]
+    Unreadable(String),
+    /// Its sender is no member, or one of another role.
+    #[error("{0:?} is no front of this fleet")]
+    Stranger(String),
+    /// A report that can't be.
+    #[error("report {0}: {1}")]
+    Report(u64, &'static str),
+    /// More than one ask may bring.
+    #[error("{0} reports at once, at most {REPORTS_AT_ONCE}")]
+    Many(usize),
+}
+
+/// The bytes of a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut out = MAGIC.to_vec();
+    out.extend_from_slice(&SCHEMA.to_le_bytes());
+    out.extend(postcard::to_stdvec(message).unwrap_or_default());
+    out
+}
+
+/// A message from its bytes.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refused> {
+    let (magic, rest) = bytes.split_first_chunk::<4>().ok_or(Refused::Alien)?;
+    let (schema, rest) = rest.split_first_chunk::<2>().ok_or(Refused::Alien)?;
+    if *magic != MAGIC {
+        return Err(Refused::Alien);
+    }
+    match u16::from_le_bytes(*schema) {
+        SCHEMA => postcard::from_bytes(rest).map_err(|e| Refused::Unreadable(e.to_string())),
+        other => Err(Refused::Schema(other)),
+    }
+}
+
+/// A place among those that may be out at once: one number among all fronts, one within its zone. No two fronts are voted
+/// into one place by one planner, so no two have a majority for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// Among all.
+    pub all: u16,
+    /// Within the zone.
+    pub zone: u16,
+}
+
+/// Machines that are ready on a list, with their builds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ready {
+    /// The list's index.
+    pub index: u64,
+    /// Its epoch.
+    pub epoch: u32,
+    /// Its digest.
+    pub digest: u64,
+    /// Fronts that hold it from their own source.
+    pub vouched: u32,
+    /// The machines, in order.
+    pub machines: Vec<(u32, u16)>,
+}
+
+/// What a front tells a planner and asks of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Who asks.
+    pub front: String,
+    /// Which life of it.
+    pub incarnation: u64,
+    /// Number of this ask at this planner in this life: an answer to an older one is void.
+    pub number: u64,
+    /// Microseconds since the front's start.
+    pub now: Micros,
+    /// The planner's life and clock as its last answer had them. Danger: what stood in a buffer while the planner, or the link,
+    /// stood still looks as if it came just now; it was surely asked only after this.
+    pub echo: (u64, Micros),
+    /// What it acts on, by its own sources.
+    pub version: Version,
+    /// When it last heard them.
+    pub ages: Ages,
+    /// What it was brought up to by planners: an index of the list, and news.
+    pub brought: (u64, Option<News>),
+    /// How it stands.
+    pub stance: Stance,
+    /// The places that each planner has voted it into, as far as it knows.
+    pub votes: Vec<Option<Place>>,
+    /// Number of its last closed span.
+    pub head: u64,
+    /// Spans that this planner may not have.
+    pub reports: Vec<Report>,
+    /// Its list, if this planner may not know it.
+    pub ready: Option<Ready>,
+}
+
+/// What a planner answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Who answers.
+    pub planner: String,
+    /// Which life of it.
+    pub incarnation: u64,
+    /// The ask that is answered.
+    pub number: u64,
+    /// Its clock, to be echoed by the next ask.
+    pub now: Micros,
+    /// It has all reports up to this one.
+    pub acked: u64,
+    /// The lease granted, from when the ask was made; 0 = none.
+    pub lease: Micros,
+    /// The place that it is voted into: it is to be out.
+    pub vote: Option<Place>,
+    /// It is behind the others and is to ask its own sources again.
+    pub again: bool,
+    /// A list newer than its own, for what that takes away.
+    pub ready: Option<Ready>,
+    /// News newer than its own, for what that takes away.
+    pub news: Option<News>,
+    /// The list that the planner knows for newest, index and digest: a front sends its own only if that differs.
+    pub knows: (u64, u64),
+    /// Another process was heard under this name.
+    pub twin: bool,
+}
+
+/// What is held of one life: the front, its life, and closed ranges of numbers.
+pub type Held = (String, u64, Vec<(u64, u64)>);
+
+/// What a planner asks another: what it has, by front and life, as closed ranges of numbers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pull {
+    /// Who asks.
+    pub planner: String,
+    /// What it has.
+    pub have: Vec<Held>,
+    /// The newest list that it knows.
+    pub knows: (u64, u64),
+}
+
+/// What the other gives.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pushed {
+    /// Who answers.
+    pub planner: String,
+    /// Reports that the asker lacks, as many as fit.
+    pub reports: Vec<(String, u64, Report)>,
+    /// When it last heard each front itself, in microseconds ago.
+    pub heard: Vec<Heard>,
+    /// Its newest list, if the asker knows an older one.
+    pub ready: Option<Ready>,
+}
+
+/// What one planner heard of a front by itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The front.
+    pub front: String,
+    /// Its life.
+    pub incarnation: u64,
+    /// How long ago.
+    pub ago: Micros,
+    /// What it acted on.
+    pub version: Version,
+    /// How it stood.
+    pub stance: Stance,
+    /// The lease granted to it last has surely lapsed, and it gets none.
+    pub lapsed: bool,
+}
--- /dev/null
+++ b/crates/yarrowspoke-fleet/tests/ladder.rs
@@ -0,0 +1,250 @@
+//! The ladder, from a straggler's first lag to its way back, and what must never happen on it.
+
+mod common;
+
+use common::*;
+use yarrowspoke_fleet::planner::Step;
+use yarrowspoke_fleet::settings::{Alone, Fleet, Most};
+use yarrowspoke_fleet::span::Stance;
+use yarrowspoke_fleet::version::Source;
+
+fn all_on(rig: &mut Rig, index: u64) {
+    let n = rig.fronts.len();
+    rig.list(0..n, index, &ready(10, &[]));
+    rig.run(5, &[]);
+}
+
+fn outs(rig: &Rig) -> Vec<usize> {
+    (0..rig.fronts.len()).filter(|f| rig.fronts[*f].stance(rig.now) == Stance::Out).collect()
+}
+
+#[test]
+fn a_straggler_is_noted_brought_up_shut_out_and_comes_back_in() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    rig.run(10, &[]);
+    assert!((0..4).all(|f| rig.planners[0].step(&format!("f{f}"), rig.now) == Step::Current));
+    // Machine 3 drains, and front 0 is not told by its own source.
+    rig.list(1..4, 6, &ready(10, &[3]));
+    rig.run(2, &[]);
+    assert!(rig.fronts[0].leaves_out(rig.now, 3, 1), "brought up by the first ask after the planners knew");
+    assert!(!rig.fronts[0].leaves_out(rig.now, 4, 1));
+    rig.run(3, &[]);
+    assert_eq!(rig.planners[0].step("f0", rig.now), Step::BroughtUp);
+    rig.run(10, &[]);
+    assert_eq!((outs(&rig), rig.planners[1].step("f0", rig.now)), (vec![0], Step::Out));
+    assert!(
+        !rig.fronts[0].takes(rig.now)
+            && rig.planners[2].status(rig.now).fronts[0].out == Some("acknowledged")
+    );
+    rig.list([0], 6, &ready(10, &[3]));
+    rig.run(2, &[]);
+    assert_eq!(outs(&rig), [0], "current, and not yet for long enough");
+    rig.run(6, &[]);
+    assert_eq!((outs(&rig), rig.planners[0].step("f0", rig.now)), (vec![], Step::Current));
+    assert_eq!(rig.fronts[0].stance(rig.now), Stance::Open);
+}
+
+#[test]
+fn what_planners_relay_only_narrows() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    rig.list(1..4, 6, &ready(12, &[3]));
+    for f in 0..4 {
+        rig.fronts[f].told((rig.now, 0), if f == 0 { news(2, 0, 160_000) } else { news(2, 2, 0) });
+    }
+    rig.run(2, &[]);
+    // A machine that is new elsewhere stays unknown here: nothing makes it ready but its own source.
+    assert_eq!(rig.fronts[0].version().list.index, 5);
+    assert_eq!(rig.fronts[0].narrower_news(), Some(news(2, 2, 0)));
+    // A higher cap elsewhere is not relayed.
+    for f in 1..4 {
+        rig.fronts[f].told((rig.now, 0), news(3, 0, 900_000));
+    }
+    rig.fronts[0].told((rig.now, 0), news(3, 0, 160_000));
+    rig.run(2, &[]);
+    assert_eq!(rig.fronts[0].narrower_news(), None);
+}
+
+#[test]
+fn one_front_that_was_told_nonsense_does_not_empty_the_others() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    rig.list([3], 9, &ready(10, &[1, 2, 3, 4, 5, 6, 7]));
+    rig.run(3, &[]);
+    assert!(!rig.fronts[0].leaves_out(rig.now, 1, 1) && rig.fronts[0].refused_shrinks() > 0);
+    // Two that hold it from their own sources are believed.
+    rig.list([2], 9, &ready(10, &[1, 2, 3, 4, 5, 6, 7]));
+    rig.run(3, &[]);
+    assert!(rig.fronts[0].leaves_out(rig.now, 1, 1));
+}
+
+#[test]
+fn a_lease_is_looked_at_on_waking_and_alone_is_found_out_not_supposed() {
+    for alone in [Alone::Serve, Alone::Narrow] {
+        let mut rig = Rig::new(Fleet { alone, ..fleet(4) });
+        all_on(&mut rig, 5);
+        rig.fronts[0].told((rig.now, 0), news(2, 0, 160_000));
+        rig.run(3, &[]);
+        assert!(!rig.fronts[0].leaves_out(rig.now, 1, 2), "a build on trial is served under a lease");
+        // It stands still for a minute, and nothing has told it anything when it wakes.
+        rig.now += 60_000 * MS;
+        assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
+        assert!(rig.fronts[0].leaves_out(rig.now, 1, 2) && !rig.fronts[0].leaves_out(rig.now, 1, 1));
+        assert!(!rig.fronts[0].takes(rig.now), "its list was not confirmed for long");
+        rig.fronts[0].confirmed(rig.now);
+        assert!(rig.fronts[0].takes(rig.now));
+        // All planners are gone.
+        rig.cut(0, (false, false));
+        rig.run(2, &[]);
+        let stands = if alone == Alone::Serve { Stance::Alone } else { Stance::Narrowed };
+        assert_eq!(rig.fronts[0].stance(rig.now), stands);
+        rig.cut(0, (true, true));
+        rig.run(2, &[]);
+        assert_eq!(rig.fronts[0].stance(rig.now), Stance::Open);
+    }
+}
+
+#[test]
+fn a_minority_grants_no_lease_and_late_answers_grant_nothing() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    for p in 1..3 {
+        rig.links.insert((0, p), (true, false));
+    }
+    rig.run(7, &[]);
+    assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed, "heard by all, hearing one");
+    let ask = rig.fronts[0].ask(1, rig.now);
+    let late = rig.planners[1].take(rig.now, ask).unwrap();
+    let begun = rig.now;
+    rig.run(10, &[]);
+    rig.fronts[0].answered(1, begun, late);
+    assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
+}
+
+#[test]
+fn never_more_out_than_allowed_in_all_and_by_zone_with_the_dead_counted_in() {
+    let mut rig = Rig::new(fleet(8));
+    all_on(&mut rig, 5);
+    rig.run(10, &[]);
+    // Nine in ten behind, all but one front.
+    rig.list([7], 6, &ready(10, &[3]));
+    for _ in 0..60 {
+        rig.run(1, &[]);
+        let out = outs(&rig);
+        let in_zone = |z: usize| out.iter().filter(|f| *f % 2 == z).count();
+        assert!(out.len() <= 2 && in_zone(0) <= 1 && in_zone(1) <= 1, "{out:?}");
+    }
+    assert_eq!(outs(&rig).len(), 2);
+    // A front of zone b that died by itself takes its zone's only place.
+    let mut rig = Rig::new(fleet(8));
+    all_on(&mut rig, 5);
+    rig.run(10, &[1]);
+    rig.list([7], 6, &ready(10, &[3]));
+    rig.run(40, &[1]);
+    assert!(outs(&rig).iter().all(|f| f % 2 == 0) && outs(&rig).len() == 1, "{:?}", outs(&rig));
+}
+
+#[test]
+fn all_behind_together_are_not_behind_each_other() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    rig.run(60, &[]);
+    assert!(outs(&rig).is_empty());
+    // One that knew more and died is no measure for the living.
+    rig.list([3], 6, &ready(10, &[]));
+    rig.run(2, &[]);
+    rig.run(60, &[3]);
+    assert!(outs(&rig).is_empty() && rig.planners[0].step("f3", rig.now) == Step::Unknown);
+}
+
+#[test]
+fn planners_that_lose_all_memory_learn_from_the_fronts_whom_they_voted_out() {
+    let mut rig = Rig::new(Fleet { most_out: Most::Number(1), ..fleet(6) });
+    all_on(&mut rig, 5);
+    rig.run(10, &[]);
+    rig.list(1..6, 6, &ready(10, &[3]));
+    rig.run(20, &[]);
+    assert_eq!(outs(&rig), [0]);
+    // Two of three come back empty while another front falls behind.
+    for p in 1..3 {
+        let book = Default::default();
+        rig.planners[p] =
+            yarrowspoke_fleet::planner::Planner::new(rig.fleet.clone(), &format!("p{p}"), 2, rig.now, book);
+    }
+    rig.list(2..6, 7, &ready(10, &[3, 4]));
+    for _ in 0..60 {
+        rig.run(1, &[]);
+        assert!(outs(&rig).len() <= 1, "{:?}", outs(&rig));
+    }
+    assert_eq!(outs(&rig), [0]);
+}
+
+#[test]
+fn an_index_that_went_back_is_told_and_makes_nobody_a_straggler() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 50);
+    rig.list([0], 3, &ready(10, &[]));
+    rig.run(40, &[]);
+    assert!(outs(&rig).is_empty());
+    assert_eq!(rig.fronts[0].version().list.epoch, 1);
+    let status = rig.planners[0].status(rig.now);
+    assert_eq!(status.fronts[0].version.unwrap().list.epoch, 1);
+    // The cached list of a start is no index that went back.
+    rig.fronts[1].listed((rig.now, 0), (2, 1), Source::Held, ready(10, &[]));
+    assert_eq!(rig.fronts[1].version().list.epoch, 0);
+}
+
+#[test]
+fn a_restart_frees_the_place_only_once_the_new_life_has_spoken_for_a_while() {
+    let mut rig = Rig::new(fleet(4));
+    all_on(&mut rig, 5);
+    rig.run(10, &[]);
+    rig.list(1..4, 6, &ready(10, &[3]));
+    rig.run(20, &[]);
+    assert_eq!(outs(&rig), [0]);
+    let (fleet, list) = (rig.fleet.clone(), ready(10, &[3]));
+    let mut new = yarrowspoke_fleet::front::FrontSide::new(fleet, "f0", 900, version());
+    new.listed((0, 0), (6, 42), Source::Discovery, list);
+    std::mem::swap(&mut rig.fronts[0], &mut new);
+    rig.run(1, &[]);
+    assert!(rig.planners[0].status(rig.now).fronts[0].out.is_some(), "one ask may be a late one");
+    // A late copy of the old life's ask takes nothing back.
+    let late = new.ask(0, rig.now);
+    let _ = rig.planners[0].take(rig.now, late);
+    rig.run(12, &[]);
+    assert!(rig.planners[0].status(rig.now).fronts[0].out.is_none() && outs(&rig).is_empty());
+}
+
+#[test]
+fn what_stood_in_a_buffer_is_no_sign_of_life() {
+    let mut rig = Rig::new(fleet(3));
+    all_on(&mut rig, 5);
+    let (asked_at, queued) = (rig.now, rig.fronts[0].ask(0, rig.now));
+    // Planner and front stand still; the planner wakes, reads what was queued for it, and the front is dead.
+    rig.now += 60_000 * MS;
+    let answer = rig.planners[0].take(rig.now, queued).unwrap();
+    assert_eq!(rig.planners[0].step("f0", rig.now), Step::Unknown);
+    assert!(rig.planners[0].status(rig.now).fronts[0].heard_ms_ago.is_some_and(|ms| ms >= 60_000));
+    // Nor does the answer give a lease to a front that wakes later: it counts from when it was asked for.
+    rig.fronts[0].answered(0, asked_at, answer);
+    assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
+}
+
+#[test]
+fn two_processes_under_one_name_are_both_told_and_their_records_stay_apart() {
+    let mut rig = Rig::new(fleet(3));
+    all_on(&mut rig, 5);
+    let mut other = yarrowspoke_fleet::front::FrontSide::new(rig.fleet.clone(), "f0", 777, version());
+    let mut told = false;
+    for _ in 0..8 {
+        rig.run(1, &[]);
+        other.tick(rig.now, 0);
+        let ask = other.ask(0, rig.now);
+        told |= other.answered(0, rig.now, rig.planners[0].take(rig.now, ask).unwrap()).twin;
+    }
+    assert!(told && rig.planners[0].status(rig.now).fronts[0].twin);
+    let lives: Vec<u64> = rig.planners[0].book.lives().iter().filter(|l| l.0 == "f0").map(|l| l.1).collect();
+    assert_eq!(lives, [100, 777]);
+    assert!(rig.planners[0].book.contradictions().is_empty());
+}
--- /dev/null
+++ b/crates/yarrowspoke-fleet/tests/record.rs
@@ -0,0 +1,194 @@
+//! The record: what is noted, kept, merged and shown, in any order and with holes.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use yarrowspoke_fleet::audit::{audit, Asked};
+use yarrowspoke_fleet::book::Book;
+use yarrowspoke_fleet::span::{Recorder, Report, Stance};
+use yarrowspoke_fleet::version::{List, Source, Standing, Version};
+use yarrowspoke_fleet::wire::{decode, encode, Ask, Refused, SCHEMA};
+
+/// A recorder that keeps so many, run through so many spans of one attempt each.
+fn recorded(spans: u64, keeps: usize) -> Recorder {
+    let mut recorder = Recorder::new(0, version(), keeps);
+    for n in 1..=spans {
+        recorder.attempt(n as u32 % 3, 1);
+        recorder.close(n * 1_000, 5_000 + n * 1_000, version(), Stance::Open);
+    }
+    recorder
+}
+
+fn attempts<'a>(reports: impl IntoIterator<Item = &'a Report>) -> u32 {
+    reports.into_iter().flat_map(|r| &r.span.attempts).map(|a| a.2).sum()
+}
+
+fn filled(reports: &[Report]) -> Book {
+    let mut book = Book::default();
+    reports.iter().for_each(|r| drop(book.insert("f0", 1, r.clone())));
+    book
+}
+
+proptest! {
+    #[test]
+    fn any_order_repeats_and_splits_give_one_record(
+        spans in 1u64..60, keeps in 2usize..40, shuffled in prop::collection::vec((0usize..100, 0usize..3), 0..200)
+    ) {
+        // One planner has them one by one, another as they were joined for want of room.
+        let mut all = recorded(spans, 1_000).behind(0, 1_000);
+        all.extend(recorded(spans, keeps).behind(0, 1_000));
+        let mut books = [Book::default(), Book::default(), Book::default()];
+        for (n, b) in shuffled {
+            let _ = books[b].insert("f0", 1, all[n % all.len()].clone());
+        }
+        let mut one = Book::default();
+        for b in [2, 0, 1, 0] {
+            one.merge(&books[b]);
+        }
+        let mut two = books[1].clone();
+        two.merge(&books[2]);
+        two.merge(&books[0]);
+        for book in [&one, &two] {
+            // Nothing is counted twice, and what is not there is a gap.
+            let view = book.view("f0", 1);
+            let covered: u64 = view.iter().map(|r| r.last - r.first + 1).sum();
+            prop_assert_eq!(u64::from(attempts(view.iter().copied())), covered);
+            prop_assert!(view.windows(2).all(|p| p[0].last < p[1].first));
+        }
+        prop_assert_eq!(one.view("f0", 1), two.view("f0", 1));
+        prop_assert_eq!(one.gaps("f0", 1), two.gaps("f0", 1));
+        prop_assert!(one.contradictions().is_empty());
+    }
+}
+
+#[test]
+fn a_front_out_of_reach_keeps_bounded_memory_and_drops_nothing_in_silence() {
+    let recorder = recorded(5_000, 64);
+    let kept = recorder.behind(0, 10_000);
+    assert_eq!((recorder.kept(), attempts(&kept)), (64, 5_000));
+    assert!(kept[0].last > kept[0].first, "it says that it was joined");
+    assert!(kept.windows(2).all(|p| p[0].last + 1 == p[1].first && p[0].link == p[1].before));
+    let book = filled(&kept);
+    assert!(book.gaps("f0", 1).is_empty() && book.contradictions().is_empty());
+}
+
+#[test]
+fn lost_altered_and_doubled_reports_show() {
+    let reports = recorded(10, 100).behind(0, 100);
+    let mut book = filled(&[&reports[..4], &reports[6..]].concat());
+    book.head("f0", 1, 12);
+    assert_eq!(book.gaps("f0", 1), [(5, 6), (11, 12)]);
+    assert_eq!(book.held_to("f0", 1), 4);
+    let unknown = audit(&book, &Asked::default()).lives[0].unknown.clone();
+    // Two gaps, and the stretch behind the last span: each with the end of what is known before it.
+    assert_eq!(unknown.iter().map(|u| u.after).collect::<Vec<_>>(), [4, 10, 10]);
+    assert_eq!((unknown[0].from, unknown[0].until_wall), (4_000, Some(5_000 + 6_000)));
+
+    let mut altered = reports[5].clone();
+    altered.span.votes += 1;
+    assert!(matches!(book.insert("f0", 1, altered.clone()), Err(Refused::Report(6, _))));
+    altered.link = yarrowspoke_fleet::span::link(&altered.before, 6, &altered.span);
+    assert!(book.insert("f0", 1, altered).unwrap());
+    assert!(!book.insert("f0", 1, reports[5].clone()).unwrap(), "another one under its number is kept out");
+    let said: Vec<String> = book.contradictions().into_iter().map(|c| c.what).collect();
+    assert!(
+        said.iter().any(|w| w.contains("two reports")) && said.iter().any(|w| w.contains("continue")),
+        "{said:?}"
+    );
+}
+
+#[test]
+fn a_filter_does_not_make_what_is_unknown_look_fine() {
+    let reports = recorded(10, 100).behind(0, 100);
+    let book = filled(&[&reports[..2], &reports[5..]].concat());
+    let drawn = audit(&book, &Asked { index: Some(99), ..Asked::default() });
+    assert!(drawn.lives[0].rows.is_empty() && drawn.lives[0].unknown.len() == 2);
+    let drawn = audit(&book, &Asked { from: Some(13_500), ..Asked::default() });
+    assert_eq!(drawn.lives[0].rows.iter().map(|r| r.numbers.0).collect::<Vec<_>>(), [9, 10]);
+}
+
+#[test]
+fn what_is_given_up_for_age_is_no_gap_and_the_rest_stays() {
+    let reports = recorded(10, 100).behind(0, 100);
+    let mut book = filled(&reports);
+    let gone = book.prune(5_000 + 3_500, u64::MAX);
+    assert_eq!(gone.iter().map(|g| g.2).collect::<Vec<_>>(), [1, 2, 3]);
+    assert!(book.gaps("f0", 1).is_empty() && book.view("f0", 1)[0].first == 4);
+    assert!(!book.insert("f0", 1, reports[0].clone()).unwrap(), "it does not come back from another planner");
+    let half = book.bytes() / 2;
+    book.prune(0, half);
+    assert!(book.bytes() <= half && book.held_to("f0", 1) == 10);
+}
+
+#[test]
+fn another_planner_gets_just_what_it_lacks() {
+    let reports = recorded(20, 100).behind(0, 100);
+    let (full, mut part) = (filled(&reports), filled(&[&reports[..3], &reports[8..12]].concat()));
+    for (front, incarnation, report) in full.lacking(&part.have(), u64::MAX) {
+        assert!(part.insert(&front, incarnation, report).unwrap());
+    }
+    assert_eq!(part.view("f0", 1), full.view("f0", 1));
+    assert!(full.lacking(&part.have(), u64::MAX).is_empty());
+}
+
+#[test]
+fn versions_compare_part_by_part_and_not_comparable_is_an_answer() {
+    let list = |index, epoch, digest| List { index, source: Source::Discovery, epoch, digest };
+    assert_eq!(list(5, 0, 1).stands(&list(4, 0, 1)), Standing::Newer);
+    assert_eq!(list(5, 0, 1).stands(&list(5, 0, 2)), Standing::NotComparable);
+    assert_eq!(list(2, 1, 1).stands(&list(5, 0, 1)), Standing::NotComparable);
+    assert_eq!(news(2, 0, 5).stands(&news(2, 0, 9)), Standing::NotComparable);
+    assert_eq!(news(2, 2, 0).stands(&news(2, 0, 9)), Standing::Newer);
+    assert_eq!(news(2, 3, 0).stands(&news(3, 0, 9)), Standing::Older);
+    assert!(news(2, 2, 0).narrows(&news(2, 0, 9)) && news(2, 0, 4).narrows(&news(2, 0, 9)));
+    assert!(!news(2, 1, 1_000_000).narrows(&news(2, 0, 9)) && !news(3, 2, 0).narrows(&news(2, 0, 9)));
+    let on = |list, news| Version { list, news, ..version() };
+    let stands = on(list(5, 0, 1), Some(news(2, 0, 9))).stands(&on(list(4, 0, 1), Some(news(2, 2, 0))));
+    assert_eq!(stands, [Standing::Newer, Standing::Older]);
+}
+
+#[test]
+fn what_cannot_be_is_refused_by_name_and_nothing_of_it_is_believed() {
+    let mut rig = Rig::new(fleet(2));
+    rig.run(3, &[]);
+    let held = rig.planners[0].book.view("f0", 100).len();
+    let mut recorder = recorded(3, 10);
+    recorder.vote();
+    let refused = |rig: &mut Rig, change: &dyn Fn(&mut Ask)| {
+        let mut ask = rig.fronts[0].ask(0, rig.now);
+        change(&mut ask);
+        rig.planners[0].take(rig.now, ask).unwrap_err()
+    };
+    assert_eq!(refused(&mut rig, &|a| a.front = "p1".into()), Refused::Stranger("p1".into()));
+    assert_eq!(refused(&mut rig, &|a| a.front = "x".into()), Refused::Stranger("x".into()));
+    let bad = |change: fn(&mut Report)| {
+        let reports = recorded(3, 10).behind(0, 10);
+        move |a: &mut Ask| {
+            a.reports = reports.clone();
+            change(&mut a.reports[1]);
+        }
+    };
+    assert!(matches!(refused(&mut rig, &bad(|r| r.last = 0)), Refused::Report(2, "its numbers fall")));
+    assert!(matches!(
+        refused(&mut rig, &bad(|r| r.span.to = 0)),
+        Refused::Report(2, "it ends before it begins")
+    ));
+    assert!(matches!(refused(&mut rig, &bad(|r| r.span.taken = 9)), Refused::Report(2, _)));
+    let many = |a: &mut Ask| a.reports = vec![recorded(1, 10).behind(0, 1)[0].clone(); 65];
+    assert_eq!(refused(&mut rig, &many), Refused::Many(65));
+    assert_eq!(rig.planners[0].book.view("f0", 100).len(), held);
+    let status = rig.planners[0].status(rig.now);
+    assert_eq!(status.refused.values().sum::<u64>(), 6);
+
+    let good = encode(&rig.fronts[0].ask(0, rig.now));
+    assert!(decode::<Ask>(&good).is_ok());
+    assert_eq!(decode::<Ask>(b"GET / HTTP/1.1").unwrap_err(), Refused::Alien);
+    assert_eq!(decode::<Ask>(b"ys").unwrap_err(), Refused::Alien);
+    let mut newer = good.clone();
+    newer[4] = (SCHEMA + 1) as u8;
+    assert_eq!(decode::<Ask>(&newer).unwrap_err(), Refused::Schema(SCHEMA + 1));
+    for cut in 6..good.len() {
+        assert!(matches!(decode::<Ask>(&good[..cut]), Err(Refused::Unreadable(_))), "cut at {cut}");
+    }
+}
--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::{classify, config};
 use clap::{Args, Parser, Subcommand};
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use yarrowspoke::interface::{Settings, Verdicts};
 use yarrowspoke::rules::{judging, VERDICTS};
@@ -52,6 +53,24 @@
         #[command(flatten)]
         fleet: Tier,
     },
+    /// Run a planner: gathers what the fronts of a fleet report, grants leases, brings stragglers up or shuts them out
+    Planner {
+        /// Its name among the members
+        #[arg(long)]
+        name: String,
+        /// The operator's file, with a section fleet
+        #[arg(long)]
+        operator: PathBuf,
+        /// A directory of its own for the reports; without one they are gone with the process
+        #[arg(long)]
+        dir: Option<PathBuf>,
+    },
+    /// Ask what a planner knows of its fleet
+    Fleet {
+        /// What to do
+        #[command(subcommand)]
+        what: FleetCommand,
+    },
     /// Look into a store's directory while no front has it open
     Store {
         /// What to do
@@ -94,6 +113,66 @@
     },
 }
 
+/// What can be asked of a fleet.
+#[derive(Debug, Subcommand)]
+pub enum FleetCommand {
+    /// Who is there, on what, how old, since when behind
+    Status {
+        /// A planner's address
+        #[arg(long)]
+        at: SocketAddr,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Which front acted on which version when, and what of that is unknown
+    Audit {
+        /// Where the record is
+        #[command(flatten)]
+        from: RecordAt,
+        /// What of it
+        #[command(flatten)]
+        asked: AskedOf,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Check the record in a planner's directory; exit status 1 if anything contradicts or cannot be read
+    Verify {
+        /// The directory
+        dir: PathBuf,
+    },
+}
+
+/// Where a record is.
+#[derive(Clone, Debug, Args)]
+#[group(required = true, multiple = false)]
+pub struct RecordAt {
+    /// A planner's address
+    #[arg(long)]
+    pub at: Option<SocketAddr>,
+    /// The directory of a planner that does not run
+    #[arg(long)]
+    pub dir: Option<PathBuf>,
+}
+
+/// What part of a record is asked for.
+#[derive(Clone, Debug, Args)]
+pub struct AskedOf {
+    /// Only this front
+    #[arg(long)]
+    pub front: Option<String>,
+    /// Only spans on this index of the list
+    #[arg(long)]
+    pub version: Option<u64>,
+    /// Only from this Unix time on, in seconds, by the fronts' wall clocks
+    #[arg(long)]
+    pub from: Option<f64>,
+    /// Only up to this one
+    #[arg(long)]
+    pub to: Option<f64>,
+}
+
 /// A fleet, as far as it decides what can be found.
 #[derive(Clone, Copy, Debug, Args)]
 pub struct Tier {
@@ -142,6 +221,17 @@
             if let Some(rules) = &operator.rules {
                 told_of_rules(&mut text, &path, rules);
             }
+            if let Some(section) = &operator.fleet {
+                let (fronts, planners) = (section.fleet.fronts().count(), section.fleet.planners().count());
+                let _ = writeln!(
+                    text,
+                    "fleet: {fronts} fronts, {planners} planners, at most {} out",
+                    section.fleet.most_out.of(fronts)
+                );
+                for (line, column, warning) in &section.warnings {
+                    let _ = writeln!(text, "warning: {path}:{line}:{column}: {warning}");
+                }
+            }
             let rows = if operator.verdicts.is_some() { rows(&operator, fleet) } else { vec![] };
             for row in rows.iter().filter(|r| r.counts && !r.found_in_time()) {
                 let _ = writeln!(
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -110,7 +110,7 @@
     pub fn start(
         seed: u64,
         settings: Settings,
-        known: Vec<Row>,
+        known: (u64, Vec<Row>),
         news: Option<News>,
         hub: Rc<Hub>,
         outside: Outside,
@@ -138,7 +138,7 @@
         };
         driver.listen();
         actions.into_iter().for_each(|a| driver.act(now, a));
-        driver.take(Input::List(ListKind::Cached, known));
+        driver.take(Input::List(ListKind::Cached, known.0, known.1));
         if let Some(news) = news {
             driver.take(Input::News(news));
         }
@@ -253,8 +253,10 @@
                 self.land(id, attempt, reply.ending, load);
             }
             Input::Ended(id, attempt, Err(ending)) => self.land(id, attempt, ending, Vec::new()),
-            Input::List(kind, rows) => self.list(kind, &rows),
+            Input::List(kind, index, rows) => self.list(kind, index, rows),
             Input::News(news) => self.told(news),
+            Input::Fleet => self.fleet(),
+            Input::AskAgain => self.ask_again(),
             Input::Message(from, bytes) => self.tell(Event::Message { from, bytes: &bytes }),
             Input::Moved(addresses) => self.moved(addresses),
             Input::Probed(machine, ending, took, load) => {
@@ -291,6 +293,9 @@
         let last = exchange.deadline + self.settings.module.answer_slack;
         let overdue = self.due(last, Due::Overdue(id));
         self.open.insert(id, Open { exchange, overdue, attempts: 0, out: 0 });
+        if let Some(member) = &self.hub.member {
+            member.taken();
+        }
         self.tell(Event::Request(arrival));
         self.tidy(id);
     }
@@ -319,8 +324,36 @@
         self.give_up(id);
     }
 
-    fn list(&mut self, kind: ListKind, rows: &[Row]) {
-        self.hub.keeper.listed(kind, rows);
+    fn list(&mut self, kind: ListKind, index: u64, rows: Vec<Row>) {
+        self.hub.keeper.listed(kind, &rows);
+        let rows = match &self.hub.member {
+            Some(member) => member.listed(kind, index, rows),
+            None => rows,
+        };
+        self.put_list(kind, &rows);
+    }
+
+    /// What planners take away has changed, or the lease has: the module is told as if its own sources had.
+    fn fleet(&mut self) {
+        let Some(member) = self.hub.member.clone() else { return };
+        let rows = member.changed_rows();
+        if !rows.is_empty() {
+            self.put_list(ListKind::Delta, &rows);
+        }
+        if let Some(news) = member.changed_news() {
+            self.put_news(news);
+        }
+    }
+
+    /// Begins the watch and the platform's connection anew: one that is silent may be cut without a sign.
+    fn ask_again(&mut self) {
+        if self.watch.is_some() {
+            self.watch(true);
+        }
+        self.listen();
+    }
+
+    fn put_list(&mut self, kind: ListKind, rows: &[Row]) {
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             self.listed.clear();
             self.outside.machines.keep_only(rows);
@@ -339,6 +372,14 @@
     }
 
     fn told(&mut self, news: News) {
+        let news = match &self.hub.member {
+            Some(member) if news.ending == Ending::Ok => member.told(news),
+            _ => news,
+        };
+        self.put_news(news);
+    }
+
+    fn put_news(&mut self, news: News) {
         let before = self.news;
         let News { build, stage, phase, ending, cap, answer, .. } = news;
         log::debug!(build, stage, phase:?, ending:?, cap, answer; "news");
@@ -485,6 +526,9 @@
         if let Some(open) = self.open.get(&id) {
             log::debug!(class = open.exchange.call.class, answer:?; "given up");
             open.exchange.answer(answer);
+            if let Some(member) = &self.hub.member {
+                member.given_up();
+            }
         }
         self.tidy(id);
     }
@@ -497,7 +541,10 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let exchange = Rc::clone(&open.exchange);
+        let build = self.listed.get(&machine).map_or(0, |m| m.1);
         let late = exchange.is_over() || now >= exchange.deadline;
+        // Danger: a process that stood still wakes up with the module's orders of before; the lease is looked at here.
+        let late = late || self.hub.member.as_ref().is_some_and(|m| m.leaves_out(machine, build));
         if late || u32::from(attempt) >= self.settings.module.max_attempts {
             let (ending, load) = (Ending::Moot, Vec::new());
             self.follow.push_back(Follow::Outcome { id, attempt, machine, ending, took: 0, load });
@@ -508,7 +555,9 @@
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
         let expires = self.due(now + wait, Due::Attempt(id, attempt));
         let progress = Rc::new(Cell::new(Progress::Connecting));
-        let build = self.listed.get(&machine).map_or(0, |m| m.1);
+        if let Some(member) = &self.hub.member {
+            member.attempt(machine, build);
+        }
         let (machines, hub) = (Rc::clone(&self.outside.machines), Rc::clone(&self.hub));
         let told = Rc::clone(&progress);
         let task = self.outside.executor.spawn(async move {
@@ -542,7 +591,8 @@
     }
 
     fn vote(&mut self, ballot: Ballot) {
-        let room = self.votes.get() < VOTE_LIMIT;
+        let out = self.hub.member.as_ref().is_some_and(|m| m.is_out());
+        let room = self.votes.get() < VOTE_LIMIT && !out;
         let Some(address) = self.outside.platform.filter(|_| room) else {
             let Ballot { build, stage, .. } = ballot;
             let (phase, ending) = (yarrowspoke::interface::Phase::Trial, Ending::ConnectFailed);
@@ -553,6 +603,9 @@
         let (votes, inputs) = (Rc::clone(&self.votes), self.hub.inputs.clone());
         let limit = self.settings.module.release.call_timeout;
         votes.set(votes.get() + 1);
+        if let Some(member) = &self.hub.member {
+            member.vote();
+        }
         let cast = async move {
             platform::vote(address, ballot, limit, inputs).await;
             votes.set(votes.get() - 1);
@@ -576,7 +629,7 @@
         let config = config::parse(include_bytes!("../../../examples/config.json")).unwrap();
         let places = Places::new(100);
         let (hub, _inputs) =
-            Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1), Keeper::default());
+            Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1), Keeper::default(), None);
         let outside = Outside {
             executor: Rc::new(LocalExecutor::new()),
             machines: Machines::new(places, config.settings.transport),
@@ -584,7 +637,7 @@
             platform: None,
             peers: None,
         };
-        let mut driver = Driver::start(1, config.settings, Vec::new(), None, Rc::clone(&hub), outside);
+        let mut driver = Driver::start(1, config.settings, (0, Vec::new()), None, Rc::clone(&hub), outside);
         let before = driver.timers.len();
         for n in 0..100 {
             let call = Call {
--- a/crates/yarrowspoke-front/src/hub.rs
+++ b/crates/yarrowspoke-front/src/hub.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Call, CallIds, Exchange};
 use crate::input::{ClassFacts, Clock, Input};
 use crate::keeper::Keeper;
+use crate::member::Member;
 use crate::places::{Places, Store};
 use async_channel::{Receiver, Sender};
 use std::cell::Cell;
@@ -28,6 +29,8 @@
     pub classifier: Rc<Classifier>,
     /// The store.
     pub keeper: Keeper,
+    /// This front as a member of a fleet, if it is one.
+    pub member: Option<Rc<Member>>,
     /// Ids of calls.
     pub ids: CallIds,
     /// Room for large bodies.
@@ -53,6 +56,7 @@
         bodies: usize,
         classifier: Rc<Classifier>,
         keeper: Keeper,
+        member: Option<Rc<Member>>,
     ) -> (Rc<Self>, Receiver<Input>) {
         let (inputs, receiver) = async_channel::bounded(INPUT_LIMIT);
         let hub = Self {
@@ -62,6 +66,7 @@
             classes: settings.module.classes.iter().map(ClassFacts::of).collect(),
             classifier,
             keeper,
+            member,
             ids: CallIds::default(),
             store: Store::new(bodies),
             ready: Cell::new(false),
@@ -75,6 +80,11 @@
         (Rc::new(hub), receiver)
     }
 
+    /// Whether this front's place in its fleet lets it take a new request; one by itself always may.
+    pub fn takes(&self) -> bool {
+        self.member.as_ref().is_none_or(|m| m.takes())
+    }
+
     /// Begins the stop: what is there and what still comes is served, then connections end.
     pub fn begin_stop(&self) {
         self.stop.0.close();
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -96,8 +96,8 @@
     Ended(RequestId, u16, Result<Reply, Ending>),
     /// A probe of a machine has ended: how, how long it took, and the load report as it came.
     Probed(MachineId, Ending, Micros, Option<String>),
-    /// Discovery has told something, or failed.
-    List(ListKind, Vec<Row>),
+    /// Discovery has told something, or failed; the index of what it told.
+    List(ListKind, u64, Vec<Row>),
     /// The platform has told something, or answered a vote.
     News(News),
     /// A peer's message.
@@ -106,4 +106,8 @@
     Moved(Addresses),
     /// Rates of judging that the operators state from now on.
     Rates(Option<Verdicts>),
+    /// What planners take away may have changed.
+    Fleet,
+    /// This front is behind the others: its own sources are to be asked anew.
+    AskAgain,
 }
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -3,10 +3,14 @@
 use clap::Parser;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use yarrowspoke_front::cli::{self, Cli, Command, StoreCommand};
-use yarrowspoke_front::{explain, logging, run, stores};
+use yarrowspoke_front::cli::{self, Cli, Command, FleetCommand, StoreCommand};
+use yarrowspoke_front::{explain, fleets, logging, planner, run, stores};
 
 fn main() -> ExitCode {
+    // Only builds made to try the rig's checker have any; a release build knows none.
+    if let Ok(name) = std::env::var("YARROWSPOKE_MUTANT") {
+        yarrowspoke_fleet::mutant::put_on(&name);
+    }
     match Cli::parse().command {
         None => serve(None),
         Some(Command::Serve { operator }) => serve(operator),
@@ -16,6 +20,12 @@
             StoreCommand::Verify { dir } => stores::verify(&dir),
             StoreCommand::Compact { dir } => stores::compact(&dir),
         }),
+        Some(Command::Planner { name, operator, dir }) => plan(&name, &operator, dir),
+        Some(Command::Fleet { what }) => tell(match what {
+            FleetCommand::Status { at, json } => fleets::status(at, json),
+            FleetCommand::Audit { from, asked, json } => fleets::audit(&from, &asked, json),
+            FleetCommand::Verify { dir } => fleets::verify(&dir),
+        }),
         Some(Command::Power { file, fleet }) => tell(cli::power(&file, &fleet)),
         Some(Command::Explain { file, request, config, all }) => {
             tell(explain::explain(&file, &request, config.as_deref(), all))
@@ -33,6 +43,17 @@
     }
 }
 
+fn plan(name: &str, operator: &std::path::Path, dir: Option<PathBuf>) -> ExitCode {
+    let started = logging::start().map_err(|e| format!("logging cannot start: {e}"));
+    match started.and_then(|()| planner::run(name, operator, dir)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("yarrowspoke: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve(operator: Option<PathBuf>) -> ExitCode {
     if let Err(e) = logging::start() {
         eprintln!("yarrowspoke: logging cannot start: {e}");
--- /dev/null
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -0,0 +1,345 @@
+//! A front as a member of a fleet: carries out what `yarrowspoke_fleet::front` decides.
+//!
+//! What planners take away reaches the decision module as what its own sources might have told: a machine that drains, a cap
+//! that falls. So the module needs no word of the fleet, and nothing here can give a request more than the module would.
+
+use crate::input::{Input, Row};
+use crate::net::fleet::{exchange, LinkError};
+use crate::net::list::Discovery;
+use crate::net::within;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use yarrowspoke::interface::{Build, ListKind, MachineId, MachineState, Micros, News, Phase};
+use yarrowspoke_fleet::front::{Change, FrontSide};
+use yarrowspoke_fleet::settings::Fleet;
+use yarrowspoke_fleet::span::Stance;
+use yarrowspoke_fleet::version::{self, digest, Source, Version};
+use yarrowspoke_fleet::wire::{decode, encode, Answer};
+
+/// Least time between two times at which the front's own sources are asked again for being behind.
+const AGAIN_EVERY: Duration = Duration::from_secs(2);
+/// Least time between two lines on one planner that cannot be heard.
+const COMPLAIN_EVERY: Duration = Duration::from_secs(10);
+const PHASES: [Phase; 4] = [Phase::Trial, Phase::Released, Phase::GoingBack, Phase::Withdrawn];
+
+/// Digests of a front's files: the configuration, the operator's file, the settings that all fronts share.
+pub type Digests = (u64, u64, u64);
+
+/// Digests of the files as they are now.
+pub fn digests(config: &Path, operator: Option<&Path>) -> Digests {
+    let bytes = std::fs::read(config).unwrap_or_default();
+    let mut settings = serde_json::from_slice::<serde_json::Value>(&bytes)
+        .map(|v| v["settings"].clone())
+        .unwrap_or_default();
+    // Which front it is and where it stands differ by design.
+    if let Some(fields) = settings.as_object_mut() {
+        ["Me", "Zone"].iter().for_each(|f| drop(fields.remove(*f)));
+    }
+    let text = operator.and_then(|p| std::fs::read_to_string(p).ok()).unwrap_or_default();
+    // So do the addresses at which it reaches the others.
+    let mut parts = text.split("(address");
+    let first = parts.next().unwrap_or("").to_owned();
+    let rest: String = parts.map(|p| p.split_once(')').map_or("", |p| p.1)).collect();
+    (digest(&bytes), digest((first + &rest).as_bytes()), digest(settings.to_string().as_bytes()))
+}
+
+fn phase(p: Phase) -> u8 {
+    PHASES.iter().position(|q| *q == p).unwrap_or(0) as u8
+}
+
+fn told(news: &News) -> version::News {
+    let cap = (news.cap.clamp(0.0, 1.0) * 1e6).round() as u32;
+    version::News { build: news.build, stage: news.stage, phase: phase(news.phase), cap }
+}
+
+/// The member.
+pub struct Member {
+    side: RefCell<FrontSide>,
+    begun: Instant,
+    discovery: Rc<Discovery>,
+    rows: RefCell<BTreeMap<MachineId, Row>>,
+    /// What the module was last told of each machine.
+    shown: RefCell<BTreeMap<MachineId, (MachineState, Build)>>,
+    news: Cell<Option<News>>,
+    shown_news: Cell<Option<version::News>>,
+    again: Cell<Option<Instant>>,
+    stance: Cell<Stance>,
+    come_back: Micros,
+    twin: Cell<bool>,
+}
+
+impl Member {
+    /// A member that has just started.
+    pub fn new(
+        fleet: Fleet,
+        name: &str,
+        digests: Digests,
+        discovery: Rc<Discovery>,
+        most_back: Micros,
+    ) -> Rc<Self> {
+        let exe = std::env::current_exe().and_then(std::fs::read).map_or(0, |b| digest(&b));
+        let (config, operator, settings) = digests;
+        let list = version::List { index: 0, source: Source::Held, epoch: 0, digest: 0 };
+        let version = Version { list, news: None, config, operator, settings, program: exe };
+        let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
+        let come_back = fleet.back_after.max(fleet.renew).min(most_back);
+        Rc::new(Self {
+            side: RefCell::new(FrontSide::new(fleet, name, incarnation, version)),
+            begun: Instant::now(),
+            discovery,
+            rows: RefCell::default(),
+            shown: RefCell::default(),
+            news: Cell::new(None),
+            shown_news: Cell::new(None),
+            again: Cell::new(None),
+            stance: Cell::new(Stance::Open),
+            come_back,
+            twin: Cell::new(false),
+        })
+    }
+
+    fn now(&self) -> Micros {
+        self.begun.elapsed().as_micros() as Micros
+    }
+
+    /// Monotonic and wall time; the second is only ever a hint.
+    fn clocks(&self) -> (Micros, Micros) {
+        (self.now(), SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros))
+    }
+
+    /// Whether a new request may be taken now. Looked at for each: a process that stood still wakes on an old lease.
+    pub fn takes(&self) -> bool {
+        self.side.borrow().takes(self.now())
+    }
+
+    /// When one that is not taken may come back.
+    pub fn come_back(&self) -> Micros {
+        self.come_back
+    }
+
+    /// Whether votes are withheld.
+    pub fn is_out(&self) -> bool {
+        self.side.borrow().stance(self.now()) == Stance::Out
+    }
+
+    /// Whether nothing may be sent there now, whatever the module knows yet.
+    pub fn leaves_out(&self, machine: MachineId, build: Build) -> bool {
+        self.side.borrow().leaves_out(self.now(), machine, build)
+    }
+
+    /// A request is taken.
+    pub fn taken(&self) {
+        self.side.borrow_mut().recorder().taken();
+    }
+
+    /// An attempt is sent.
+    pub fn attempt(&self, machine: MachineId, build: Build) {
+        self.side.borrow_mut().recorder().attempt(machine, build);
+    }
+
+    /// A vote is cast.
+    pub fn vote(&self) {
+        self.side.borrow_mut().recorder().vote();
+    }
+
+    /// A request is refused or failed.
+    pub fn given_up(&self) {
+        self.side.borrow_mut().recorder().given_up();
+    }
+
+    /// Its own sources told a list, or a part of it; what the module is to be told instead.
+    pub fn listed(&self, kind: ListKind, index: u64, rows: Vec<Row>) -> Vec<Row> {
+        if kind == ListKind::Failed {
+            return rows;
+        }
+        {
+            let mut own = self.rows.borrow_mut();
+            if kind != ListKind::Delta {
+                own.clear();
+                self.shown.borrow_mut().clear();
+            }
+            own.extend(rows.iter().map(|r| (r.entry.machine, r.clone())));
+            let mut text = Vec::new();
+            let there = || own.values().filter(|r| r.entry.state != MachineState::Gone);
+            for row in there() {
+                let e = &row.entry;
+                text.extend_from_slice(&e.machine.to_le_bytes());
+                text.extend_from_slice(&e.build.to_le_bytes());
+                text.push(u8::from(e.state == MachineState::Ready));
+            }
+            let ready = there().filter(|r| r.entry.state == MachineState::Ready);
+            let ready = ready.map(|r| (r.entry.machine, r.entry.build)).collect();
+            let source = if kind == ListKind::Cached { Source::Held } else { Source::Discovery };
+            self.side.borrow_mut().listed(self.clocks(), (index, digest(&text)), source, ready);
+        }
+        // All that is new has to be told, also where it looks as before.
+        for row in &rows {
+            self.shown.borrow_mut().remove(&row.entry.machine);
+        }
+        self.changed_rows()
+    }
+
+    /// Rows that look otherwise than the module was last told.
+    pub fn changed_rows(&self) -> Vec<Row> {
+        let (now, side) = (self.now(), self.side.borrow());
+        let (own, mut shown) = (self.rows.borrow(), self.shown.borrow_mut());
+        let mut out = Vec::new();
+        for (machine, row) in own.iter() {
+            let (mut row, build) = (row.clone(), row.entry.build);
+            if row.entry.state == MachineState::Ready && side.leaves_out(now, *machine, build) {
+                row.entry.state = MachineState::Draining;
+            }
+            let looks = (row.entry.state, build);
+            if shown.insert(*machine, looks) != Some(looks) {
+                out.push(row);
+            }
+        }
+        out
+    }
+
+    fn narrowed(&self, news: News) -> News {
+        match self.side.borrow().narrower_news() {
+            Some(n) if n.narrows(&told(&news)) => {
+                let (phase, cap) = (PHASES[usize::from(n.phase.min(3))], f64::from(n.cap) / 1e6);
+                News { phase, cap: cap.min(news.cap), ..news }
+            }
+            _ => news,
+        }
+    }
+
+    /// Its own source told news; what the module is to be told instead.
+    pub fn told(&self, news: News) -> News {
+        self.side.borrow_mut().told(self.clocks(), told(&news));
+        self.news.set(Some(news));
+        let news = self.narrowed(news);
+        self.shown_news.set(Some(told(&news)));
+        news
+    }
+
+    /// News that the module is to be told again, as planners have taken something away.
+    pub fn changed_news(&self) -> Option<News> {
+        let narrowed = News { answer: false, age: 0, ..self.narrowed(self.news.get()?) };
+        let now = told(&narrowed);
+        let changed = self.shown_news.get().is_some_and(|shown| now.narrows(&shown));
+        changed.then(|| {
+            self.shown_news.set(Some(now));
+            log::warn!(build = now.build, phase:? = narrowed.phase, cap = narrowed.cap; "fleet: brought up by planners");
+            narrowed
+        })
+    }
+
+    /// The files were read again.
+    pub fn reread(&self, digests: Digests, fleet: Option<Fleet>) {
+        let mut side = self.side.borrow_mut();
+        side.reread(self.clocks(), digests);
+        if let Some(fleet) = fleet {
+            side.restate(fleet);
+        }
+    }
+
+    fn tick(&self) {
+        let (now, wall) = self.clocks();
+        let mut side = self.side.borrow_mut();
+        if let Some(heard) = self.discovery.heard() {
+            side.confirmed(heard.saturating_duration_since(self.begun).as_micros() as Micros);
+        }
+        side.tick(now, wall);
+        let stance = side.stance(now);
+        if self.stance.replace(stance) != stance {
+            let (list, kept) = (side.version().list.index, side.recorder().kept());
+            log::warn!(stance:?, list, kept; "fleet: stands");
+        }
+    }
+
+    fn answered(&self, planner: usize, asked_at: Micros, answer: Answer) -> Change {
+        let change = self.side.borrow_mut().answered(planner, asked_at, answer);
+        if self.twin.replace(change.twin) != change.twin && change.twin {
+            log::error!("fleet: another process runs under this front's name");
+        }
+        change
+    }
+
+    /// Whether to ask its own sources again now.
+    fn asks_again(&self) -> bool {
+        let due = self.again.get().is_none_or(|at| at.elapsed() >= AGAIN_EVERY);
+        if due {
+            self.again.set(Some(Instant::now()));
+        }
+        due
+    }
+}
+
+/// Starts what a member does by itself: its spans, and an ask at each planner at every renewal.
+pub fn start(member: &Rc<Member>, executor: &LocalExecutor<'static>, inputs: &Sender<Input>) {
+    let fleet = member.side.borrow().fleet().clone();
+    for (n, planner) in fleet.planners().enumerate() {
+        if let Some(address) = planner.address {
+            let asks = ask(Rc::clone(member), n, planner.name.clone(), address, inputs.clone());
+            executor.spawn(asks).detach();
+        }
+    }
+    let (member, inputs) = (Rc::clone(member), inputs.clone());
+    let ticks = async move {
+        loop {
+            let renew = member.side.borrow().fleet().renew;
+            Timer::after(Duration::from_micros(renew)).await;
+            member.tick();
+            let _ = inputs.send(Input::Fleet).await;
+        }
+    };
+    executor.spawn(ticks).detach();
+}
+
+async fn ask(member: Rc<Member>, n: usize, name: String, address: SocketAddr, inputs: Sender<Input>) {
+    let (mut line, mut complained) = (None, None::<Instant>);
+    loop {
+        let (renew, lease) = {
+            let side = member.side.borrow();
+            (Duration::from_micros(side.fleet().renew), Duration::from_micros(side.fleet().lease))
+        };
+        let begun = Instant::now();
+        let asked_at = member.now();
+        let body = encode(&member.side.borrow_mut().ask(n, asked_at));
+        let asked = exchange(&mut line, address, ("POST", "/fleet/report"), &body);
+        let answer = within((lease / 4).max(renew), asked).await;
+        let heard = match answer {
+            Some(Ok(bytes)) => decode::<Answer>(&bytes).map_err(|e| e.to_string()),
+            Some(Err(LinkError::Status(status, why))) => Err(format!("refused with {status}: {why}")),
+            Some(Err(e)) => {
+                member.side.borrow_mut().failed(n, asked_at);
+                Err(e.to_string())
+            }
+            None => {
+                member.side.borrow_mut().failed(n, asked_at);
+                Err("no answer in time".to_owned())
+            }
+        };
+        match heard {
+            Ok(answer) if answer.planner == name => {
+                let change = member.answered(n, asked_at, answer);
+                if change.narrowed {
+                    let _ = inputs.send(Input::Fleet).await;
+                }
+                if change.again && member.asks_again() {
+                    let _ = inputs.send(Input::AskAgain).await;
+                }
+            }
+            Ok(other) => log::error!("fleet: {name} answers as {}", other.planner),
+            Err(why) => {
+                line = None;
+                if complained.is_none_or(|at| at.elapsed() > COMPLAIN_EVERY) {
+                    complained = Some(Instant::now());
+                    log::warn!(planner = name.as_str(), why = why.as_str(); "fleet: not heard");
+                }
+            }
+        }
+        Timer::at(begun + renew).await;
+    }
+}
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -220,13 +220,19 @@
         };
         let written = match asked {
             Asked::Ready => {
-                let ready = hub.ready.get() && !hub.is_stopping() && !hub.keeper.is_down();
+                let ready = hub.ready.get() && !hub.is_stopping() && !hub.keeper.is_down() && hub.takes();
                 line.write(&plain(if ready { 200 } else { 503 }, keeps)).await && keeps
             }
             Asked::Nothing(status) => {
                 hub.count_bad();
                 line.write(&plain(status, keeps)).await && keeps
             }
+            // Shut out, or without ground to send anything on: answered at once, before anything is taken.
+            Asked::Call(_) if !hub.takes() => {
+                line.room = None;
+                let back = hub.member.as_ref().map_or(0, |m| m.come_back());
+                line.write(&encode(&Answer::Refused(back), keeps)).await && keeps
+            }
             Asked::Call(call) => {
                 // Danger: two answers to one id are taken for each other, and an effect may happen twice.
                 let guarded = hub.keeper.guards(&call);
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -10,7 +10,7 @@
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use yarrowspoke::interface::{Entry, ListKind, MachineId, MachineState, Micros};
 use yarrowspoke_settings::Names;
@@ -167,9 +167,12 @@
     name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
 
-struct AnswerHead {
-    status: u16,
-    keep: bool,
+/// The head of an answer.
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// The connection stays.
+    pub keep: bool,
 }
 
 impl FromHead for AnswerHead {
@@ -196,6 +199,7 @@
     names: Names,
     hold: Duration,
     index: Cell<u64>,
+    heard: Cell<Option<Instant>>,
 }
 
 impl Discovery {
@@ -203,7 +207,18 @@
     pub fn new(address: SocketAddr, names: Names, index: u64, told_within: Micros) -> Rc<Self> {
         // A call that waits must end, and the next begin, well before the list counts as told unasked.
         let hold = super::span(told_within / 2).min(LONGEST_HOLD);
-        Rc::new(Self { address: Cell::new(address), names, hold, index: Cell::new(index) })
+        Rc::new(Self {
+            address: Cell::new(address),
+            names,
+            hold,
+            index: Cell::new(index),
+            heard: Cell::new(None),
+        })
+    }
+
+    /// When it last answered with what can be used.
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard.get()
     }
 
     /// Discovery is at `address` from now on; false if it was before.
@@ -215,7 +230,7 @@
     pub async fn fetch(self: Rc<Self>, to: Sender<Input>) {
         let answer = self.call(&mut None, "/discovery/hosts", ANSWER_WITHIN).await;
         let input = match answer {
-            Ok(list) => Input::List(ListKind::Full, list.rows),
+            Ok(list) => Input::List(ListKind::Full, list.index, list.rows),
             Err(e) => failed(&e),
         };
         let _ = to.send(input).await;
@@ -238,7 +253,7 @@
             self.index.set(list.index);
             let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
             if first || list.whole || !list.rows.is_empty() {
-                let _ = to.send(Input::List(kind, list.rows)).await;
+                let _ = to.send(Input::List(kind, list.index, list.rows)).await;
             }
             first = false;
         }
@@ -262,7 +277,12 @@
                 }
                 // Lines that stay unreadable must not take the others with them, nor remove what they name.
                 Err(ListError::Unread(list)) => return Ok(Listing { whole: false, ..list }),
-                ended => return ended,
+                ended => {
+                    if ended.is_ok() {
+                        self.heard.set(Some(Instant::now()));
+                    }
+                    return ended;
+                }
             }
         }
     }
@@ -331,5 +351,5 @@
 
 fn failed(why: &ListError) -> Input {
     log::warn!("discovery: {why}");
-    Input::List(ListKind::Failed, Vec::new())
+    Input::List(ListKind::Failed, 0, Vec::new())
 }
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod asked;
 pub mod clients;
+pub mod fleet;
 pub mod http;
 pub mod list;
 pub mod machines;
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -6,6 +6,7 @@
 use crate::hub::Hub;
 use crate::input::{Input, Row};
 use crate::keeper::{self, Keeper};
+use crate::member::{self, Member};
 use crate::net::clients;
 use crate::net::list::Discovery;
 use crate::net::machines::Machines;
@@ -21,6 +22,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
+use yarrowspoke_fleet::settings::{Fleet, Role};
 use yarrowspoke_operator::rules::Rules;
 use yarrowspoke_operator::store::StoreSettings;
 use yarrowspoke_operator::OperatorError;
@@ -57,6 +59,24 @@
     /// The operator's file.
     #[error("operator's file:\n{0}")]
     Operator(#[from] OperatorError),
+    /// The operator's file names no such front.
+    #[error("{path}: section fleet: found no front {name:?} among its members, which is this front's name")]
+    Member {
+        /// The file.
+        path: String,
+        /// The front's name.
+        name: String,
+    },
+}
+
+fn check_member(fleet: &Fleet, name: &str, path: &std::path::Path) -> Result<(), FilesError> {
+    let front = fleet.member(name).is_some_and(|m| m.role == Role::Front);
+    let (path, name) = (path.display().to_string(), name.to_owned());
+    if front {
+        Ok(())
+    } else {
+        Err(FilesError::Member { path, name })
+    }
 }
 
 impl Files {
@@ -64,19 +84,23 @@
     /// `running` goes by, or to those just read.
     pub fn read(&self, running: Option<&Settings>) -> Result<Setup, FilesError> {
         let mut config = config::load(&self.config)?;
-        let (mut rules, mut store) = (None, None);
+        let (mut rules, mut store, mut fleet) = (None, None, None);
         if let Some(path) = &self.operator {
             let operator = yarrowspoke_operator::load(path)?;
             config.settings.module.verdicts = operator.verdicts;
             rules = operator.rules;
             store = operator.store;
+            fleet = operator.fleet.map(|f| f.fleet);
+            if let Some(fleet) = &fleet {
+                check_member(fleet, &config.name, path)?;
+            }
             if let Some(rules) = &mut rules {
                 let world = classify::world(running.unwrap_or(&config.settings));
                 let path = path.display().to_string();
                 rules.bind(&world).map_err(|faults| OperatorError::Faults { path, faults })?;
             }
         }
-        Ok(Setup { config, rules, store })
+        Ok(Setup { config, rules, store, fleet })
     }
 }
 
@@ -89,6 +113,8 @@
     pub rules: Option<Rules>,
     /// What outlasts a restart, and where. It holds from the start; a reload changes nothing of it.
     pub store: Option<StoreSettings>,
+    /// The fleet that it is a front of. Who its members are holds from the start; a reload changes limits only.
+    pub fleet: Option<Fleet>,
 }
 
 /// Opens the store, starts its writer, and reads what the front knew as far as that is trusted.
@@ -124,7 +150,7 @@
 }
 
 async fn serve(setup: Setup, files: Files, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
-    let Setup { config, rules, store } = setup;
+    let Setup { config, rules, store, fleet } = setup;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let reloads = Signals::new([Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(config.listen)?;
@@ -136,10 +162,25 @@
         None => (Keeper::default(), None),
     };
     let bodies = config.limits.bodies();
-    let (hub, inputs) =
-        Hub::new(&config.settings, Rc::clone(&places), bodies, Rc::clone(&classifier), keeper);
+    let discovery = {
+        let (names, within) = (config.settings.names.clone(), config.settings.module.ask_within);
+        Discovery::new(config.discovery, names, config.known.index, within)
+    };
+    let member = fleet.map(|fleet| {
+        let bounds = &config.settings.module;
+        let back = if bounds.retry_after { bounds.max_retry_after } else { 0 };
+        let digests = member::digests(&files.config, files.operator.as_deref());
+        Member::new(fleet, &config.name, digests, Rc::clone(&discovery), back)
+    });
+    let (hub, inputs) = Hub::new(
+        &config.settings,
+        Rc::clone(&places),
+        bodies,
+        Rc::clone(&classifier),
+        keeper,
+        member.clone(),
+    );
     let module = &config.settings.module;
-    let names = config.settings.names.clone();
     let peers = match config.peer_listen.filter(|_| module.peers) {
         Some(listen) => Some(Peers::bind(listen, config.peers, config.peers_all)?),
         None => None,
@@ -147,7 +188,7 @@
     let outside = Outside {
         executor: Rc::clone(&executor),
         machines: Machines::new(Rc::clone(&places), config.settings.transport),
-        discovery: Discovery::new(config.discovery, names, config.known.index, module.ask_within),
+        discovery,
         platform: config.platform,
         peers: peers.clone(),
     };
@@ -156,8 +197,8 @@
     let news = config.news.map(|s| s.news(false));
     // The configuration's list is the platform's word; without one, what this front knew itself is better than nothing.
     let rows = match kept {
-        Some(rows) if config.known.rows.is_empty() => rows,
-        _ => config.known.rows,
+        Some(rows) if config.known.rows.is_empty() => (0, rows),
+        _ => (config.known.index, config.known.rows),
     };
     let mut driver = Driver::start(config.seed, config.settings, rows, news, Rc::clone(&hub), outside);
     if let Some(watch) = config.watch {
@@ -166,6 +207,9 @@
     if let Some(peers) = peers {
         executor.spawn(peers.listen(hub.inputs.clone())).detach();
     }
+    if let Some(member) = &member {
+        member::start(member, &executor, &hub.inputs);
+    }
     executor.spawn(reload(reloads, files, running, Rc::clone(&hub))).detach();
     executor.spawn(clients::make_room(Rc::clone(&hub))).detach();
     executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
@@ -191,7 +235,10 @@
 async fn reload(mut told: Signals, files: Files, running: Settings, hub: Rc<Hub>) {
     while told.next().await.is_some() {
         match files.read(Some(&running)) {
-            Ok(Setup { config, rules, .. }) => {
+            Ok(Setup { config, rules, fleet, .. }) => {
+                if let Some(member) = &hub.member {
+                    member.reread(member::digests(&files.config, files.operator.as_deref()), fleet);
+                }
                 hub.classifier.load(rules);
                 let (addresses, rates) = (config.addresses(), config.settings.module.verdicts);
                 log::info!("files read again: {addresses:?} {rates:?}");
--- a/crates/yarrowspoke-lab/src/fleet/mod.rs
+++ b/crates/yarrowspoke-lab/src/fleet/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! What was done is read from what the stand-ins and the clients saw. Nothing here uses the fleet's own code.
 
+pub mod audit;
 pub mod before;
+pub mod check;
 pub mod http;
 pub mod load;
 pub mod process;
 pub mod relay;
+pub mod schedule;
 pub mod world;
 
 use async_executor::{Executor, Task};
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -80,6 +80,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Processes of the built program with faults between them: the audit held against what stand-ins saw
+    Audit {
+        /// Draws the schedules of faults
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many are played
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        trials: u64,
+        /// Trials at once; each has eleven processes
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=64))]
+        at_once: u64,
+        /// The program; the one beside this one if none
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The program built with the feature mutants; without it none is tried
+        #[arg(long)]
+        mutants: Option<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// Processes of the built program with faults between them: how long each acts on an old list and old news
     Stale {
         /// Draws the clients' calls
@@ -131,6 +152,22 @@
             let options = store::Options { seed, trials, step: step as usize, groups: groups as usize };
             play_store(options, dir, json)
         }
+        Experiment::Audit { seed, trials, at_once, program, mutants, json } => {
+            let played = in_own_directory("audit", |dir| {
+                let tried = if mutants.is_some() { fleet::audit::MUTANTS.len() as u64 } else { 0 };
+                let bar = progress(trials + tried);
+                let (program, dir) = (fleet::program(program.as_deref())?, dir.to_owned());
+                let at_once = at_once as usize;
+                let trials = fleet::audit::Trials { program, mutants, dir, seed, trials, at_once };
+                let report = fleet::audit::run(&trials, || bar.inc(1));
+                bar.finish_and_clear();
+                report
+            });
+            match played {
+                Ok(report) => tell(json, &report, fleet::audit::table(&report), report.held()),
+                Err(e) => failed(&e),
+            }
+        }
         Experiment::Stale { seed, planners, program, json } => {
             let played = in_own_directory("stale", |dir| {
                 let program = fleet::program(program.as_deref())?;
--- a/crates/yarrowspoke-operator/src/lib.rs
+++ b/crates/yarrowspoke-operator/src/lib.rs
@@ -4,10 +4,12 @@
 //! All faults of a file are found in one reading, each with its line, its column, what stands there and what was
 //! expected.
 
+pub mod fleet;
 mod read;
 pub mod rules;
 pub mod store;
 
+use fleet::FleetSection;
 use read::Form;
 use rules::Rules;
 use std::fmt;
@@ -25,6 +27,8 @@
     pub rules: Option<Rules>,
     /// What outlasts a restart; nothing if it is not there.
     pub store: Option<StoreSettings>,
+    /// Many copies together; each by itself if it is not there.
+    pub fleet: Option<FleetSection>,
 }
 
 /// One fault of a file.
@@ -88,9 +92,10 @@
         }
         match name {
             "verdicts" => operator.verdicts = Some(verdicts(section, &mut faults)),
+            "fleet" => operator.fleet = fleet::fleet(section, &mut faults),
             "rules" => operator.rules = rules::rules(section, text, &mut faults),
             "store" => operator.store = store::store(section, &mut faults),
-            _ => faults.push(section.fault("one of the sections: rules, store, verdicts")),
+            _ => faults.push(section.fault("one of the sections: fleet, rules, store, verdicts")),
         }
     }
     faults.sort_by_key(|f| (f.line, f.column));
--- /dev/null
+++ b/crates/yarrowspoke-operator/tests/fleet.rs
@@ -0,0 +1,90 @@
+//! The section `fleet`: what is read, and what is refused with its place.
+
+use yarrowspoke_fleet::settings::{Alone, Most, Role};
+use yarrowspoke_operator::parse;
+
+const RIGHT: &str = r#"(fleet
+  (renew 0.2)
+  (lease 1.5)
+  (most-out 0.2)
+  (most-out-by-zone 1)
+  (alone narrow)
+  (member (name f0) (role front) (zone a))
+  (member (name f1) (role front) (zone b))
+  (member (name p0) (role planner) (address "127.0.0.1:7100"))
+  (member (name p1) (role planner) (address "127.0.0.1:7101"))
+  (member (name p2) (role planner) (address "127.0.0.1:7102")))
+"#;
+
+#[test]
+fn a_right_section_is_read() {
+    let fleet = parse(RIGHT).unwrap().fleet.unwrap();
+    assert!(fleet.warnings.is_empty());
+    let fleet = fleet.fleet;
+    assert_eq!((fleet.renew, fleet.lease, fleet.alone), (200_000, 1_500_000, Alone::Narrow));
+    assert_eq!((fleet.most_out, fleet.most_out_zone), (Most::Share(0.2), Most::Number(1)));
+    assert_eq!(
+        (fleet.planners().count(), fleet.majority(), fleet.member("f1").unwrap().role),
+        (3, 2, Role::Front)
+    );
+    assert!(parse("").unwrap().fleet.is_none(), "off unless present");
+}
+
+#[test]
+fn shares_are_rounded_down_but_one_of_more_than_one_may_be_out() {
+    let of = |most: Most| [0, 1, 2, 9, 10, 200].map(|n| most.of(n));
+    assert_eq!(of(Most::Share(0.1)), [0, 0, 1, 1, 1, 20]);
+    assert_eq!(of(Most::Number(3)), [0, 1, 2, 3, 3, 3]);
+}
+
+#[test]
+fn what_would_not_hold_is_refused_with_line_column_and_what_was_expected() {
+    for (from, to, at, expected) in [
+        ("(role front) (zone a)", "(role fron) (zone a)", (7, 27), "front or planner"),
+        ("(name f1)", "(name f0)", (8, 3), "each name once, and f0 is there already"),
+        ("(name f0) (role front) (zone a)", "(name f0) (role front)", (7, 3), "the field zone in a front"),
+        (" (address \"127.0.0.1:7101\")", "", (10, 3), "the field address in a planner"),
+        ("127.0.0.1:7100", "10.0.0.1:7100", (9, 45), "(beyond-loopback meant)"),
+        ("127.0.0.1:7100", "localhost", (9, 45), "address and port"),
+        ("(lease 1.5)", "(lease 0.4)", (3, 3), "twice the renewal"),
+        ("(renew 0.2)", "(renew 2)", (2, 10), "seconds, 0.02 to 0.25"),
+        ("(most-out 0.2)", "(most-out 1.2)", (4, 13), "a share from 0.0 to 1.0"),
+        ("(most-out 0.2)", "(most-out -1)", (4, 13), "a whole number"),
+        ("(alone narrow)", "(alone stop)", (6, 10), "serve or narrow"),
+        ("(alone narrow)", "(alone narrow) (alone serve)", (6, 18), "once"),
+        ("(alone narrow)", "(shut-after 0.5)", (6, 3), "a time above behind's"),
+        ("(alone narrow)", "(lonely narrow)", (6, 3), "one of the fields"),
+        ("(member (name f1) (role front) (zone b))", "(member (name f1))", (8, 3), "name and role"),
+    ] {
+        assert!(RIGHT.contains(from));
+        let faults = parse(&RIGHT.replace(from, to)).unwrap_err();
+        let place =
+            |f: &yarrowspoke_operator::Fault| (f.line, f.column) == at && f.expected.contains(expected);
+        assert!(faults.iter().any(place), "{to}: {faults:?}");
+    }
+}
+
+#[test]
+fn too_few_planners_are_refused_and_four_draw_a_warning() {
+    let without = |n: usize| {
+        let line = |l: &&str| !(0..n).any(|p| l.contains(&format!("(name p{})", 2 - p)));
+        let text: String = RIGHT.lines().filter(line).map(|l| format!("{l}\n")).collect();
+        if text.trim_end().ends_with(")))") && !text.contains("p2") {
+            text
+        } else {
+            text + ")"
+        }
+    };
+    for (gone, words) in [(3, "at least one planner"), (1, "one planner, or three or more")] {
+        let faults = parse(&without(gone)).unwrap_err();
+        assert!(faults.iter().any(|f| f.line == 1 && f.expected.contains(words)), "{faults:?}");
+    }
+    assert!(parse(&without(2)).is_ok());
+    let four =
+        RIGHT.replace("(alone narrow)", "(member (name p3) (role planner) (address \"127.0.0.1:7103\"))");
+    let warnings = parse(&four).unwrap().fleet.unwrap().warnings;
+    assert!(
+        warnings.len() == 1 && warnings[0].2.contains("4 planners bear no more losses than 3"),
+        "{warnings:?}"
+    );
+}
--- a/crates/yarrowspoke-store/src/lib.rs
+++ b/crates/yarrowspoke-store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ledger;
 pub mod mark;
 pub mod record;
+pub mod reports;
 pub mod snapshot;
 pub mod store;
 pub mod writer;
--- /dev/null
+++ b/crates/yarrowspoke-store/src/reports.rs
@@ -0,0 +1,144 @@
+//! Reports that a planner keeps: by life and numbers, in an embedded database, each in a frame with its checksum.
+//!
+//! It knows nothing of what a report is: keys and values are the caller's. A frame that can't be read is told and left out,
+//! so that one bad sector does not take the record of a whole fleet with it; what it held is unknown then, never fine.
+
+use crate::record::{frame, unframe};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+use thiserror::Error;
+
+const REPORTS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("reports");
+/// Bytes of the database that are kept in memory.
+const CACHE: usize = 4 * 1024 * 1024;
+
+/// Where a report stands: front, life, first and last number.
+pub type Key = (String, u64, u64, u64);
+
+/// Why the reports can't be kept or read.
+#[derive(Debug, Error)]
+pub enum ReportsError {
+    /// The engine.
+    #[error("{path}: {source}")]
+    Engine {
+        /// The file.
+        path: String,
+        /// What it says.
+        source: redb::Error,
+    },
+}
+
+/// Reports on disk.
+#[derive(Debug)]
+pub struct Reports {
+    database: Database,
+    path: String,
+}
+
+/// What was read: reports by key, and why each of the others could not be.
+#[derive(Debug)]
+pub struct Read<T> {
+    /// Reports.
+    pub reports: BTreeMap<Key, T>,
+    /// What could not be read.
+    pub spoilt: Vec<String>,
+}
+
+fn bytes_of(key: &Key) -> Vec<u8> {
+    postcard::to_stdvec(key).unwrap_or_default()
+}
+
+impl Reports {
+    /// Opens the reports of a directory, or makes the file.
+    pub fn open(dir: &Path) -> Result<Self, ReportsError> {
+        let path = dir.join("reports");
+        let shown = path.display().to_string();
+        let mut builder = Database::builder();
+        builder.set_cache_size(CACHE);
+        let made = builder.create(&path).map_err(redb::Error::from);
+        let database = made.map_err(|source| ReportsError::Engine { path: shown.clone(), source })?;
+        Ok(Self { database, path: shown })
+    }
+
+    fn named<T>(&self, done: Result<T, redb::Error>) -> Result<T, ReportsError> {
+        done.map_err(|source| ReportsError::Engine { path: self.path.clone(), source })
+    }
+
+    /// Keeps reports and gives others up, durably, in one go.
+    pub fn keep<T: Serialize>(&self, kept: &[(Key, T)], gone: &[Key]) -> Result<(), ReportsError> {
+        let write = || -> Result<(), redb::Error> {
+            let transaction = self.database.begin_write()?;
+            {
+                let mut table = transaction.open_table(REPORTS)?;
+                for (key, report) in kept {
+                    let key = bytes_of(key);
+                    table.insert(key.as_slice(), frame(&key, report).as_slice())?;
+                }
+                for key in gone {
+                    table.remove(bytes_of(key).as_slice())?;
+                }
+            }
+            transaction.commit()?;
+            Ok(())
+        };
+        self.named(write())
+    }
+
+    /// Reads all of them.
+    pub fn read<T: DeserializeOwned>(&self) -> Result<Read<T>, ReportsError> {
+        let read = || -> Result<Read<T>, redb::Error> {
+            let mut out = Read { reports: BTreeMap::new(), spoilt: vec![] };
+            let table = match self.database.begin_read()?.open_table(REPORTS) {
+                Ok(table) => table,
+                Err(redb::TableError::TableDoesNotExist(_)) => return Ok(out),
+                Err(e) => return Err(e.into()),
+            };
+            for entry in table.iter()? {
+                let (key, value) = entry?;
+                let named = postcard::from_bytes::<Key>(key.value());
+                match (named, unframe::<T>(key.value(), value.value())) {
+                    (Ok(name), Ok(report)) => {
+                        out.reports.insert(name, report);
+                    }
+                    (Ok(name), Err(e)) => out.spoilt.push(format!("{name:?}: {e}")),
+                    (Err(e), _) => out.spoilt.push(format!("a key that cannot be read: {e}")),
+                }
+            }
+            Ok(out)
+        };
+        self.named(read())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_kept_is_there_again_and_a_spoilt_one_takes_no_other_with_it() {
+        let dir = std::env::temp_dir().join(format!("yarrowspoke-reports-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let key = |n: u64| ("f1".to_owned(), 7, n, n);
+        {
+            let reports = Reports::open(&dir).unwrap();
+            let kept: Vec<_> = (1..=3).map(|n| (key(n), n * 10)).collect();
+            reports.keep(&kept, &[]).unwrap();
+            reports.keep::<u64>(&[], &[key(2)]).unwrap();
+            let spoilt = bytes_of(&key(9));
+            let transaction = reports.database.begin_write().unwrap();
+            transaction
+                .open_table(REPORTS)
+                .unwrap()
+                .insert(spoilt.as_slice(), &[1u8, 2, 3, 4, 5, 6][..])
+                .unwrap();
+            transaction.commit().unwrap();
+        }
+        let read = Reports::open(&dir).unwrap().read::<u64>().unwrap();
+        assert_eq!(read.reports, [(key(1), 10), (key(3), 30)].into());
+        assert!(read.spoilt.len() == 1 && read.spoilt[0].contains("checksum"), "{:?}", read.spoilt);
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
+}
