--- a/crates/yarrowspoke-fleet/tests/ladder.rs
+++ b/crates/yarrowspoke-fleet/tests/ladder.rs
@@ -248,3 +248,75 @@
     assert_eq!(lives, [100, 777]);
     assert!(rig.planners[0].book.contradictions().is_empty());
 }
+
+mod drawn {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// What happens between two renewals.
+    #[derive(Clone, Copy, Debug)]
+    enum Event {
+        Link(usize, usize, bool, bool),
+        List(usize),
+        EmptyPlanner(usize),
+        Restart(usize),
+        Still(usize, usize),
+        Nothing,
+    }
+
+    fn event() -> impl Strategy<Value = Event> {
+        prop_oneof![
+            3 => (0usize..6, 0usize..3, any::<bool>(), any::<bool>()).prop_map(|(f, p, a, b)| Event::Link(f, p, a, b)),
+            4 => (0usize..6).prop_map(Event::List),
+            1 => (0usize..3).prop_map(Event::EmptyPlanner),
+            1 => (0usize..6).prop_map(Event::Restart),
+            1 => (0usize..6, 1usize..40).prop_map(|(f, n)| Event::Still(f, n)),
+            4 => Just(Event::Nothing),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
+        #[test]
+        fn whatever_happens_never_more_are_out_than_allowed(events in prop::collection::vec(event(), 20..160)) {
+            let mut rig = Rig::new(fleet(6));
+            all_on(&mut rig, 1);
+            let (mut index, mut lives, mut until) = (1u64, 1_000u64, [0u64; 6]);
+            for event in events {
+                match event {
+                    Event::Link(f, p, to, back) => drop(rig.links.insert((f, p), (to, back))),
+                    // All but one front are told; so that one falls behind.
+                    Event::List(but) => {
+                        index += 1;
+                        rig.list((0..6).filter(|f| *f != but && index % 7 != *f as u64), index, &ready(10, &[3]));
+                    }
+                    Event::EmptyPlanner(p) => {
+                        lives += 1;
+                        let (fleet, name) = (rig.fleet.clone(), format!("p{p}"));
+                        let book = Default::default();
+                        rig.planners[p] = yarrowspoke_fleet::planner::Planner::new(fleet, &name, lives, rig.now, book);
+                    }
+                    Event::Restart(f) => {
+                        lives += 1;
+                        let (fleet, name) = (rig.fleet.clone(), format!("f{f}"));
+                        rig.fronts[f] = yarrowspoke_fleet::front::FrontSide::new(fleet, &name, lives, version());
+                    }
+                    Event::Still(f, n) => until[f] = rig.now + n as u64 * rig.fleet.renew,
+                    Event::Nothing => {}
+                }
+                for _ in 0..3 {
+                    let still: Vec<usize> = (0..6).filter(|f| until[*f] > rig.now).collect();
+                    rig.run(1, &still);
+                    let out = outs(&rig);
+                    let of_zone = |z: usize| out.iter().filter(|f| *f % 2 == z).count();
+                    prop_assert!(out.len() <= 2 && of_zone(0) <= 1 && of_zone(1) <= 1, "{:?}", out);
+                }
+            }
+            // Once everything is whole again and all know the same, everybody comes back in.
+            (0..6).for_each(|f| rig.cut(f, (true, true)));
+            rig.list(0..6, index + 1, &ready(10, &[]));
+            rig.run(60, &[]);
+            prop_assert_eq!(outs(&rig), Vec::<usize>::new());
+        }
+    }
+}
--- a/crates/yarrowspoke-front/tests/fleet.rs
+++ b/crates/yarrowspoke-front/tests/fleet.rs
@@ -17,8 +17,16 @@
 #[test]
 fn the_audit_holds_against_what_stand_ins_saw_and_the_limits_are_kept() {
     let dir = dir("sound");
-    let trials =
-        Trials { program: PROGRAM.into(), mutants: None, dir: dir.clone(), seed: 11, trials: 2, at_once: 2 };
+    let trials = Trials {
+        program: PROGRAM.into(),
+        mutants: None,
+        dir: dir.clone(),
+        seed: 11,
+        trials: 2,
+        at_once: 2,
+        shrink: false,
+        plot: None,
+    };
     let report = run(&trials, || ()).unwrap();
     assert!(report.held(), "{}", report.findings.told());
     // Every step of the ladder was met, or nothing would have been shown.
--- a/crates/yarrowspoke-lab/src/fleet/audit.rs
+++ b/crates/yarrowspoke-lab/src/fleet/audit.rs
@@ -15,6 +15,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Fronts of a trial.
+const FRONTS: usize = 8;
 /// Machines whose build is on trial from the second list on.
 const TRIAL: [usize; 2] = [8, 9];
 /// How often everything is looked at from outside.
@@ -87,6 +89,10 @@
     pub trials: u64,
     /// How many at once.
     pub at_once: usize,
+    /// Whether a schedule that fails is shrunk to the least that still does.
+    pub shrink: bool,
+    /// Where to draw the first trial's audit, if anywhere.
+    pub plot: Option<PathBuf>,
 }
 
 /// The report.
@@ -127,12 +133,23 @@
 
 /// Plays one trial, with what is set in its processes' environment.
 pub fn play(program: &Path, dir: &Path, seed: u64, mutant: Option<&str>) -> io::Result<Watched> {
+    play_schedule(program, dir, seed, mutant, draw(seed, FRONTS))
+}
+
+/// The same with this schedule in the place of the seed's own.
+fn play_schedule(
+    program: &Path,
+    dir: &Path,
+    seed: u64,
+    mutant: Option<&str>,
+    mut planned: Vec<Fault>,
+) -> io::Result<Watched> {
     let mut envs = vec![("RUST_LOG".to_owned(), "info".to_owned())];
     envs.extend(mutant.map(|m| ("YARROWSPOKE_MUTANT".to_owned(), m.to_owned())));
     let options = Options {
         program: program.to_owned(),
         dir: dir.to_owned(),
-        fronts: 8,
+        fronts: FRONTS,
         planners: 3,
         machines: 10,
         zones: 3,
@@ -156,7 +173,6 @@
     site.drive();
     let begun = Instant::now();
     let zero = world.now();
-    let mut planned = draw(seed, fronts);
     planned.sort_by_key(|f| f.at);
     let mut faults = Vec::new();
     let (looks, over) = (Mutex::new(Vec::new()), AtomicBool::new(false));
@@ -317,6 +333,22 @@
     Ok(())
 }
 
+/// Takes away one fault after another as long as something is still wrong without it.
+fn shrink(trials: &Trials, seed: u64, mut schedule: Vec<Fault>) -> io::Result<Vec<Fault>> {
+    let mut at = 0;
+    while at < schedule.len() {
+        let mut less = schedule.clone();
+        less.remove(at);
+        let dir = trials.dir.join(format!("{seed}-less-{at}-of-{}", schedule.len()));
+        if check(&play_schedule(&trials.program, &dir, seed, None, less.clone())?).wrongs().is_empty() {
+            at += 1;
+        } else {
+            schedule = less;
+        }
+    }
+    Ok(schedule)
+}
+
 /// Plays all trials and mutants.
 pub fn run(trials: &Trials, done: impl Fn() + Sync) -> io::Result<Report> {
     let mutants: Vec<&str> = if trials.mutants.is_some() { MUTANTS.to_vec() } else { vec![] };
@@ -334,8 +366,14 @@
                 let mut played = Err(io::Error::other("no schedule"));
                 for seed in *seed..*seed + schedules {
                     let dir = trials.dir.join(format!("{seed}-{}", mutant.unwrap_or("sound")));
-                    played =
-                        play(program, &dir, seed, *mutant).map(|w| (w.faults.clone(), lives(&w), check(&w)));
+                    let watched = play(program, &dir, seed, *mutant);
+                    if let (Ok(w), Some(path), None) = (&watched, &trials.plot, mutant) {
+                        let drawn = w.audits.iter().flatten().next().map(|a| super::picture::draw(a, path));
+                        if let Some(Err(e)) = drawn.filter(|_| seed == trials.seed) {
+                            eprintln!("yarrowspoke-lab: {}: {e}", path.display());
+                        }
+                    }
+                    played = watched.map(|w| (w.faults.clone(), lives(&w), check(&w)));
                     if played.as_ref().map_or(true, |p| !p.2.wrongs().is_empty()) {
                         break;
                     }
@@ -353,7 +391,10 @@
             None => {
                 report.processes_started += lives + 3;
                 if !findings.wrongs().is_empty() {
-                    let schedule = faults.iter().map(|f| f.0).collect();
+                    let mut schedule = faults.iter().map(|f| f.0).collect();
+                    if trials.shrink {
+                        schedule = shrink(trials, seed, schedule)?;
+                    }
                     report.failing.insert(seed, (findings.wrongs(), schedule));
                 }
                 for (fault, ..) in faults {
--- a/crates/yarrowspoke-lab/src/fleet/mod.rs
+++ b/crates/yarrowspoke-lab/src/fleet/mod.rs
@@ -5,8 +5,10 @@
 pub mod audit;
 pub mod before;
 pub mod check;
+pub mod cost;
 pub mod http;
 pub mod load;
+pub mod picture;
 pub mod process;
 pub mod relay;
 pub mod schedule;
--- a/crates/yarrowspoke-lab/src/fleet/process.rs
+++ b/crates/yarrowspoke-lab/src/fleet/process.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Its process id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// It stands still from now on.
     pub fn stop(&self) {
         self.signal(Signal::STOP);
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -97,10 +97,36 @@
         /// The program built with the feature mutants; without it none is tried
         #[arg(long)]
         mutants: Option<PathBuf>,
+        /// Shrink schedules that fail to the least that still does; each step plays a trial
+        #[arg(long)]
+        shrink: bool,
+        /// Draw the first trial's audit here, as SVG
+        #[arg(long)]
+        plot: Option<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// What being a member costs a front (real processes), and a fleet of some size a planner (simulated)
+    FleetCost {
+        /// Draws the clients' calls
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The program; the one beside this one if none
+        #[arg(long)]
+        program: Option<PathBuf>,
         /// Print one JSON object
         #[arg(long)]
         json: bool,
     },
+    /// Draw what `yarrowspoke fleet audit --json` printed
+    FleetPicture {
+        /// The file
+        audit: PathBuf,
+        /// Where to draw it, as SVG
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Processes of the built program with faults between them: how long each acts on an old list and old news
     Stale {
         /// Draws the clients' calls
@@ -152,13 +178,14 @@
             let options = store::Options { seed, trials, step: step as usize, groups: groups as usize };
             play_store(options, dir, json)
         }
-        Experiment::Audit { seed, trials, at_once, program, mutants, json } => {
+        Experiment::Audit { seed, trials, at_once, program, mutants, shrink, plot, json } => {
             let played = in_own_directory("audit", |dir| {
                 let tried = if mutants.is_some() { fleet::audit::MUTANTS.len() as u64 } else { 0 };
                 let bar = progress(trials + tried);
                 let (program, dir) = (fleet::program(program.as_deref())?, dir.to_owned());
                 let at_once = at_once as usize;
-                let trials = fleet::audit::Trials { program, mutants, dir, seed, trials, at_once };
+                let trials =
+                    fleet::audit::Trials { program, mutants, dir, seed, trials, at_once, shrink, plot };
                 let report = fleet::audit::run(&trials, || bar.inc(1));
                 bar.finish_and_clear();
                 report
@@ -168,6 +195,30 @@
                 Err(e) => failed(&e),
             }
         }
+        Experiment::FleetCost { seed, program, json } => {
+            let measured = in_own_directory("cost", |dir| {
+                let program = fleet::program(program.as_deref())?;
+                let options = fleet::before::options(&program, dir, seed, 0);
+                fleet::cost::run(&fleet::Options { rate: 100.0, ..options }, &[10, 50, 200, 500])
+            });
+            match measured {
+                Ok(report) => tell(json, &report, fleet::cost::table(&report), true),
+                Err(e) => failed(&e),
+            }
+        }
+        Experiment::FleetPicture { audit, out } => {
+            let drawn = std::fs::read(&audit)
+                .map_err(Into::into)
+                .and_then(|b| Ok(serde_json::from_slice(&b)?))
+                .and_then(|v| fleet::picture::draw(&v, &out));
+            match drawn {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("yarrowspoke-lab: {}: {e}", audit.display());
+                    ExitCode::from(2)
+                }
+            }
+        }
         Experiment::Stale { seed, planners, program, json } => {
             let played = in_own_directory("stale", |dir| {
                 let program = fleet::program(program.as_deref())?;
