Fronts go out only by permits that planners agree on, within limits, with a halt

Need: each front drained when told, nothing saw to it that not too many are out together, and nothing stopped everything at one word.

Machines, releases in waves and the way back are not built yet (docs/design/agreed.md).

--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -1,5 +1,6 @@
 //! A front's side: its record, its lease, what planners take away, and how it stands at any moment.
 
+use crate::agreed::Holder;
 use crate::mutant;
 use crate::settings::{Alone, Fleet};
 use crate::span::{Recorder, Stance};
@@ -21,6 +22,8 @@
     vote: Option<Place>,
     knows: (u64, u64),
     echo: (u64, Micros),
+    /// The number of the highest permit that it knows has ended, if it is this front's.
+    ended: u64,
 }
 
 /// What an answer changes.
@@ -51,6 +54,7 @@
     /// A lease was ever held.
     held: bool,
     refused_shrink: u64,
+    holder: Holder,
 }
 
 impl FrontSide {
@@ -70,6 +74,7 @@
             brought_news: None,
             held: false,
             refused_shrink: 0,
+            holder: Holder::default(),
             fleet,
         }
     }
@@ -174,7 +179,7 @@
     /// How it stands. To be looked at before each request taken and each attempt sent: a process that stood still wakes up on
     /// a lease that lapsed meanwhile, and nothing else has told it yet.
     pub fn stance(&self, now: Micros) -> Stance {
-        if self.out().is_some() {
+        if self.out().is_some() || self.holder.is_out() {
             return Stance::Out;
         }
         let until = self.leased_until();
@@ -255,6 +260,7 @@
             stance,
             votes,
             head: self.recorder.number(),
+            permit: self.holder.word(),
             reports: self.recorder.behind(at.acked, REPORTS_AT_ONCE),
             ready: (!told && list.source == Source::Discovery).then(|| Ready {
                 index: list.index,
@@ -274,17 +280,26 @@
     }
 
     /// A planner has answered the ask that was begun at `asked_at`.
-    pub fn answered(&mut self, planner: usize, asked_at: Micros, answer: Answer) -> Change {
+    pub fn answered(&mut self, planner: usize, asked_at: Micros, now: Micros, answer: Answer) -> Change {
         let lease = answer.lease.min(self.fleet.lease);
         let at = &mut self.planners[planner];
         if answer.number <= at.answered || answer.number > at.asked {
             return Change::default();
         }
         (at.answered, at.failed, at.vote) = (answer.number, None, answer.vote);
-        (at.acked, at.knows) = (answer.acked, answer.knows);
-        at.echo = (answer.incarnation, answer.now);
         // The lease counts from when it was asked for, by this front's own clock: that is before any planner granted it.
         at.until = if lease > 0 { asked_at + lease } else { 0 };
+        (at.acked, at.knows) = (answer.acked, answer.knows);
+        at.echo = (answer.incarnation, answer.now);
+        // By the clock of now, not of the ask: it may have stood still in between.
+        let held = self.holder.word().map_or(0, |w| w.0);
+        let stands = answer.permit.as_ref().is_some_and(|p| p.number == held);
+        at.ended = if !stands && answer.granted >= held { held } else { 0 };
+        self.holder.shown(now, self.incarnation, answer.permit.as_ref(), self.fleet.lease / 2);
+        // Taken from it by name, or done in the eyes of a majority: there is nothing left to be out by.
+        if self.planners.iter().filter(|p| held > 0 && p.ended == held).count() >= self.fleet.majority() {
+            self.holder.end(now);
+        }
         self.held |= asked_at < self.leased_until();
         // Kept until a majority has it, and every other planner that answers: those that don't get it from these.
         let mut acked: Vec<u64> = self.planners.iter().map(|p| p.acked).collect();
--- a/crates/yarrowspoke-fleet/src/lib.rs
+++ b/crates/yarrowspoke-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! what a front hears from a planner takes something away; what gives more comes from the front's own sources. *A silent
 //! holder still holds*: a place taken by a front that went silent stays counted until that front is seen in service.
 
+pub mod agreed;
 pub mod audit;
 pub mod book;
 pub mod front;
--- a/crates/yarrowspoke-fleet/src/mutant.rs
+++ b/crates/yarrowspoke-fleet/src/mutant.rs
@@ -5,7 +5,7 @@
 static ON: std::sync::OnceLock<String> = std::sync::OnceLock::new();
 
 /// Every mutant by name.
-pub const ALL: [&str; 10] = [
+pub const ALL: [&str; 12] = [
     "lease-unchecked",
     "merge-keeps-last",
     "tail-shown-fine",
@@ -16,6 +16,8 @@
     "out-still-serves",
     "attempts-uncounted",
     "silence-called-current",
+    "halt-ignored",
+    "unplanned-not-counted",
 ];
 
 /// Puts one on for the rest of the process; false if there is none of this name, or this build has none.
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -1,5 +1,6 @@
 //! A planner's side: who is there, who is behind, who gets a lease and who is to be out.
 
+use crate::agreed::{Permit, Word};
 use crate::book::{Book, Contradiction};
 use crate::mutant;
 use crate::settings::{Fleet, Role};
@@ -88,6 +89,10 @@
     /// What other planners last said of each front, and when that came.
     elsewhere: BTreeMap<String, BTreeMap<String, (Micros, Heard)>>,
     refused: BTreeMap<String, u64>,
+    permits: BTreeMap<String, Permit>,
+    granted: u64,
+    /// When a permit was first known here, by number.
+    permits_since: BTreeMap<u64, Micros>,
 }
 
 /// One front in a planner's status.
@@ -161,6 +166,9 @@
             ready: None,
             elsewhere: BTreeMap::new(),
             refused: BTreeMap::new(),
+            permits: BTreeMap::new(),
+            granted: 0,
+            permits_since: BTreeMap::new(),
         }
     }
 
@@ -168,6 +176,65 @@
         self.fleet.planners().position(|p| p.name == self.name).unwrap_or(0)
     }
 
+    /// The permits agreed on, to be shown to their holders, and the highest number given.
+    pub fn show(&mut self, now: Micros, permits: &BTreeMap<String, Permit>, granted: u64) {
+        self.granted = granted;
+        self.permits_since.retain(|n, _| permits.values().any(|p| p.number == *n));
+        for permit in permits.values() {
+            self.permits_since.entry(permit.number).or_insert(now);
+        }
+        if self.permits != *permits {
+            self.permits = permits.clone();
+        }
+    }
+
+    /// The settings.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Fronts out of service without a permit: not heard, or shut out for being behind.
+    pub fn lost(&self, now: Micros) -> BTreeSet<String> {
+        let by_itself = |name: &str| match self.fronts.get(name) {
+            Some(k) if self.is_live(k, now) => {
+                k.ask.stance == Stance::Out && !self.permits.contains_key(name)
+            }
+            _ => true,
+        };
+        self.fleet.fronts().map(|m| m.name.clone()).filter(|n| by_itself(n)).collect()
+    }
+
+    /// Whether this planner has run for long enough to know whom it does not hear.
+    pub fn knows(&self, now: Micros) -> bool {
+        now.saturating_sub(self.begun) > self.fleet.lease_held()
+    }
+
+    /// The life of a front that is heard, and whether that life is in service and current.
+    pub fn life(&self, front: &str, now: Micros) -> Option<(u64, bool)> {
+        let known = self.fronts.get(front).filter(|k| self.is_live(k, now))?;
+        let sound = known.fresh >= FRESH
+            && known.behind_since.is_none()
+            && matches!(known.ask.stance, Stance::Open)
+            && !self.is_twin(known, now);
+        Some((known.incarnation, sound))
+    }
+
+    /// Whether a holder was seen in service in another life than the one that holds this permit. Danger: this planner may not have
+    /// heard yet of the life that holds it, and take the one before it, dead by now, for the one that came after; so it has to
+    /// have been alive since the permit was known here.
+    pub fn came_back(&self, front: &str, permit: &Permit, now: Micros) -> bool {
+        let since = self.permits_since.get(&permit.number).copied();
+        let heard = self.fronts.get(front).and_then(|k| k.heard);
+        let after = since.zip(heard).is_some_and(|(since, heard)| heard > since);
+        after && self.life(front, now).is_some_and(|l| l.0 != permit.incarnation && l.1)
+    }
+
+    /// What fronts heard lately say of their permits: front, life, number, word.
+    pub fn words(&self, now: Micros) -> Vec<(String, u64, u64, Word)> {
+        let live = self.fronts.iter().filter(|(_, k)| self.is_live(k, now));
+        live.filter_map(|(f, k)| k.ask.permit.map(|(n, w)| (f.clone(), k.incarnation, n, w))).collect()
+    }
+
     /// Counts a refusal by its reason.
     pub fn count_refused(&mut self, why: &Refused) {
         *self.refused.entry(why.to_string()).or_default() += 1;
@@ -222,6 +289,8 @@
             news: None,
             knows: self.ready.as_ref().map_or((0, 0), |r| (r.index, r.digest)),
             twin: false,
+            permit: self.permits.get(&front).cloned(),
+            granted: self.granted,
         };
         if !self.hear(now, ask) {
             return Ok(answer);
@@ -391,7 +460,7 @@
         }
         let due = known.behind_since.is_some_and(|at| now.saturating_sub(at) > self.fleet.shut_after);
         // A planner that has just started may have voted before: those that it voted for tell it, once they are heard.
-        let knows = now.saturating_sub(self.begun) > self.fleet.lease_held();
+        let knows = self.knows(now);
         let cools = self.cool.get(front).is_some_and(|until| now < *until);
         if !due || !knows || cools {
             return None;
@@ -406,8 +475,11 @@
     fn place_for(&self, now: Micros, front: &str, known: &Known) -> Option<Place> {
         let zone_of = |name: &str| self.fleet.member(name).map_or("", |m| m.zone.as_str());
         let zone = zone_of(front);
+        // Out by a permit, or lost by itself: both count.
         let silent = |name: &str| {
-            !self.votes.contains_key(name) && self.fronts.get(name).is_none_or(|k| !self.is_live(k, now))
+            let in_service = |k: &Known| self.is_live(k, now) && k.ask.stance != Stance::Out;
+            !self.votes.contains_key(name)
+                && (self.permits.contains_key(name) || !self.fronts.get(name).is_some_and(in_service))
         };
         let places = |whole: bool| -> Option<Vec<u16>> {
             let group: Vec<&str> = self
--- a/crates/yarrowspoke-fleet/src/wire.rs
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -3,6 +3,7 @@
 //! Bodies are postcard behind a magic word and the schema's number, so that an alien or a newer one is refused by its name
 //! before anything of it is believed.
 
+use crate::agreed::{Permit, Word};
 use crate::span::{Report, Stance};
 use crate::version::{Ages, News, Version};
 use crate::Micros;
@@ -116,6 +117,8 @@
     pub head: u64,
     /// Spans that this planner may not have.
     pub reports: Vec<Report>,
+    /// What it says of its permit to be out.
+    pub permit: Option<(u64, Word)>,
     /// Its list, if this planner may not know it.
     pub ready: Option<Ready>,
 }
@@ -147,6 +150,10 @@
     pub knows: (u64, u64),
     /// Another process was heard under this name.
     pub twin: bool,
+    /// Its permit to be out, as agreed, as far as this planner knows...
+    pub permit: Option<Permit>,
+    /// ...and the highest number of any permit that it knows of.
+    pub granted: u64,
 }
 
 /// What is held of one life: the front, its life, and closed ranges of numbers.
--- a/crates/yarrowspoke-fleet/tests/common/mod.rs
+++ b/crates/yarrowspoke-fleet/tests/common/mod.rs
@@ -84,7 +84,7 @@
             let (to, back) = self.links[&(front, p)];
             let answer = if to { self.planners[p].take(self.now, ask).ok() } else { None };
             match answer.filter(|_| back) {
-                Some(answer) => drop(self.fronts[front].answered(p, self.now, answer)),
+                Some(answer) => drop(self.fronts[front].answered(p, self.now, self.now, answer)),
                 None => self.fronts[front].failed(p, self.now),
             }
         }
--- a/crates/yarrowspoke-fleet/tests/ladder.rs
+++ b/crates/yarrowspoke-fleet/tests/ladder.rs
@@ -118,7 +118,7 @@
     let late = rig.planners[1].take(rig.now, ask).unwrap();
     let begun = rig.now;
     rig.run(10, &[]);
-    rig.fronts[0].answered(1, begun, late);
+    rig.fronts[0].answered(1, begun, rig.now, late);
     assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
 }
 
@@ -227,7 +227,7 @@
     assert_eq!(rig.planners[0].step("f0", rig.now), Step::Unknown);
     assert!(rig.planners[0].status(rig.now).fronts[0].heard_ms_ago.is_some_and(|ms| ms >= 60_000));
     // Nor does the answer give a lease to a front that wakes later: it counts from when it was asked for.
-    rig.fronts[0].answered(0, asked_at, answer);
+    rig.fronts[0].answered(0, asked_at, rig.now, answer);
     assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
 }
 
@@ -241,7 +241,7 @@
         rig.run(1, &[]);
         other.tick(rig.now, 0);
         let ask = other.ask(0, rig.now);
-        told |= other.answered(0, rig.now, rig.planners[0].take(rig.now, ask).unwrap()).twin;
+        told |= other.answered(0, rig.now, rig.now, rig.planners[0].take(rig.now, ask).unwrap()).twin;
     }
     assert!(told && rig.planners[0].status(rig.now).fronts[0].twin);
     let lives: Vec<u64> = rig.planners[0].book.lives().iter().filter(|l| l.0 == "f0").map(|l| l.1).collect();
--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -64,6 +64,9 @@
         /// A directory of its own for the reports; without one they are gone with the process
         #[arg(long)]
         dir: Option<PathBuf>,
+        /// The directory is new, and this planner never took part in an agreement: it may do so now
+        #[arg(long)]
+        found: bool,
     },
     /// Ask what a planner knows of its fleet
     Fleet {
@@ -137,6 +140,60 @@
         #[arg(long)]
         json: bool,
     },
+    /// Order a front out of service; it goes once a permit is agreed on
+    Out {
+        /// The planner that is told, and in whose name
+        #[command(flatten)]
+        at: OrderAt,
+        /// The front
+        front: String,
+        /// Why
+        #[arg(long)]
+        cause: String,
+    },
+    /// Order a front back into service
+    In {
+        /// The planner that is told, and in whose name
+        #[command(flatten)]
+        at: OrderAt,
+        /// The front
+        front: String,
+    },
+    /// Nothing new goes out from now on; who is out may come back
+    Halt {
+        /// The planner that is told, and in whose name
+        #[command(flatten)]
+        at: OrderAt,
+        /// Why
+        #[arg(long)]
+        why: String,
+    },
+    /// Lift a halt
+    Resume {
+        /// The planner that is told, and in whose name
+        #[command(flatten)]
+        at: OrderAt,
+    },
+    /// Take a permit from a front that will not come back
+    Free {
+        /// The planner that is told, and in whose name
+        #[command(flatten)]
+        at: OrderAt,
+        /// The front
+        front: String,
+        /// The permit's number, as `permits` tells it
+        #[arg(long)]
+        number: u64,
+    },
+    /// Who may be out, who waits, who is lost, and whether there is a halt
+    Permits {
+        /// A planner's address
+        #[arg(long)]
+        at: SocketAddr,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// Check the record in a planner's directory; exit status 1 if anything contradicts or cannot be read
     Verify {
         /// The directory
@@ -144,6 +201,20 @@
     },
 }
 
+/// Who is given an order.
+#[derive(Clone, Debug, Args)]
+pub struct OrderAt {
+    /// A planner's address
+    #[arg(long)]
+    pub at: SocketAddr,
+    /// In whose name
+    #[arg(long)]
+    pub by: String,
+    /// Refuse it if more than so many orders have been followed
+    #[arg(long)]
+    pub knows: Option<u64>,
+}
+
 /// Where a record is.
 #[derive(Clone, Debug, Args)]
 #[group(required = true, multiple = false)]
--- a/crates/yarrowspoke-front/src/fleets.rs
+++ b/crates/yarrowspoke-front/src/fleets.rs
@@ -1,6 +1,6 @@
 //! `yarrowspoke fleet`: what a planner, or its directory, knows of a fleet.
 
-use crate::cli::{AskedOf, RecordAt, Told};
+use crate::cli::{AskedOf, OrderAt, RecordAt, Told};
 use crate::net::fleet::exchange;
 use crate::net::within;
 use crate::planner;
@@ -8,7 +8,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke_fleet::audit::{audit as draw, Asked, Audit};
 use yarrowspoke_fleet::version::Version;
 
@@ -173,6 +173,89 @@
     told(drawn())
 }
 
+/// How long an order may take to be agreed on, and when it is given again.
+const ORDER_WITHIN: Duration = Duration::from_secs(15);
+const ORDER_AGAIN: Duration = Duration::from_millis(1_000);
+
+fn post(at: SocketAddr, body: &[u8]) -> Result<(), String> {
+    let mut line = None;
+    let asked = within(PATIENCE, exchange(&mut line, at, ("POST", "/fleet/order"), body));
+    match async_io::block_on(asked) {
+        Some(Ok(_)) => Ok(()),
+        Some(Err(e)) => Err(format!("{at}: {e}")),
+        None => Err(format!("{at}: no answer in time")),
+    }
+}
+
+fn agreed(at: SocketAddr) -> Result<serde_json::Value, String> {
+    serde_json::from_slice(&get(at, "/fleet/agreed")?).map_err(|e| format!("{at}: {e}"))
+}
+
+fn ordered(to: &OrderAt, fields: &[(&str, &str)], number: u64) -> Result<String, String> {
+    let ticket = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
+    let mut body = serde_json::json!({"by": to.by, "knows": to.knows, "ticket": ticket, "number": number});
+    for (name, value) in fields {
+        body[*name] = (*value).into();
+    }
+    let bytes = body.to_string().into_bytes();
+    let (begun, mut given) = (Instant::now(), None::<Instant>);
+    while begun.elapsed() < ORDER_WITHIN {
+        // Given again under its ticket, it is one deed.
+        if given.is_none_or(|at| at.elapsed() > ORDER_AGAIN) {
+            post(to.at, &bytes)?;
+            given = Some(Instant::now());
+        }
+        let state = agreed(to.at)?;
+        let outcomes = state["state"]["outcomes"].as_array().cloned().unwrap_or_default();
+        if let Some(outcome) = outcomes.iter().find(|o| o[0] == ticket) {
+            return match &outcome[1] {
+                serde_json::Value::Null => Ok(format!("agreed: {}\n", outcome[2].as_str().unwrap_or(""))),
+                why => Err(format!("refused: {why}")),
+            };
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Err(format!("{}: not agreed on within {ORDER_WITHIN:?}, and it may still be: look at the permits", to.at))
+}
+
+/// Gives an order and waits until it is agreed on; exit status 1 if it is refused or nobody can tell.
+pub fn order(to: &OrderAt, fields: &[(&str, &str)]) -> Told {
+    told(ordered(to, fields, 0))
+}
+
+/// Takes a permit away by its number.
+pub fn free(to: &OrderAt, front: &str, number: u64) -> Told {
+    told(ordered(to, &[("what", "free"), ("front", front)], number))
+}
+
+/// Who may be out, who waits, who is lost.
+pub fn permits(at: SocketAddr, json: bool) -> Told {
+    let shown = || {
+        let agreed = agreed(at)?;
+        if json {
+            return Ok(format!("{agreed}\n"));
+        }
+        let state = &agreed["state"];
+        let mut text = format!("orders followed {}, leader {}\n", state["orders"], agreed["leader"]);
+        if let Some(halt) = state["halted"].as_array() {
+            let _ = writeln!(text, "HALTED by {}: {}", halt[1], halt[0]);
+        }
+        for (front, p) in state["permits"].as_object().into_iter().flatten() {
+            let _ = writeln!(
+                text,
+                "{front} may be out: permit {}, {}, for {}",
+                p["number"], p["phase"], p["cause"]
+            );
+        }
+        for w in state["waits"].as_array().into_iter().flatten() {
+            let _ = writeln!(text, "{} waits, for {}", w[0], w[2]);
+        }
+        let _ = writeln!(text, "not heard, by planner: {}", state["views"]);
+        Ok(text)
+    };
+    told(shown())
+}
+
 /// Checks chains, gaps and contradictions of a directory.
 pub fn verify(dir: &Path) -> Told {
     let verified = || {
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -20,10 +20,18 @@
             StoreCommand::Verify { dir } => stores::verify(&dir),
             StoreCommand::Compact { dir } => stores::compact(&dir),
         }),
-        Some(Command::Planner { name, operator, dir }) => plan(&name, &operator, dir),
+        Some(Command::Planner { name, operator, dir, found }) => plan(&name, &operator, dir, found),
         Some(Command::Fleet { what }) => tell(match what {
             FleetCommand::Status { at, json } => fleets::status(at, json),
             FleetCommand::Audit { from, asked, json } => fleets::audit(&from, &asked, json),
+            FleetCommand::Out { at, front, cause } => {
+                fleets::order(&at, &[("what", "out"), ("front", &front), ("why", &cause)])
+            }
+            FleetCommand::In { at, front } => fleets::order(&at, &[("what", "in"), ("front", &front)]),
+            FleetCommand::Halt { at, why } => fleets::order(&at, &[("what", "halt"), ("why", &why)]),
+            FleetCommand::Resume { at } => fleets::order(&at, &[("what", "resume")]),
+            FleetCommand::Free { at, front, number } => fleets::free(&at, &front, number),
+            FleetCommand::Permits { at, json } => fleets::permits(at, json),
             FleetCommand::Verify { dir } => fleets::verify(&dir),
         }),
         Some(Command::Power { file, fleet }) => tell(cli::power(&file, &fleet)),
@@ -43,9 +51,9 @@
     }
 }
 
-fn plan(name: &str, operator: &std::path::Path, dir: Option<PathBuf>) -> ExitCode {
+fn plan(name: &str, operator: &std::path::Path, dir: Option<PathBuf>, found: bool) -> ExitCode {
     let started = logging::start().map_err(|e| format!("logging cannot start: {e}"));
-    match started.and_then(|()| planner::run(name, operator, dir)) {
+    match started.and_then(|()| planner::run(name, operator, dir, found)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("yarrowspoke: {e}");
--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -259,7 +259,7 @@
     }
 
     fn answered(&self, planner: usize, asked_at: Micros, answer: Answer) -> Change {
-        let change = self.side.borrow_mut().answered(planner, asked_at, answer);
+        let change = self.side.borrow_mut().answered(planner, asked_at, self.now(), answer);
         if self.twin.replace(change.twin) != change.twin && change.twin {
             log::error!("fleet: another process runs under this front's name");
         }
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -1,17 +1,21 @@
 //! A planner as a program: links, store and commands round `yarrowspoke_fleet::planner`.
 
+use crate::agree::{Agree, Apart, Batch};
 use crate::net::fleet::{exchange, serve, Answering, LinkAnswer, LinkHead};
 use crate::net::within;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
+use serde::Deserialize;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use yarrowspoke_fleet::agreed::{Entry, Limits, Order, Phase, Word};
 use yarrowspoke_fleet::audit::{audit, Asked};
 use yarrowspoke_fleet::book::Book;
 use yarrowspoke_fleet::planner::Planner;
@@ -27,6 +31,16 @@
 /// How long it may take to answer.
 const PULL_WITHIN: Duration = Duration::from_millis(1_000);
 
+/// A tick of the agreement, and how long a batch of it may take.
+const AGREE_EVERY: Duration = Duration::from_millis(40);
+const AGREE_WITHIN: Duration = Duration::from_millis(400);
+/// How long something proposed may take to come about before it is proposed again.
+const PROPOSE_EVERY: Duration = Duration::from_millis(400);
+/// Said by a planner that takes no part.
+const APART: &str =
+    "this planner takes no part in the agreement: it has no directory, is alone, or its directory remembers \
+    nothing and it was not started with --found";
+
 /// What the disk is to do: reports to keep, and reports to give up.
 type Write = (Vec<(Key, Report)>, Vec<Key>);
 
@@ -44,6 +58,10 @@
 
 struct Running {
     planner: RefCell<Planner>,
+    /// `None` for one that takes no part: it may have forgotten what it promised.
+    agree: RefCell<Option<Agree>>,
+    /// What was proposed lately, so that it is not proposed at every look.
+    proposed: RefCell<BTreeMap<String, Instant>>,
     begun: Instant,
     fresh: RefCell<Vec<(Key, Report)>>,
     keeps: bool,
@@ -77,6 +95,22 @@
                 Ok(asked) => json(&audit(&self.planner.borrow().book, &asked)),
                 Err(why) => LinkAnswer::refused(400, why),
             },
+            ("POST", "/fleet/agree") => match decode::<Batch>(body) {
+                Ok(batch) => {
+                    if let Some(agree) = self.agree.borrow_mut().as_mut() {
+                        agree.incoming(batch);
+                    }
+                    LinkAnswer::ok(Vec::new())
+                }
+                Err(e) => self.refuse(e),
+            },
+            ("POST", "/fleet/order") => self.order(body),
+            ("GET", "/fleet/agreed") => match self.agree.borrow().as_ref() {
+                Some(agree) => json(&serde_json::json!({
+                    "state": agree.state, "leader": agree.leader(), "applied": agree.applied(),
+                })),
+                None => LinkAnswer::refused(400, APART),
+            },
             ("GET", "/up") => LinkAnswer::ok(b"OK".to_vec()),
             _ => LinkAnswer::refused(
                 404,
@@ -85,6 +119,86 @@
         }
     }
 
+    /// An order of an operator. It is agreed on once its ticket stands among the outcomes; whoever gives it asks until then.
+    fn order(&self, body: &[u8]) -> LinkAnswer {
+        let asked: Ordered = match serde_json::from_slice(body) {
+            Ok(asked) => asked,
+            Err(e) => return LinkAnswer::refused(400, e),
+        };
+        let order = match asked.what.as_str() {
+            "out" => match self.planner.borrow().life(&asked.front, self.now()) {
+                Some((incarnation, _)) => Order::Out { front: asked.front, incarnation, cause: asked.why },
+                None => return LinkAnswer::refused(400, format!("{:?} is not heard here", asked.front)),
+            },
+            "in" => Order::In { front: asked.front },
+            "halt" => Order::Halt { why: asked.why },
+            "resume" => Order::Resume,
+            "free" => Order::Free { front: asked.front, number: asked.number },
+            other => {
+                let why = format!("found {other:?}, expected out, in, halt, resume or free");
+                return LinkAnswer::refused(400, why);
+            }
+        };
+        match self.agree.borrow_mut().as_mut() {
+            Some(agree) => {
+                let (by, knows, ticket) = (asked.by, asked.knows, asked.ticket);
+                agree.propose(Entry::Order { order, by, knows, ticket });
+                LinkAnswer::ok(b"proposed\n".to_vec())
+            }
+            None => LinkAnswer::refused(400, APART),
+        }
+    }
+
+    /// Whether something may be proposed now that was not just before.
+    fn is_due(&self, what: String) -> bool {
+        let mut proposed = self.proposed.borrow_mut();
+        proposed.retain(|_, at| at.elapsed() < PROPOSE_EVERY);
+        proposed.insert(what, Instant::now()).is_none()
+    }
+
+    /// What this planner sees is brought into the agreed log where it is not there yet.
+    fn see(&self, limits: &Limits) {
+        let (now, mut agree) = (self.now(), self.agree.borrow_mut());
+        let Some(agree) = agree.as_mut() else { return };
+        let mut planner = self.planner.borrow_mut();
+        planner.show(now, &agree.state.permits, agree.state.last);
+        let mut entries = Vec::new();
+        if agree.state.limits != *limits && agree.leader() == Some(agree.name()) {
+            entries.push(("limits".to_owned(), Entry::Limits(limits.clone())));
+        }
+        let lost = planner.lost(now);
+        if planner.knows(now) && agree.state.views.get(agree.name()) != Some(&lost) {
+            let view = Entry::View { planner: agree.name().to_owned(), lost: lost.clone() };
+            entries.push((format!("view {lost:?}"), view));
+        }
+        for (front, incarnation, number, word) in planner.words(now) {
+            let Some(permit) = agree.state.permits.get(&front).filter(|p| p.number == number) else {
+                continue;
+            };
+            let entry = match (word, permit.phase) {
+                (Word::Asks, Phase::Granted) => Entry::Took { front, number, incarnation },
+                (Word::In, _) if planner.life(&front, now) == Some((incarnation, true)) => {
+                    Entry::Done { front, number }
+                }
+                (Word::Declines, _) => Entry::Done { front, number },
+                _ => continue,
+            };
+            entries.push((format!("{entry:?}"), entry));
+        }
+        // A holder is done only once it is seen in service: here, in a later life than the one that held the permit.
+        for (front, permit) in &agree.state.permits {
+            if planner.came_back(front, permit, now) {
+                let entry = Entry::Done { front: front.clone(), number: permit.number };
+                entries.push((format!("{entry:?}"), entry));
+            }
+        }
+        for (name, entry) in entries {
+            if self.is_due(name) {
+                agree.propose(entry);
+            }
+        }
+    }
+
     fn refuse(&self, why: yarrowspoke_fleet::wire::Refused) -> LinkAnswer {
         self.planner.borrow_mut().count_refused(&why);
         log::warn!("fleet: a message is refused: {why}");
@@ -110,6 +224,21 @@
     }
 }
 
+/// An order as it comes.
+#[derive(Deserialize)]
+struct Ordered {
+    what: String,
+    #[serde(default)]
+    front: String,
+    #[serde(default)]
+    why: String,
+    #[serde(default)]
+    number: u64,
+    by: String,
+    knows: Option<u64>,
+    ticket: u64,
+}
+
 fn json(value: &impl serde::Serialize) -> LinkAnswer {
     match serde_json::to_vec(value) {
         Ok(body) => LinkAnswer::ok(body),
@@ -135,8 +264,8 @@
     Ok(asked)
 }
 
-/// Runs a planner to its end.
-pub fn run(name: &str, operator: &Path, dir: Option<PathBuf>) -> Result<(), String> {
+/// Runs a planner to its end; `found` says that its directory is new and that it never took part in an agreement.
+pub fn run(name: &str, operator: &Path, dir: Option<PathBuf>, found: bool) -> Result<(), String> {
     let file = yarrowspoke_operator::load(operator).map_err(|e| e.to_string())?;
     let shown = operator.display();
     let fleet = file.fleet.ok_or_else(|| format!("{shown}: no section fleet, which a planner needs"))?.fleet;
@@ -146,6 +275,8 @@
         member.ok_or_else(|| format!("{shown}: no planner {name}, expected one of {}", names.join(", ")))?;
     let address = member.address.ok_or_else(|| format!("{shown}: the planner {name} has no address"))?;
     let (mut book, mut writes, mut disk) = (Book::default(), None, None);
+    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
+    let agree = take_part(&fleet, name, life, dir.as_deref(), found)?;
     if let Some(dir) = dir {
         if !dir.is_dir() {
             return Err(format!("{}: no such directory; it is not made by itself", dir.display()));
@@ -167,8 +298,14 @@
         (writes, disk) = (Some(to), Some(thread));
     }
     let executor = Rc::new(LocalExecutor::new());
-    let done =
-        async_io::block_on(executor.run(plan(fleet, name, address, book, writes, Rc::clone(&executor))));
+    let done = async_io::block_on(executor.run(plan(
+        fleet,
+        (name, life),
+        address,
+        (book, agree),
+        writes,
+        Rc::clone(&executor),
+    )));
     if let Some(thread) = disk {
         let _ = thread.join();
     }
@@ -177,24 +314,25 @@
 
 async fn plan(
     fleet: Fleet,
-    name: &str,
+    (name, incarnation): (&str, u64),
     address: SocketAddr,
-    book: Book,
+    (book, agree): (Book, Option<Agree>),
     writes: Option<mpsc::SyncSender<Write>>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let listener = Async::<TcpListener>::bind(address)
         .map_err(|e| std::io::Error::new(e.kind(), format!("{address}: {e}")))?;
-    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
     let others: Vec<(String, SocketAddr)> = fleet
         .planners()
         .filter(|p| p.name != name)
         .filter_map(|p| Some((p.name.clone(), p.address?)))
         .collect();
-    let bounds = (fleet.keep, fleet.keep_bytes);
+    let (bounds, limits) = ((fleet.keep, fleet.keep_bytes), Limits::of(&fleet));
     let running = Rc::new(Running {
         planner: RefCell::new(Planner::new(fleet, name, incarnation, 0, book)),
+        agree: RefCell::new(agree),
+        proposed: RefCell::default(),
         begun: Instant::now(),
         fresh: RefCell::default(),
         keeps: writes.is_some(),
@@ -203,6 +341,7 @@
     let answer: Answering = Rc::new(move |head, body| handled.answer(head, body));
     executor.spawn(serve(listener, Rc::clone(&executor), answer)).detach();
     for (other, address) in others {
+        executor.spawn(agree_with(Rc::clone(&running), other.clone(), address)).detach();
         executor.spawn(pull(Rc::clone(&running), other, address)).detach();
     }
     log::info!("planner {name} listens on {address}");
@@ -212,6 +351,16 @@
             housekeep(&running, writes.as_ref(), bounds);
         }
     };
+    let ticks = async {
+        loop {
+            Timer::after(AGREE_EVERY).await;
+            if let Some(agree) = running.agree.borrow_mut().as_mut() {
+                agree.tick();
+            }
+            running.see(&limits);
+        }
+    };
+    let work = future::or(work, ticks);
     let stop = async {
         signals.next().await;
     };
@@ -239,6 +388,47 @@
     }
 }
 
+/// Carries what the agreement has to say to another planner, in order, one batch at a time.
+async fn agree_with(running: Rc<Running>, other: String, address: SocketAddr) {
+    let mut line = None;
+    loop {
+        let batch = running.agree.borrow_mut().as_mut().and_then(|a| a.batch(&other));
+        let Some(batch) = batch else {
+            Timer::after(AGREE_EVERY / 4).await;
+            continue;
+        };
+        let body = encode(&batch);
+        let asked = exchange(&mut line, address, ("POST", "/fleet/agree"), &body);
+        let went = within(AGREE_WITHIN, asked).await;
+        if went.is_none() {
+            line = None;
+        }
+        if let Some(agree) = running.agree.borrow_mut().as_mut() {
+            agree.went(&other, matches!(went, Some(Ok(_))));
+        }
+    }
+}
+
+fn take_part(
+    fleet: &Fleet,
+    name: &str,
+    life: u64,
+    dir: Option<&Path>,
+    found: bool,
+) -> Result<Option<Agree>, String> {
+    let names: Vec<String> = fleet.planners().map(|p| p.name.clone()).collect();
+    // One planner alone has nobody to agree with; its own word would be gone with it.
+    let Some(dir) = dir.filter(|_| names.len() > 1) else { return Ok(None) };
+    match Agree::open(names, name, life, Some(dir), found) {
+        Ok(agree) => Ok(Some(agree)),
+        Err(Apart::Io(e)) => Err(format!("{}: {e}", dir.display())),
+        Err(Apart::Forgot) => {
+            log::warn!("fleet: {APART}");
+            Ok(None)
+        }
+    }
+}
+
 async fn pull(running: Rc<Running>, other: String, address: SocketAddr) {
     let mut line = None;
     loop {
--- a/crates/yarrowspoke-front/tests/fleet.rs
+++ b/crates/yarrowspoke-front/tests/fleet.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use yarrowspoke_lab::fleet::audit::{play, run, Trials};
 use yarrowspoke_lab::fleet::check::check;
-use yarrowspoke_lab::fleet::{before, schedule};
+use yarrowspoke_lab::fleet::{agreed, before, schedule};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_yarrowspoke");
 
@@ -74,3 +74,28 @@
     assert_ne!(schedule::draw(5, 8), schedule::draw(6, 8));
     assert!((0..200).flat_map(|s| schedule::draw(s, 8)).all(|f| f.at < f.until && f.who < 8));
 }
+
+#[test]
+fn all_fronts_are_restarted_within_agreed_limits_while_planners_fail() {
+    let dir = dir("agreed");
+    let found = std::thread::scope(|scope| {
+        let dir = &dir;
+        let at = move |seed: u64| {
+            agreed::play(Path::new(PROGRAM), &dir.join(format!("{seed}")), seed, None).unwrap()
+        };
+        let tried: Vec<_> = [3, 4].map(|seed| scope.spawn(move || at(seed))).into_iter().collect();
+        tried.into_iter().map(|t| t.join().unwrap()).collect::<Vec<_>>()
+    });
+    for f in found {
+        assert!(f.wrongs().is_empty() && f.restarts == 6 && f.grants >= 6, "{f:?}");
+    }
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn planners_that_forget_the_limits_are_found() {
+    let dir = dir("agreed-mutants");
+    let found = agreed::play(Path::new(PROGRAM), &dir, 3, Some("limit-forgotten")).unwrap();
+    assert!(found.wrongs().iter().any(|w| w.contains("fronts_over_limit")), "{found:?}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/crates/yarrowspoke-lab/src/fleet/audit.rs
+++ b/crates/yarrowspoke-lab/src/fleet/audit.rs
@@ -288,6 +288,11 @@
     })
 }
 
+/// Puts a fault on, or takes it off again.
+pub fn put_on(site: &mut Site, kind: Kind, who: usize, on: bool) -> io::Result<()> {
+    put(site, &Fault { kind, who, at: 0, until: 0 }, on)
+}
+
 fn put(site: &mut Site, fault: &Fault, on: bool) -> io::Result<()> {
     let who = fault.who;
     let cut = |cut_to| {
@@ -320,7 +325,9 @@
         Kind::KillPlanner | Kind::EmptyPlanner if on => site.planners[who].process.kill(),
         Kind::KillPlanner => site.planners[who].process.start()?,
         Kind::EmptyPlanner => {
-            let _ = std::fs::remove_file(site.options.dir.join(format!("p{who}")).join("reports"));
+            for file in ["reports", "agreed"] {
+                let _ = std::fs::remove_file(site.options.dir.join(format!("p{who}")).join(file));
+            }
             site.planners[who].process.start()?;
         }
         Kind::SplitPlanner | Kind::SlowPlanner => {
--- a/crates/yarrowspoke-lab/src/fleet/cost.rs
+++ b/crates/yarrowspoke-lab/src/fleet/cost.rs
@@ -140,7 +140,7 @@
                     spent += begun.elapsed();
                     (came, went, asks) = (came + bytes, went + encode(&answer).len() as u64, asks + 1);
                 }
-                front.answered(p, now, answer);
+                front.answered(p, now, now, answer);
             }
         }
     }
--- a/crates/yarrowspoke-lab/src/fleet/mod.rs
+++ b/crates/yarrowspoke-lab/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! What was done is read from what the stand-ins and the clients saw. Nothing here uses the fleet's own code.
 
+pub mod agreed;
 pub mod audit;
 pub mod before;
 pub mod check;
@@ -186,7 +187,7 @@
         std::fs::write(&file, operator_file(options, &addresses))?;
         let store = options.dir.join(&name);
         std::fs::create_dir_all(&store)?;
-        let words = ["planner", "--name", &name, "--operator"];
+        let words = ["planner", "--found", "--name", &name, "--operator"];
         let mut args: Vec<String> = words.map(str::to_owned).into();
         args.extend([file, "--dir".into(), store].map(|p: PathBuf| p.display().to_string()));
         let process = Process::new(&name, &options.program, args, options.envs.clone(), &options.dir);
--- a/crates/yarrowspoke-lab/src/fleet/process.rs
+++ b/crates/yarrowspoke-lab/src/fleet/process.rs
@@ -45,6 +45,10 @@
         self.kill();
         let log = File::options().create(true).append(true).open(&self.log)?;
         self.lives += 1;
+        if self.lives > 1 {
+            // Only its first life is new.
+            self.args.retain(|a| a != "--found");
+        }
         let child = Command::new(&self.program)
             .args(&self.args)
             .envs(self.envs.iter().map(|(k, v)| (k, v)))
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -107,6 +107,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Processes of the built program with faults between them: every front restarted within agreed limits
+    Agreed {
+        /// Draws the faults
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many trials
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        trials: u64,
+        /// Trials at once; each has nine processes
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=64))]
+        at_once: u64,
+        /// The program; the one beside this one if none
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The program built with the feature mutants; without it none is tried
+        #[arg(long)]
+        mutants: Option<PathBuf>,
+        /// Print one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// What being a member costs a front (real processes), and a fleet of some size a planner (simulated)
     FleetCost {
         /// Draws the clients' calls
@@ -195,6 +216,22 @@
                 Err(e) => failed(&e),
             }
         }
+        Experiment::Agreed { seed, trials, at_once, program, mutants, json } => {
+            let played = in_own_directory("agreed", |dir| {
+                let tried = if mutants.is_some() { fleet::agreed::MUTANTS.len() as u64 } else { 0 };
+                let bar = progress(trials + tried);
+                let (program, dir) = (fleet::program(program.as_deref())?, dir.to_owned());
+                let at_once = at_once as usize;
+                let trials = fleet::agreed::Trials { program, mutants, dir, seed, trials, at_once };
+                let report = fleet::agreed::run(&trials, || bar.inc(1));
+                bar.finish_and_clear();
+                report
+            });
+            match played {
+                Ok(report) => tell(json, &report, fleet::agreed::table(&report), report.held()),
+                Err(e) => failed(&e),
+            }
+        }
         Experiment::FleetCost { seed, program, json } => {
             let measured = in_own_directory("cost", |dir| {
                 let program = fleet::program(program.as_deref())?;
--- /dev/null
+++ b/crates/yarrowspoke-store/src/journal.rs
@@ -0,0 +1,95 @@
+//! A journal: values appended in frames, durable before anybody hears of them, read back whole at the start.
+//!
+//! A tail that was cut or torn belongs to an append that nobody was told of, and is cut off. A frame that can't be read with
+//! others behind it is another matter: what was promised is gone, and the journal is refused.
+
+use crate::record::{frame, unframe};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::Path;
+
+/// Most bytes of one value.
+const MOST: usize = 16 * 1024 * 1024;
+
+/// An open journal.
+#[derive(Debug)]
+pub struct Journal {
+    file: File,
+}
+
+impl Journal {
+    /// Opens the journal at a path and gives what is in it, or makes an empty one.
+    pub fn open<T: DeserializeOwned>(path: &Path) -> io::Result<(Self, Vec<T>)> {
+        let mut file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+        let (mut bytes, mut out, mut at) = (Vec::new(), Vec::new(), 0);
+        file.read_to_end(&mut bytes)?;
+        while let Some((len, rest)) = bytes[at..].split_first_chunk::<4>() {
+            let len = u32::from_le_bytes(*len) as usize;
+            let Some(value) = rest.get(..len).filter(|_| len <= MOST) else { break };
+            let key = (at as u64).to_le_bytes();
+            match unframe::<T>(&key, value) {
+                Ok(value) => out.push(value),
+                Err(_) if at + 4 + len == bytes.len() => break,
+                Err(e) => {
+                    let why =
+                        format!("{}: at byte {at}: {e}; what was promised there is gone", path.display());
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, why));
+                }
+            }
+            at += 4 + len;
+        }
+        file.set_len(at as u64)?;
+        file.seek(SeekFrom::Start(at as u64))?;
+        file.sync_all()?;
+        Ok((Self { file }, out))
+    }
+
+    /// Appends values, durable once this returns.
+    pub fn append<T: Serialize>(&mut self, values: &[T]) -> io::Result<()> {
+        let mut at = self.file.stream_position()?;
+        let mut bytes = Vec::new();
+        for value in values {
+            let framed = frame(&at.to_le_bytes(), value);
+            bytes.extend_from_slice(&(framed.len() as u32).to_le_bytes());
+            bytes.extend_from_slice(&framed);
+            at += 4 + framed.len() as u64;
+        }
+        self.file.write_all(&bytes)?;
+        self.file.sync_data()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn cut_at_every_byte_it_gives_a_beginning_of_what_was_appended_and_goes_on_from_there() {
+        let path = std::env::temp_dir().join(format!("yarrowspoke-journal-{}", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        {
+            let (mut journal, held) = Journal::open::<String>(&path).unwrap();
+            assert!(held.is_empty());
+            journal.append(&["one", "two"]).unwrap();
+            journal.append(&["three"]).unwrap();
+        }
+        let whole = std::fs::read(&path).unwrap();
+        for cut in 0..=whole.len() {
+            std::fs::write(&path, &whole[..cut]).unwrap();
+            let (mut journal, held) = Journal::open::<String>(&path).unwrap();
+            assert_eq!(held, ["one", "two", "three"][..held.len()], "cut at {cut}");
+            journal.append(&["more"]).unwrap();
+            drop(journal);
+            let (_, again) = Journal::open::<String>(&path).unwrap();
+            assert_eq!((again.len(), again.last().unwrap().as_str()), (held.len() + 1, "more"));
+        }
+        // A byte changed with others behind it is refused, not skipped.
+        let mut spoilt = whole.clone();
+        spoilt[10] ^= 1;
+        std::fs::write(&path, spoilt).unwrap();
+        assert!(Journal::open::<String>(&path).unwrap_err().to_string().contains("at byte 0"));
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- a/crates/yarrowspoke-store/src/lib.rs
+++ b/crates/yarrowspoke-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`writer`] commits in groups on a thread of its own. The files are described in `docs/design/store-format.md`.
 
 pub mod disk;
+pub mod journal;
 pub mod ledger;
 pub mod mark;
 pub mod record;
