--- a/crates/yarrowspoke-front/tests/fleet.rs
+++ b/crates/yarrowspoke-front/tests/fleet.rs
@@ -2,12 +2,20 @@
 //! against what stand-ins saw. The checker is tried on broken fronts and planners too.
 
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use yarrowspoke_lab::fleet::audit::{play, run, Trials};
 use yarrowspoke_lab::fleet::check::check;
 use yarrowspoke_lab::fleet::{agreed, before, schedule};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_yarrowspoke");
 
+/// One test at a time: some dozens of processes each are enough for a small machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn dir(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("yarrowspoke-fleet-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
@@ -16,6 +24,7 @@
 
 #[test]
 fn the_audit_holds_against_what_stand_ins_saw_and_the_limits_are_kept() {
+    let _alone = alone();
     let dir = dir("sound");
     let trials = Trials {
         program: PROGRAM.into(),
@@ -44,6 +53,7 @@
 
 #[test]
 fn broken_fronts_and_planners_are_found() {
+    let _alone = alone();
     let dir = dir("mutants");
     let dir_of = &dir;
     let found = move |mutant: &'static str| {
@@ -60,6 +70,7 @@
 
 #[test]
 fn a_front_cut_from_its_sources_is_brought_up_by_planners() {
+    let _alone = alone();
     let dir = dir("stale");
     // The same without planners acts on what is old to the end (docs/measurements/fleet.md); the bounds here are wide.
     let report = before::run(&before::options(Path::new(PROGRAM), &dir, 1, 3)).unwrap();
@@ -77,6 +88,7 @@
 
 #[test]
 fn all_fronts_are_restarted_within_agreed_limits_while_planners_fail() {
+    let _alone = alone();
     let dir = dir("agreed");
     let found = std::thread::scope(|scope| {
         let dir = &dir;
@@ -94,6 +106,7 @@
 
 #[test]
 fn planners_that_forget_the_limits_are_found() {
+    let _alone = alone();
     let dir = dir("agreed-mutants");
     let found = agreed::play(Path::new(PROGRAM), &dir, 3, Some("limit-forgotten")).unwrap();
     assert!(found.wrongs().iter().any(|w| w.contains("fronts_over_limit")), "{found:?}");
