--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration file, read into a typed value; an error names the field.
 
+use crate::check;
 use crate::input::Addresses;
 use crate::net::list::{self, Listing};
 use crate::net::platform::{self, State};
@@ -174,10 +175,12 @@
 /// Reads settings, and checks those of them in which a slip would pass unnoticed.
 fn settings_of(at: &str, value: &serde_json::Value) -> Result<Settings, ConfigError> {
     let field = |path: &str| format!("{at}.{path}");
-    let settings = yarrowspoke_settings::from_value(value).map_err(|e| {
+    let mut settings = yarrowspoke_settings::from_value(value).map_err(|e| {
         let path = field(&e.path().to_string());
         ConfigError::field(&path, e.into_inner())
     })?;
+    // Whether the platform calls it pushed or asked for, on sockets the list comes to those only who watch it.
+    settings.module.ask_list = true;
     let module = &settings.module;
     if module.classes.is_empty() {
         return Err(ConfigError::field(&field("Classes"), "at least one class is needed"));
@@ -193,11 +196,10 @@
             "true is expected where reports come by probes",
         ));
     }
-    let share = module.release.flag_share;
-    if !(0.0..=1.0).contains(&share) {
-        let why = format!("{share}, expected a share from 0 to 1");
-        return Err(ConfigError::field(&field("Domain.FlagShare"), why));
-    }
+    check::words(value).and_then(|()| check::figures(&settings)).map_err(|f| {
+        let path = field(&f.path);
+        ConfigError::field(&path, f.why)
+    })?;
     Ok(settings)
 }
 
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -96,6 +96,8 @@
     timers_set: u64,
     listed: BTreeMap<MachineId, (MachineState, Build)>,
     news: Option<News>,
+    /// The newest state that the platform itself has told.
+    heard: Option<News>,
     watch: Option<Task<()>>,
     fetch: Option<Task<()>>,
     _listens: Option<Task<()>>,
@@ -128,6 +130,7 @@
             timers_set: 0,
             listed: BTreeMap::new(),
             news: None,
+            heard: None,
             watch: None,
             fetch: None,
             _listens: None,
@@ -143,7 +146,9 @@
             driver.take(Input::News(news));
         }
         driver.due(now + SWEEP, Due::Sweep);
-        driver.hub.ready.set(true);
+        // Danger: where lists are pushed, what discovery has counts as told from the first moment, and what the
+        // configuration holds may be older.
+        driver.hub.ready.set(!driver.settings.transport.pushed);
         driver
     }
 
@@ -325,6 +330,9 @@
     }
 
     fn list(&mut self, kind: ListKind, index: u64, rows: Vec<Row>) {
+        if kind != ListKind::Cached {
+            self.hub.ready.set(true);
+        }
         self.hub.keeper.listed(kind, &rows);
         let rows = match &self.hub.member {
             Some(member) => member.listed(kind, index, rows),
@@ -372,6 +380,13 @@
     }
 
     fn told(&mut self, news: News) {
+        let news = match self.heard.filter(|held| news.answer && platform::is_behind(&news, held)) {
+            Some(held) => News { answer: true, ..held },
+            None => news,
+        };
+        if news.ending == Ending::Ok {
+            self.heard = Some(news);
+        }
         let news = match &self.hub.member {
             Some(member) if news.ending == Ending::Ok => member.told(news),
             _ => news,
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -1,6 +1,7 @@
 //! The real front as a library, so that its parts can be tested without a process.
 
 pub mod agree;
+pub mod check;
 pub mod classify;
 pub mod cli;
 pub mod config;
--- a/crates/yarrowspoke-front/src/main.rs
+++ b/crates/yarrowspoke-front/src/main.rs
@@ -63,6 +63,14 @@
 }
 
 fn serve(operator: Option<PathBuf>) -> ExitCode {
+    // Danger: a signal that comes before its handler stands ends the program, so they stand before all else.
+    let told = match run::Told::begin() {
+        Ok(told) => told,
+        Err(e) => {
+            eprintln!("yarrowspoke: signals cannot be handled: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     if let Err(e) = logging::start() {
         eprintln!("yarrowspoke: logging cannot start: {e}");
         return ExitCode::FAILURE;
@@ -70,7 +78,7 @@
     let files =
         run::Files { config: PathBuf::from(std::env::var_os("PROXY_CONFIG").unwrap_or_default()), operator };
     let ended = match files.read(None) {
-        Ok(setup) => run::run(setup, files).map_err(|e| e.to_string()),
+        Ok(setup) => run::run(setup, files, told).map_err(|e| e.to_string()),
         Err(e) => Err(e.to_string()),
     };
     match ended {
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -10,7 +10,9 @@
 use crate::places::{Counted, Room};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -51,46 +53,81 @@
 /// turned away, and would fill the processor.
 const AGAIN_PACE: Duration = Duration::from_millis(10);
 
-/// Accepts clients until the program ends.
-pub async fn serve(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) {
-    let mut incoming = Box::pin(listener.incoming());
-    // Since when connections may have waited to be accepted; `None` once all that waited were.
-    let mut paused: Option<Micros> = None;
-    loop {
-        // At the limit accepting pauses until a place is given back; it does not spin.
-        if !hub.places.client_fits() {
-            paused.get_or_insert(hub.clock.now());
-            within(PAUSE_LOOK, hub.places.freed()).await;
-            continue;
-        }
-        let next = match future::poll_once(incoming.next()).await {
-            Some(next) => next,
-            None => {
-                paused = None;
-                incoming.next().await
+/// Where clients come in.
+pub struct Door {
+    listener: Async<TcpListener>,
+    hub: Rc<Hub>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Since when connections may have waited to be accepted; `None` once all that waited were.
+    paused: Cell<Option<Micros>>,
+}
+
+impl Door {
+    /// Clients come in by `listener`.
+    pub fn new(listener: Async<TcpListener>, hub: Rc<Hub>, executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self { listener, hub, executor, paused: Cell::default() }
+    }
+
+    /// Accepts clients until the program ends.
+    pub async fn serve(self: Rc<Self>) {
+        loop {
+            // At the limit accepting pauses until a place is given back; it does not spin.
+            if !self.hub.places.client_fits() {
+                self.pause();
+                within(PAUSE_LOOK, self.hub.places.freed()).await;
+                continue;
             }
-        };
-        match next {
-            Some(Ok(stream)) => {
-                let place = hub.places.client();
-                let waited = paused.map_or(0, |since| hub.clock.now() - since);
-                let served = AssertUnwindSafe(converse(stream, Rc::clone(&hub), waited));
-                executor
-                    .spawn(async move {
-                        // A defect met by one connection ends that connection only.
-                        if served.catch_unwind().await.is_err() {
-                            log::error!("client connection ended by a panic");
-                        }
-                        drop(place);
-                    })
-                    .detach();
+            let next = match future::poll_once(self.listener.accept()).await {
+                Some(next) => next,
+                None => {
+                    self.paused.set(None);
+                    self.listener.accept().await
+                }
+            };
+            match next {
+                Ok((stream, _)) => self.take(stream),
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    Timer::after(ACCEPT_AGAIN).await;
+                }
             }
-            Some(Err(e)) => {
-                log::warn!("accept: {e}");
-                Timer::after(ACCEPT_AGAIN).await;
+        }
+    }
+
+    /// Accepts all who wait, as far as there is room; true if anybody did, or may still.
+    pub fn let_in(&self) -> bool {
+        let mut any = false;
+        while self.hub.places.client_fits() {
+            match self.listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => {
+                    self.take(stream);
+                    any = true;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return any,
+                // One that ended while it waited; there may be others behind it.
+                Err(_) => return true,
             }
-            None => return,
         }
+        self.pause();
+        true
+    }
+
+    fn pause(&self) {
+        self.paused.set(self.paused.get().or_else(|| Some(self.hub.clock.now())));
+    }
+
+    fn take(&self, stream: Async<TcpStream>) {
+        let place = self.hub.places.client();
+        let waited = self.paused.get().map_or(0, |since| self.hub.clock.now() - since);
+        let served = AssertUnwindSafe(converse(stream, Rc::clone(&self.hub), waited));
+        let served = async move {
+            // A defect met by one connection ends that connection only.
+            if served.catch_unwind().await.is_err() {
+                log::error!("client connection ended by a panic");
+            }
+            drop(place);
+        };
+        self.executor.spawn(served).detach();
     }
 }
 
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -17,8 +17,13 @@
 
 /// Most bytes of a list: thousands of machines, far beyond what one front needs.
 const LIST_LIMIT: usize = 1024 * 1024;
-/// How long after its wait an answer may take; the protocol counts it as told by then.
+/// What a watch that has fallen silent misses counts as told so long after, or...
+const SILENCE_TOLD: Duration = Duration::from_secs(6);
+/// ...so long after its wait is over, if that is later. A call that need not wait takes no longer either.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// How long after its wait an answer may take. Danger: what is missed counts as told when the time above is over,
+/// so half of it has to do for opening the watch anew and for the answer on it.
+const SILENT_WITHIN: Duration = Duration::from_secs(1);
 /// Longest time that connecting may take: one that is down in silence must not hold a call for as long as news may.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Longest pause within an answer, doubled each time it is asked again; one that stops in its midst is only a part.
@@ -199,19 +204,26 @@
     names: Names,
     hold: Duration,
     index: Cell<u64>,
+    /// The version held is not one of discovery's: only the whole list tells what has changed.
+    astray: Cell<bool>,
     heard: Cell<Option<Instant>>,
 }
 
 impl Discovery {
-    /// Discovery at `address`; `index` is the version held, `told_within` how long an unasked list stands.
+    /// Discovery at `address`; `index` is the version held, `told_within` how long an unasked list stands, 0 if not
+    /// said.
     pub fn new(address: SocketAddr, names: Names, index: u64, told_within: Micros) -> Rc<Self> {
         // A call that waits must end, and the next begin, well before the list counts as told unasked.
-        let hold = super::span(told_within / 2).min(LONGEST_HOLD);
+        let hold = match told_within {
+            0 => SILENCE_TOLD - ANSWER_WITHIN,
+            within => super::span(within / 2).min(LONGEST_HOLD),
+        };
         Rc::new(Self {
             address: Cell::new(address),
             names,
             hold,
             index: Cell::new(index),
+            astray: Cell::new(false),
             heard: Cell::new(None),
         })
     }
@@ -236,26 +248,45 @@
         let _ = to.send(input).await;
     }
 
-    /// Watches the list until a call fails: the first call answers at once, further ones wait for news.
+    /// Watches the list until a call fails: the first call answers at once, further ones wait for news. One that
+    /// falls silent is opened anew at once, and fails only if that does.
     pub async fn watch(self: Rc<Self>, to: Sender<Input>) {
-        let (mut line, mut first) = (None, true);
+        let (mut line, mut opens) = (None, true);
         loop {
-            let hold = if first { Duration::ZERO } else { self.hold };
-            let (from, wait) = (self.index.get(), hold.as_millis());
-            let target = format!("/discovery/hosts?from={from}&hold_ms={wait}");
-            let list = match self.call(&mut line, &target, hold + ANSWER_WITHIN).await {
+            let (from, whole) = (self.index.get(), self.astray.get());
+            let (hold, limit) = match opens || whole {
+                true => (Duration::ZERO, ANSWER_WITHIN),
+                false => (self.hold, self.hold + SILENT_WITHIN),
+            };
+            let target = match whole {
+                true => "/discovery/hosts".to_owned(),
+                false => format!("/discovery/hosts?from={from}&hold_ms={}", hold.as_millis()),
+            };
+            let list = match self.call(&mut line, &target, limit).await {
                 Ok(list) => list,
+                Err(ListError::Late) if !opens => {
+                    log::warn!("discovery: the watch has fallen silent; it is opened anew");
+                    (line, opens) = (None, true);
+                    continue;
+                }
                 Err(e) => {
                     let _ = to.send(failed(&e)).await;
                     return;
                 }
             };
-            self.index.set(list.index);
+            let (index, went_back) = (list.index, !whole && !list.whole && list.index < from);
             let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
-            if first || list.whole || !list.rows.is_empty() {
-                let _ = to.send(Input::List(kind, list.index, list.rows)).await;
+            if opens || list.whole || !list.rows.is_empty() {
+                let _ = to.send(Input::List(kind, index, list.rows)).await;
+            }
+            // Danger: taken on before the lines are handed over, a version whose watch is ended in between is never
+            // asked for again, and its changes are lost.
+            self.index.set(index);
+            if went_back {
+                log::warn!("discovery: version {index} after {from}; the whole list is asked for");
             }
-            first = false;
+            self.astray.set(went_back);
+            opens = false;
         }
     }
 
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -186,19 +186,34 @@
     since: Micros,
 }
 
+/// How long a connection rests after an answer. Danger: a second copy of it may come some milliseconds late, and
+/// on a connection that already carries the next request it would be taken for that one's answer.
+const REST: Micros = 25_000;
+
 impl Idle {
     /// Nothing came and nothing ended while it lay idle.
     fn is_sound(&self) -> bool {
         let peeked = self.line.stream.get_ref().peek(&mut [0; 1]);
+        if matches!(peeked, Ok(n) if n > 0) {
+            log::info!("a machine has written behind its answer: the connection is closed");
+        }
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
-#[derive(Default)]
-struct Host {
+/// Who stands behind a machine's id.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+struct Tenancy {
     address: Option<SocketAddr>,
     build: u16,
     started: Micros,
+}
+
+#[derive(Default)]
+struct Host {
+    tenancy: Tenancy,
+    /// It may get new requests.
+    ready: bool,
     idle: VecDeque<Idle>,
 }
 
@@ -222,12 +237,13 @@
     pub fn learn(&self, row: &Row) {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(row.entry.machine).or_default();
-        let same =
-            host.address == row.address && (host.build, host.started) == (row.entry.build, row.entry.started);
-        if !same || row.entry.state != MachineState::Ready {
+        let (build, started) = (row.entry.build, row.entry.started);
+        let tenancy = Tenancy { address: row.address, build, started };
+        host.ready = row.entry.state == MachineState::Ready;
+        if host.tenancy != tenancy || !host.ready {
             host.idle.clear();
         }
-        (host.address, host.build, host.started) = (row.address, row.entry.build, row.entry.started);
+        host.tenancy = tenancy;
         if row.entry.state == MachineState::Gone {
             hosts.remove(&row.entry.machine);
         }
@@ -267,22 +283,24 @@
         }
     }
 
-    /// A kept connection that is still sound, the newest first.
+    /// A kept connection that has rested and is still sound, the newest first.
     fn kept(&self, machine: MachineId, now: Micros) -> Option<Line> {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&machine)?;
-        while let Some(idle) = host.idle.pop_back() {
+        loop {
+            let rested = host.idle.iter().rposition(|i| now >= i.since + REST)?;
+            let idle = host.idle.remove(rested)?;
             if now < idle.since.saturating_add(self.idle_limit()) && idle.is_sound() {
                 return Some(idle.line);
             }
         }
-        None
     }
 
-    fn keep(&self, machine: MachineId, address: SocketAddr, line: Line, now: Micros) {
+    /// Keeps a connection that has served, unless its machine has changed or drains meanwhile.
+    fn keep(&self, machine: MachineId, tenancy: Tenancy, line: Line, now: Micros) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(&machine) {
             // While everything is in use a connection that has served gives its place to a client.
-            if host.address == Some(address) && !self.places.is_full() {
+            if host.ready && host.tenancy == tenancy && !self.places.is_full() {
                 host.idle.push_back(Idle { line, since: now });
             }
         }
@@ -332,7 +350,7 @@
     pub async fn probe(&self, machine: MachineId, limit: Micros) -> (Ending, Option<String>) {
         let progress = Cell::new(Progress::Connecting);
         let asked = async {
-            let address = self.address(machine)?;
+            let (_, address) = self.tenancy(machine)?;
             let mut line = self.connect(address).await?;
             // Whether it ran does not matter: what breaks a connection that stood is a reset.
             progress.set(Progress::Written);
@@ -363,7 +381,7 @@
         progress: &Cell<Progress>,
         clock: &Clock,
     ) -> Result<Reply, Cause> {
-        let address = self.address(machine)?;
+        let (tenancy, address) = self.tenancy(machine)?;
         let begun = clock.now();
         let mut line = match self.kept(machine, begun) {
             Some(line) => line,
@@ -380,13 +398,14 @@
         progress.set(Progress::Written);
         let Heard { head, body, reusable } = line.answer().await?;
         if reusable {
-            self.keep(machine, address, line, clock.now());
+            self.keep(machine, tenancy, line, clock.now());
         }
         Ok(Reply { ending: head.ending(), load: head.load, body })
     }
 
-    fn address(&self, machine: MachineId) -> Result<SocketAddr, Cause> {
-        self.hosts.borrow().get(&machine).and_then(|h| h.address).ok_or(Cause::Unknown)
+    fn tenancy(&self, machine: MachineId) -> Result<(Tenancy, SocketAddr), Cause> {
+        let tenancy = self.hosts.borrow().get(&machine).map(|h| h.tenancy);
+        tenancy.and_then(|t| t.address.map(|a| (t, a))).ok_or(Cause::Unknown)
     }
 }
 
--- a/crates/yarrowspoke-front/src/net/platform.rs
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -45,6 +45,19 @@
     }
 }
 
+/// Whether the answer to a vote speaks of a state that the platform had left when it told `held`. Danger: answers
+/// and news come on two connections, in any order; taken for newer, such an answer would lift a lowered cap again.
+pub fn is_behind(answer: &News, held: &News) -> bool {
+    let course = |n: &News| match n.phase {
+        Phase::Trial => (n.build, 0, n.stage),
+        Phase::Released => (n.build, 1, 0),
+        Phase::GoingBack => (n.build, 2, 0),
+        Phase::Withdrawn => (n.build, 3, 0),
+    };
+    let (answered, told) = (course(answer), course(held));
+    answer.ending == Ending::Ok && (answered < told || answered == told && answer.cap > held.cap)
+}
+
 /// The same as the configuration holds it.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -7,7 +7,7 @@
 use crate::input::{Input, Row};
 use crate::keeper::{self, Keeper};
 use crate::member::{self, Member};
-use crate::net::clients;
+use crate::net::clients::{self, Door};
 use crate::net::list::Discovery;
 use crate::net::machines::Machines;
 use crate::net::peers::Peers;
@@ -143,16 +143,34 @@
     Ok((Keeper::new(hand, settings, &config.settings), rows))
 }
 
+/// What a front is told by signals: those that come before it serves wait until it does.
+#[derive(Debug)]
+pub struct Told {
+    stop: Signals,
+    reload: Signals,
+}
+
+impl Told {
+    /// Handles signals from now on.
+    pub fn begin() -> io::Result<Self> {
+        Ok(Self { stop: Signals::new([Signal::Term, Signal::Int])?, reload: Signals::new([Signal::Hup])? })
+    }
+}
+
 /// Runs a front to its end; `files` are read again when it is told to.
-pub fn run(setup: Setup, files: Files) -> io::Result<()> {
+pub fn run(setup: Setup, files: Files, told: Told) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(setup, files, Rc::clone(&executor))))
+    async_io::block_on(executor.run(serve(setup, files, told, Rc::clone(&executor))))
 }
 
-async fn serve(setup: Setup, files: Files, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+async fn serve(
+    setup: Setup,
+    files: Files,
+    told: Told,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
     let Setup { config, rules, store, fleet } = setup;
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    let reloads = Signals::new([Signal::Hup])?;
+    let Told { stop: mut signals, reload: reloads } = told;
     let listener = Async::<TcpListener>::bind(config.listen)?;
     let places = Places::new(config.limits.sockets.saturating_sub(RESERVED));
     let classifier = Classifier::new(config.seed);
@@ -212,7 +230,8 @@
     }
     executor.spawn(reload(reloads, files, running, Rc::clone(&hub))).detach();
     executor.spawn(clients::make_room(Rc::clone(&hub))).detach();
-    executor.spawn(clients::serve(listener, Rc::clone(&hub), Rc::clone(&executor))).detach();
+    let door = Rc::new(Door::new(listener, Rc::clone(&hub), Rc::clone(&executor)));
+    executor.spawn(Rc::clone(&door).serve()).detach();
     log::info!("{about}");
     log::info!("{} serves on {}", config.name, config.listen);
     let stop = async {
@@ -220,7 +239,8 @@
         log::info!("stopping: {} client connections", places.held().0);
         hub.begin_stop();
         Timer::after(STILL_COMING).await;
-        while places.held().0 > 0 {
+        // Danger: who waits to be accepted may have sent a request already, and is reset when the program ends.
+        while door.let_in() || places.held().0 > 0 {
             Timer::after(STOP_CHECK).await;
         }
         log::info!("stopped");
--- /dev/null
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -0,0 +1,183 @@
+//! Peers that do nothing by themselves: each step is the test's, so that it decides which of two events comes first.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+use yarrowspoke_toy::{read_message, Message};
+
+/// Far longer than anything here takes: a test that waits so long has failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A peer's connection, read and written by the test alone.
+pub struct Wire {
+    reader: BufReader<TcpStream>,
+}
+
+impl Wire {
+    pub fn over(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self { reader: BufReader::new(stream) }
+    }
+
+    pub fn to(address: SocketAddr) -> Self {
+        Self::over(TcpStream::connect(address).unwrap())
+    }
+
+    pub fn write(&mut self, bytes: &str) {
+        self.reader.get_mut().write_all(bytes.as_bytes()).unwrap();
+    }
+
+    /// The next message; `None` if the other side ended or reset the connection.
+    pub fn message(&mut self) -> Option<Message> {
+        read_message(&mut self.reader).ok().flatten()
+    }
+
+    /// The next line, without its ending; `None` at the end.
+    pub fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let n = self.reader.read_line(&mut line).ok()?;
+        (n > 0).then(|| line.trim_end().to_owned())
+    }
+
+    /// An answer with this body.
+    pub fn answer(&mut self, body: &str) {
+        self.write(&ok(body));
+    }
+
+    /// Waits until the other side has ended the connection, with nothing more to read.
+    pub fn ends(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 1]), Ok(0) | Err(_))
+    }
+
+    /// Ends the connection.
+    pub fn ends_now(self) {
+        let _ = self.reader.get_ref().shutdown(std::net::Shutdown::Both);
+    }
+
+    /// Whether something has come, without waiting.
+    pub fn has_news(&mut self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let came = matches!(stream.peek(&mut [0; 1]), Ok(n) if n > 0);
+        stream.set_nonblocking(false).unwrap();
+        came || !self.reader.buffer().is_empty()
+    }
+}
+
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A peer that is connected to.
+pub struct Peer {
+    pub address: SocketAddr,
+    came: Receiver<TcpStream>,
+}
+
+impl Peer {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (to, came) = channel();
+        std::thread::spawn(move || listener.incoming().flatten().all(|s| to.send(s).is_ok()));
+        Self { address, came }
+    }
+
+    /// The next connection that comes.
+    pub fn connection(&self) -> Wire {
+        Wire::over(self.came.recv_timeout(PATIENCE).expect("a connection"))
+    }
+
+    /// The same, if one comes within `wait`.
+    pub fn connection_within(&self, wait: Duration) -> Option<Wire> {
+        self.came.recv_timeout(wait).ok().map(Wire::over)
+    }
+}
+
+/// One line of discovery's list.
+pub fn entry(name: &str, address: SocketAddr, status: &str, build: u16, since_ms: u64) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":{since_ms},"build":{build}}}"#
+    )
+}
+
+pub fn listing(index: u64, whole: bool, lines: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, lines.join(","))
+}
+
+/// The program, its configuration, and what it logs.
+pub struct Program {
+    pub child: Child,
+    pub listen: SocketAddr,
+    pub path: PathBuf,
+    lines: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(path: &Path, listen: SocketAddr) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
+        let command = command.env("PROXY_CONFIG", path).env("RUST_LOG", "debug");
+        let mut child = command.stderr(Stdio::piped()).stdout(Stdio::null()).spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let (to, lines) = channel();
+        std::thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| drop(to.send(l))));
+        Self { child, listen, path: path.to_owned(), lines }
+    }
+
+    /// Reads the log up to a line that holds `text`; that line.
+    pub fn logs(&self, text: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left).unwrap_or_else(|e| panic!("no line {text:?}: {e}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+
+    /// Stands still until woken.
+    pub fn halt(&self) {
+        self.signal("STOP");
+        let state = format!("/proc/{}/stat", self.child.id());
+        while std::fs::read_to_string(&state).is_ok_and(|s| !s.contains(") T ")) {
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn wake(&self) {
+        self.signal("CONT");
+    }
+
+    pub fn client(&self) -> Wire {
+        Wire::to(self.listen)
+    }
+
+    /// Whether `/up` says that it serves.
+    pub fn is_up(&self) -> bool {
+        let mut client = self.client();
+        client.write("GET /up HTTP/1.1\r\n\r\n");
+        client.message().is_some_and(|m| m.start().contains(" 200 "))
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/yarrowspoke-settings/src/lib.rs
+++ b/crates/yarrowspoke-settings/src/lib.rs
@@ -41,6 +41,8 @@
     pub idle: u64,
     /// A connection not established within this time has failed.
     pub connect_timeout: u64,
+    /// What discovery has of the list counts as told, whether or not it was asked for.
+    pub pushed: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -173,8 +175,11 @@
         kinds: env.host_types.clone(),
         load_fields: env.report.fields.clone(),
     };
-    let transport =
-        Transport { idle: env.bounds.conn_idle_us, connect_timeout: env.bounds.connect_timeout_us };
+    let transport = Transport {
+        idle: env.bounds.conn_idle_us,
+        connect_timeout: env.bounds.connect_timeout_us,
+        pushed: env.membership_mode == "push",
+    };
     Ok(Settings { module: module(env), names, transport })
 }
 
