--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -659,6 +659,7 @@
                 method: "GET".into(),
                 target: "/article".into(),
                 call_id: n.to_string(),
+                idempotency_key: None,
                 class: 0,
                 tenant: 0,
                 budget: 3_600_000_000,
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -17,6 +17,8 @@
     pub target: String,
     /// The client's id of it, passed on unchanged.
     pub call_id: String,
+    /// The key by which machines know a repeat of it, passed on unchanged.
+    pub idempotency_key: Option<String>,
     /// Position of its class in the settings.
     pub class: u8,
     /// Position of its tenant in the settings; past their end if unknown.
--- a/crates/yarrowspoke-front/src/net/asked.rs
+++ b/crates/yarrowspoke-front/src/net/asked.rs
@@ -16,7 +16,7 @@
     /// Whether the front is ready.
     Ready,
     /// A call; its body is still to come.
-    Call(Call),
+    Call(Box<Call>),
     /// Something that has no answer here, with its status.
     Nothing(u16),
 }
@@ -30,6 +30,7 @@
     /// It waits for leave to send its body.
     pub continues: bool,
     call_id: Option<String>,
+    idempotency_key: Option<String>,
     class: Option<String>,
     tenant: Option<String>,
     budget: Option<Micros>,
@@ -77,6 +78,7 @@
             keep: head.keeps_alive(version),
             continues: head.field("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")),
             call_id: call_id.map(str::to_owned),
+            idempotency_key: head.sole("idempotency-key")?.map(str::to_owned),
             class: head.sole("x-call-class")?.map(str::to_owned),
             tenant: owned("x-caller"),
             budget,
@@ -138,6 +140,7 @@
             repeat: self.repeat,
             ruled: Ruled::default(),
             call_id,
+            idempotency_key: self.idempotency_key,
             body,
             method: self.method,
             target: self.target,
@@ -147,7 +150,7 @@
                 return Asked::Nothing(status);
             }
         }
-        Asked::Call(call)
+        Asked::Call(Box::new(call))
     }
 }
 
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -297,7 +297,7 @@
                 }
                 let record = if let Some(Kept::Go(id)) = kept { Some(id) } else { None };
                 let aged = (if served == 1 { waited } else { 0 }) + (hub.clock.now() - came);
-                let exchange = hub.exchange(call, aged);
+                let exchange = hub.exchange(*call, aged);
                 let _ = hub.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let wait = answer_or_leave(&mut line, &exchange, &hub).await;
                 if let Some(id) = record {
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -415,6 +415,11 @@
         .field("Host", format_args!("{address}"))
         .field("X-Call-Id", format_args!("{}", call.call_id))
         .field("X-Budget", format_args!("{:.6}", wait as f64 / 1e6));
+    // Danger: without its key a machine takes a repeat for another request, and runs it again.
+    let head = match &call.idempotency_key {
+        Some(key) => head.field("Idempotency-Key", format_args!("{key}")),
+        None => head,
+    };
     // A request without a body has no length to state.
     let bodied = !call.body.is_empty() || call.method != "GET";
     let head = if bodied { head.field("Content-Length", format_args!("{}", call.body.len())) } else { head };
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -51,7 +51,10 @@
 
     /// Waits until the other side has ended the connection, with nothing more to read.
     pub fn ends(&mut self) -> bool {
-        matches!(self.reader.read(&mut [0; 1]), Ok(0) | Err(_))
+        match self.reader.read(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
     }
 
     /// Ends the connection.
--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -430,3 +430,17 @@
     let (first, all) = (ended(10), ended(45));
     assert!(first * 2 < all, "{first:?} of {all:?}");
 }
+
+#[test]
+fn the_key_of_a_keyed_class_is_passed_on_unchanged() {
+    // Danger: a machine that does not get it takes a repeat for another request, and runs it again.
+    let world =
+        World::told(&[Behaviour::Serve], r#""Effect": "once""#, r#""Effect": "by_key", "DedupScope": "all""#);
+    let mut client = world.client();
+    let keyed = post(&fresh(), "2.0").replacen("X-Budget", "Idempotency-Key: 7437-Fc \"x\"\r\nX-Budget", 1);
+    assert!(client.ask(&keyed).unwrap().start().contains(" 200 "));
+    assert!(client.ask(&post(&fresh(), "2.0")).unwrap().start().contains(" 200 "));
+    let keys: Vec<_> =
+        world.machines[0].seen().iter().map(|m| m.field("idempotency-key").map(str::to_owned)).collect();
+    assert_eq!(keys, [Some("7437-Fc \"x\"".to_owned()), None]);
+}
