--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -4,4 +4,5 @@
 //! calls are what the stand-ins counted, never what the program says of itself.
 
 pub mod report;
+pub mod run;
 pub mod target;
