--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -16,7 +16,7 @@
 use yarrowspoke_settings::Names;
 
 /// Most bytes of a list: thousands of machines, far beyond what one front needs.
-const LIST_LIMIT: usize = 1024 * 1024;
+pub const LIST_LIMIT: usize = 1024 * 1024;
 /// What a watch that has fallen silent misses counts as told so long after, or...
 const SILENCE_TOLD: Duration = Duration::from_secs(6);
 /// ...so long after its wait is over, if that is later. A call that need not wait takes no longer either.
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use yarrowspoke_expr::set::Order;
-use yarrowspoke_lab::{fleet, plot, rules, store, verdicts};
+use yarrowspoke_lab::{fleet, plot, rules, scale, store, verdicts};
 
 #[derive(Parser)]
 #[command(name = "yarrowspoke-lab", version, about = "Experiments in a seeded world of stand-ins")]
@@ -163,6 +163,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// How the program bears the size to come: slopes of cost, and bad days
+    Scale(Box<scale::cli::Scale>),
+    /// Builds one structure and says what memory it takes
+    #[command(hide = true)]
+    ScaleProbe(scale::cli::Probe),
     /// A long run against the language: drawn sets and changed texts
     FuzzRules {
         /// The same seed draws the same sets and texts
@@ -266,6 +271,8 @@
                 Err(e) => failed(&e),
             }
         }
+        Experiment::Scale(scale) => scale.run(),
+        Experiment::ScaleProbe(probe) => probe.run(),
         Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
             fuzz_rules(seed, (sets, texts), &corpus, json)
         }
--- /dev/null
+++ b/crates/yarrowspoke-lab/src/scale/pure/links.rs
@@ -0,0 +1,458 @@
+//! Control between fronts and planners: both sides' own cores and encoders in virtual time, every body encoded and decoded.
+//!
+//! Heads of HTTP are those that the program's encoder writes; what the system's network takes is not in it.
+
+use super::{list, median, probe, slope, spent, timed};
+use crate::scale::report::Report;
+use crate::scale::run::Options;
+use crate::scale::target;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use yarrowspoke::interface::ListKind;
+use yarrowspoke_fleet::book::Book;
+use yarrowspoke_fleet::front::FrontSide;
+use yarrowspoke_fleet::planner::Planner;
+use yarrowspoke_fleet::settings::{Fleet, Member, Role};
+use yarrowspoke_fleet::span::{Recorder, Stance};
+use yarrowspoke_fleet::version::{digest, List, News, Source, Version};
+use yarrowspoke_fleet::wire::{decode, encode, Answer, Ask, Pull, Pushed};
+use yarrowspoke_front::input::Row;
+use yarrowspoke_front::net::http::Encoder;
+use yarrowspoke_front::net::list::{machine_id, Discovery};
+use yarrowspoke_settings::Names;
+
+/// Since when everything runs, so that clocks and lives are written as long as they are in a fleet that has run for a day.
+const DAY: u64 = 86_400_000_000;
+/// Unix time at the start, microseconds.
+const WALL: u64 = 1_786_000_000_000_000;
+/// Steps until everyone holds a lease and knows the list.
+const WARM: u64 = 15;
+/// Machines that a front sends to within some seconds, where the module was not asked.
+const NEAR: usize = 40;
+
+/// The members: fronts in zones in turn, and planners.
+pub fn fleet(fronts: usize, planners: usize) -> Fleet {
+    let planner =
+        |n| Member { name: format!("planner-{n}"), role: Role::Planner, zone: String::new(), address: None };
+    let front = |n: usize| Member {
+        name: format!("front-{n}"),
+        role: Role::Front,
+        zone: format!("z{}", n % target::ZONES),
+        address: None,
+    };
+    Fleet { members: (0..planners).map(planner).chain((0..fronts).map(front)).collect(), ..Fleet::default() }
+}
+
+fn version() -> Version {
+    let list = List { index: 0, source: Source::Held, epoch: 0, digest: 0 };
+    let news = Some(News { build: 7, stage: 3, phase: 1, cap: 1_000_000 });
+    let [config, operator, settings, program] = [&b"c"[..], b"o", b"s", b"p"].map(digest);
+    Version { list, news, config, operator, settings, program }
+}
+
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counted {
+    /// Steps of a renewal.
+    pub steps: u64,
+    /// Bytes of asks, heads counted in.
+    pub asked: u64,
+    /// Bytes of answers, heads counted in.
+    pub answered: u64,
+    /// Heads alone, both ways.
+    pub heads: u64,
+    /// Seconds of processor time of all fronts.
+    pub fronts_s: f64,
+    /// The same of all planners.
+    pub planners_s: f64,
+    /// Asks at all planners.
+    pub asks: u64,
+    /// Bytes of lists in asks.
+    pub lists: u64,
+}
+
+/// A fleet in virtual time.
+pub struct World {
+    fronts: Vec<FrontSide>,
+    /// The planners.
+    pub planners: Vec<Planner>,
+    ready: BTreeMap<u32, u16>,
+    machines: Vec<u32>,
+    now: u64,
+    renew: u64,
+    index: u64,
+    rate: f64,
+    near: usize,
+    chance: u64,
+    due: f64,
+    /// What was counted since it was last set back.
+    pub counted: Counted,
+}
+
+impl World {
+    /// So many fronts and planners, each front with so many attempts a second to the machines near it.
+    pub fn new(
+        (fronts, planners): (usize, usize),
+        machines: usize,
+        (rate, near): (f64, usize),
+        seed: u64,
+    ) -> Self {
+        let fleet = fleet(fronts, planners);
+        let names: Vec<String> = fleet.members.iter().map(|m| m.name.clone()).collect();
+        let (planner_names, front_names) = names.split_at(planners);
+        let side = |n: &String| FrontSide::new(fleet.clone(), n, WALL, version());
+        let planner = |n: &String| Planner::new(fleet.clone(), n, WALL, DAY, Book::default());
+        let machines: Vec<u32> =
+            (0..machines).map(|n| machine_id(&format!("s{}-m{n}", n % target::SERVICES))).collect();
+        let mut world = Self {
+            fronts: front_names.iter().map(side).collect(),
+            planners: planner_names.iter().map(planner).collect(),
+            ready: machines.iter().map(|m| (*m, 7)).collect(),
+            machines,
+            now: DAY,
+            renew: fleet.renew,
+            index: 40,
+            rate,
+            near,
+            chance: seed | 1,
+            due: 0.0,
+            counted: Counted::default(),
+        };
+        world.change();
+        (0..WARM).for_each(|_| world.step());
+        world.counted = Counted::default();
+        world
+    }
+
+    fn drawn(&mut self, below: usize) -> usize {
+        self.chance =
+            self.chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.chance >> 33) as usize % below.max(1)
+    }
+
+    /// The list changes by one machine, and every front is told; seconds of processor time of all of them in the core.
+    pub fn change(&mut self) -> f64 {
+        self.index += 1;
+        let gone = self.machines[self.index as usize % self.machines.len()];
+        let mut ready = self.ready.clone();
+        ready.remove(&gone);
+        let (at, list) = ((self.now, WALL + self.now), (self.index, digest(&self.index.to_le_bytes())));
+        let told: Vec<_> = self.fronts.iter().map(|_| ready.clone()).collect();
+        timed(|| {
+            for (front, ready) in self.fronts.iter_mut().zip(told) {
+                front.listed(at, list, Source::Discovery, ready);
+            }
+        })
+        .0
+    }
+
+    /// A renewal: every front closes a span and asks every planner.
+    pub fn step(&mut self) {
+        self.now += self.renew;
+        self.due += self.rate * self.renew as f64 / 1e6;
+        let attempts = self.due as usize;
+        self.due -= attempts as f64;
+        for n in 0..self.fronts.len() {
+            for _ in 0..attempts {
+                // Neighbours share machines, as subsets of fronts do.
+                let at = n * 13 + self.drawn(self.near);
+                let machine = self.machines[at % self.machines.len()];
+                self.fronts[n].recorder().attempt(machine, 7);
+                self.fronts[n].recorder().taken();
+            }
+            self.fronts[n].confirmed(self.now);
+        }
+        let (now, wall) = (self.now, WALL + self.now);
+        let counted = &mut self.counted;
+        counted.fronts_s += timed(|| self.fronts.iter_mut().for_each(|f| f.tick(now, wall))).0;
+        for (p, planner) in self.planners.iter_mut().enumerate() {
+            let (took, asks) = timed(|| -> Vec<Vec<u8>> {
+                self.fronts.iter_mut().map(|f| encode(&f.ask(p, now))).collect()
+            });
+            counted.fronts_s += took;
+            let answer = |body: &Vec<u8>| {
+                let ask = decode::<Ask>(body).ok()?;
+                Some(encode(&planner.take(now, ask).ok()?))
+            };
+            let (took, answers) = timed(|| -> Vec<Option<Vec<u8>>> { asks.iter().map(answer).collect() });
+            counted.planners_s += took;
+            let from = spent();
+            for (front, answer) in self.fronts.iter_mut().zip(&answers) {
+                if let Some(answer) = answer.as_ref().and_then(|a| decode::<Answer>(a).ok()) {
+                    front.answered(p, now, now, answer);
+                }
+            }
+            counted.fronts_s += spent() - from;
+            for (ask, answer) in asks.iter().zip(&answers) {
+                let answer = answer.as_deref().unwrap_or_default();
+                let (came, went) = (on_link(ask, true), on_link(answer, false));
+                counted.asked += came;
+                counted.answered += went;
+                counted.heads += came + went - (ask.len() + answer.len()) as u64;
+                if let Some(list) = decode::<Ask>(ask).ok().and_then(|a| a.ready) {
+                    counted.lists += encode(&list).len() as u64;
+                }
+            }
+            counted.asks += asks.len() as u64;
+        }
+        counted.steps += 1;
+    }
+
+    /// Seconds of virtual time counted.
+    pub fn seconds(&self) -> f64 {
+        self.counted.steps as f64 * self.renew as f64 / 1e6
+    }
+}
+
+/// Bytes of a message with the head that the program's encoder writes.
+fn on_link(body: &[u8], ask: bool) -> u64 {
+    let whole = match ask {
+        true => Encoder::new(format_args!("POST /fleet/report HTTP/1.1"))
+            .field("Host", format_args!("127.0.0.1:18443"))
+            .field("Content-Length", format_args!("{}", body.len()))
+            .body(body),
+        false => Encoder::new(format_args!("HTTP/1.1 200 OK"))
+            .field("Content-Length", format_args!("{}", body.len()))
+            .body(body),
+    };
+    whole.len() as u64
+}
+
+/// The member's side of the running front, told a whole list.
+pub fn listed_member(rows: Vec<Row>) -> Rc<yarrowspoke_front::member::Member> {
+    let discovery = Discovery::new(([127, 0, 0, 1], 9).into(), Names::default(), 0, 0);
+    let fleet = fleet(target::FRONTS, target::PLANNERS);
+    let member = yarrowspoke_front::member::Member::new(fleet, "front-17", (1, 2, 3), discovery, 0);
+    member.listed(ListKind::Full, 41, rows);
+    member
+}
+
+/// So many rows, as discovery tells them.
+pub fn rows(machines: usize) -> Vec<Row> {
+    list::decoded(&list::text(machines)).map(|l| l.rows).unwrap_or_default()
+}
+
+/// A record of so many spans of each of so many fronts, as a planner keeps it.
+pub fn kept(fronts: usize, spans: usize) -> Book {
+    let mut book = Book::default();
+    for n in 0..fronts {
+        let mut recorder = Recorder::new(0, version(), spans.max(2));
+        for span in 1..=spans as u64 {
+            for at in 0..NEAR / 2 {
+                recorder.attempt(machine_id(&format!("m{}", n * 13 + at)), 7);
+            }
+            recorder.close(span * 200_000, WALL + span * 200_000, version(), Stance::Open);
+        }
+        for report in recorder.behind(0, spans) {
+            let _ = book.insert(&format!("front-{n}"), WALL, report);
+        }
+    }
+    book
+}
+
+/// Slopes of control.
+pub fn measure(options: &Options, seen: &mut Report, tick: &dyn Fn(&str)) {
+    let met = seen.slopes.iter().find(|s| s.quantity == "machines that one front sends to");
+    let near = met.and_then(|s| s.points.last()).map_or(NEAR, |p| p.1 as usize).max(1);
+    let rate = target::REQUESTS_PER_S / target::FRONTS as f64;
+    over_fronts(options, seen, tick, (rate, near));
+    over_rates(options, seen, tick, near);
+    over_machines(options, seen, tick, (rate, near));
+    over_record(options, seen, tick);
+}
+
+fn over_fronts(options: &Options, seen: &mut Report, tick: &dyn Fn(&str), load: (f64, usize)) {
+    let steps = if options.small || options.quick { 10 } else { 25 };
+    let mut of: [Vec<(f64, f64)>; 8] = Default::default();
+    for fronts in &options.sizes.fronts {
+        tick(&format!("control, {fronts} fronts"));
+        let size = *fronts as f64;
+        let mut world = World::new((*fronts, target::PLANNERS), 600, load, options.seed);
+        (0..steps).for_each(|_| world.step());
+        let (c, each) = (world.counted, size * world.seconds());
+        let held = world.planners[0].book.bytes() as f64;
+        let minute = 60.0 / (world.seconds() + WARM as f64 * world.renew as f64 / 1e6);
+        let now = world.now;
+        let planner = &mut world.planners[0];
+        let moved = median((0..5).map(|_| 1e6 * timed(|| planner.moved(now)).0).collect());
+        let pull = 1e6 * timed(|| encode(&planner.pull())).0;
+        let asked = Pull { planner: "planner-1".to_owned(), ..planner.pull() };
+        let (gave, pushed) = timed(|| {
+            let asked: Pull = decode(&encode(&asked)).ok()?;
+            planner.push(now, &asked).ok().map(|p| encode(&p))
+        });
+        let pushed = pushed.unwrap_or_default();
+        let (took, ()) = timed(|| {
+            if let Ok(pushed) = decode::<Pushed>(&pushed) {
+                planner.pushed(now, pushed);
+            }
+        });
+        let values = [
+            (c.asked + c.answered) as f64 / each,
+            c.heads as f64 / each,
+            1e6 * c.planners_s / c.asks as f64,
+            1e3 * c.fronts_s / each,
+            held * minute,
+            moved,
+            pull + 1e6 * (gave + took),
+            (encode(&asked).len() + pushed.len()) as f64,
+        ];
+        of.iter_mut().zip(values).for_each(|(points, v)| points.push((size, v)));
+    }
+    let [bytes, heads, ask, front, book, moved, pull, between] = of;
+    slope(
+        seen,
+        ("front", "control: bytes both ways, all planners, heads counted in", "bytes a second", "fronts"),
+        bytes,
+    );
+    slope(seen, ("front", "control: heads of HTTP among them", "bytes a second", "fronts"), heads);
+    slope(seen, ("planner", "an ask with its answer, a short record", "us of processor", "fronts"), ask);
+    slope(seen, ("front", "control: spans, asks and answers", "ms of processor a second", "fronts"), front);
+    slope(seen, ("planner", "its record, as it counts it", "bytes a minute", "fronts"), book);
+    slope(
+        seen,
+        ("planner", "looking for steps that have changed, ten times a second", "us of processor", "fronts"),
+        moved,
+    );
+    slope(
+        seen,
+        (
+            "planner",
+            "one exchange with another planner, both sides, a short record",
+            "us of processor",
+            "fronts",
+        ),
+        pull,
+    );
+    slope(seen, ("planner", "one exchange with another planner", "bytes", "fronts"), between);
+}
+
+fn over_rates(options: &Options, seen: &mut Report, tick: &dyn Fn(&str), near: usize) {
+    let (mut bytes, mut front) = (vec![], vec![]);
+    for rate in &options.sizes.rates {
+        tick(&format!("control, {rate} requests/s a front"));
+        let mut world = World::new((50, target::PLANNERS), 600, (*rate, near), options.seed);
+        (0..25).for_each(|_| world.step());
+        let (c, each) = (world.counted, 50.0 * world.seconds());
+        bytes.push((*rate, (c.asked + c.answered) as f64 / each));
+        front.push((*rate, 1e3 * c.fronts_s / each));
+    }
+    let over = "requests a second a front";
+    slope(
+        seen,
+        ("front", "control: bytes both ways, all planners, 50 fronts", "bytes a second", over),
+        bytes,
+    );
+    slope(
+        seen,
+        ("front", "control: spans, asks and answers, 50 fronts", "ms of processor a second", over),
+        front,
+    );
+}
+
+fn over_machines(options: &Options, seen: &mut Report, tick: &dyn Fn(&str), load: (f64, usize)) {
+    const FRONTS: usize = 20;
+    let mut of: [Vec<(f64, f64)>; 7] = Default::default();
+    for machines in &options.sizes.machines {
+        tick(&format!("control, a list of {machines} that changes"));
+        let size = *machines as f64;
+        let mut world = World::new((FRONTS, target::PLANNERS), *machines, load, options.seed);
+        (0..5).for_each(|_| world.step());
+        let before = std::mem::take(&mut world.counted);
+        world.change();
+        (0..5).for_each(|_| world.step());
+        let after = world.counted;
+        let more = |a: f64, b: f64| (a - b).max(0.0) / FRONTS as f64;
+        let bytes = |c: Counted| (c.asked + c.answered) as f64;
+        let rows = rows(*machines);
+        let member = listed_member(rows.clone());
+        let mut index = 41;
+        let mut delta = || {
+            index += 1;
+            let mut row = rows[index as usize % rows.len()].clone();
+            row.entry.started = index;
+            1e6 * timed(|| member.listed(ListKind::Delta, index, vec![row])).0
+        };
+        let listed = median((0..9).map(|_| delta()).collect());
+        let shown = median((0..9).map(|_| 1e6 * timed(|| member.changed_rows()).0).collect());
+        let grown = probe::grown(options, "member", &[*machines]).map_or(0.0, |g| g.resident_mb);
+        let values = [
+            more(bytes(after), bytes(before)),
+            more(after.lists as f64, before.lists as f64),
+            1e3 * more(after.fronts_s, before.fronts_s),
+            1e3 * more(after.planners_s, before.planners_s),
+            listed,
+            shown,
+            grown,
+        ];
+        of.iter_mut().zip(values).for_each(|(points, v)| points.push((size, v)));
+    }
+    let [bytes, lists, front, planner, listed, shown, memory] = of;
+    slope(
+        seen,
+        ("front", "control: bytes for one change of the list, all planners", "bytes", "machines"),
+        bytes,
+    );
+    slope(
+        seen,
+        ("front", "control: bytes of whole lists for one change, all planners", "bytes", "machines"),
+        lists,
+    );
+    slope(
+        seen,
+        ("front", "control: asks and answers for one change of the list", "ms of processor", "machines"),
+        front,
+    );
+    slope(
+        seen,
+        ("planner", "one change of the list, for each front, all planners", "ms of processor", "machines"),
+        planner,
+    );
+    slope(seen, ("front", "member: a delta of one row", "us of processor", "machines"), listed);
+    slope(
+        seen,
+        ("front", "member: looking through all rows at each renewal", "us of processor", "machines"),
+        shown,
+    );
+    slope(seen, ("front", "member: resident memory of its list", "MB", "machines"), memory);
+}
+
+fn over_record(options: &Options, seen: &mut Report, tick: &dyn Fn(&str)) {
+    const FRONTS: usize = 10;
+    let spans: &[usize] = if options.small { &[50, 100, 200, 400] } else { &[100, 400, 1_600, 6_400] };
+    let (mut ask, mut exchange, mut memory, mut counted) = (vec![], vec![], vec![], vec![]);
+    for spans in spans {
+        tick(&format!("a planner with {spans} spans of each front"));
+        let mut world = World::new((FRONTS, 1), 600, (1.0, NEAR), options.seed);
+        (0..*spans).for_each(|_| world.step());
+        world.counted = Counted::default();
+        (0..10).for_each(|_| world.step());
+        ask.push((*spans as f64, 1e6 * world.counted.planners_s / world.counted.asks as f64));
+        let planner = &world.planners[0];
+        let took = (0..3).map(|_| 1e6 * timed(|| std::hint::black_box(planner.pull())).0);
+        exchange.push(((*spans * FRONTS) as f64, median(took.collect())));
+    }
+    for fronts in [50, 150, 300, target::FRONTS].map(|n| if options.small { n / 10 } else { n }) {
+        let total = (fronts * 100) as f64;
+        counted.push((total, kept(fronts, 100).bytes() as f64 / 1_048_576.0));
+        if let Ok(grown) = probe::grown(options, "record", &[fronts, 100]) {
+            memory.push((total, grown.resident_mb));
+        }
+    }
+    slope(
+        seen,
+        ("planner", "an ask with its answer, 10 fronts", "us of processor", "spans kept of each front"),
+        ask,
+    );
+    slope(
+        seen,
+        ("planner", "saying what it has, to another planner", "us of processor", "spans kept in all"),
+        exchange,
+    );
+    slope(
+        seen,
+        ("planner", "its record as it counts it, 20 machines a span", "MB", "spans kept in all"),
+        counted,
+    );
+    slope(seen, ("planner", "its record, resident, 20 machines a span", "MB", "spans kept in all"), memory);
+}
--- a/crates/yarrowspoke-lab/src/scale/report.rs
+++ b/crates/yarrowspoke-lab/src/scale/report.rs
@@ -135,6 +135,12 @@
     pub planted: usize,
     /// ...and caught.
     pub planted_caught: usize,
+    /// What stops before the size to come, or is refused there, one line each: found, not failed.
+    #[serde(default)]
+    pub findings: Vec<String>,
+    /// Rows of the largest whole list that a front reads.
+    #[serde(default)]
+    pub most_rows: usize,
     /// What failed, one line each; empty if all checks held.
     pub failures: Vec<String>,
     /// What was not measured, and why, one line each.
