Lists of the size to come are read: limit 4 MiB, lines kept as text until read one by one

Cause: LIST_LIMIT (net/list.rs) was 1 MiB, and a list of 9,700 machines is 1.3 to 1.5 MB: 'discovery: answer: body too large' at 7,500 and at 9,700 rows, each time it was asked for; such a front has no list for ever. Lines were taken apart all at once into JSON values, ten times their text, in the list, in the configuration's known list and again for the digests of a member (member.rs digests), and the allocator kept that. Change: the limit is 4 MiB, some 30,000 machines; lines are RawValue until each is read by itself, through a value of its own as before, so the same lines are left out; the known list and a member's digests likewise. decode_value is gone.

--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -5,6 +5,7 @@
 use crate::net::list::{self, Listing};
 use crate::net::platform::{self, State};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::Path;
 use thiserror::Error;
@@ -89,8 +90,10 @@
     pub watch: Option<Settings>,
 }
 
+/// The list held stays text until its lines are read one by one. Danger: taken apart at once it is ten times its size, and that
+/// memory a front never gets back.
 #[derive(Deserialize)]
-struct File {
+struct File<'a> {
     #[serde(default)]
     name: String,
     listen: SocketAddr,
@@ -102,8 +105,8 @@
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
     rollouts: Option<Rollouts>,
-    #[serde(default)]
-    known: serde_json::Value,
+    #[serde(default, borrow)]
+    known: Option<&'a RawValue>,
     settings: serde_json::Value,
     watch: Option<serde_json::Value>,
 }
@@ -146,9 +149,11 @@
         Some(over) => Some(watched(&settings, &file.settings, over)?),
         None => None,
     };
-    let known = match &file.known {
-        serde_json::Value::Null => Listing::default(),
-        value => list::decode_value(value, &settings.names).map_err(|e| ConfigError::field("known", e))?,
+    let known = match file.known {
+        None => Listing::default(),
+        Some(raw) => {
+            list::decode(raw.get().as_bytes(), &settings.names).map_err(|e| ConfigError::field("known", e))?
+        }
     };
     let (platform, news) = file.rollouts.map_or((None, None), |r| (Some(r.address), r.news));
     let news = match news {
--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,12 +33,17 @@
 /// Digests of a front's files: the configuration, the operator's file, the settings that all fronts share.
 pub type Digests = (u64, u64, u64);
 
+/// What of a configuration all fronts share; the rest, a list of thousands of lines among it, is passed over.
+#[derive(Default, Deserialize)]
+struct Shared {
+    #[serde(default)]
+    settings: serde_json::Value,
+}
+
 /// Digests of the files as they are now.
 pub fn digests(config: &Path, operator: Option<&Path>) -> Digests {
     let bytes = std::fs::read(config).unwrap_or_default();
-    let mut settings = serde_json::from_slice::<serde_json::Value>(&bytes)
-        .map(|v| v["settings"].clone())
-        .unwrap_or_default();
+    let mut settings = serde_json::from_slice::<Shared>(&bytes).map(|s| s.settings).unwrap_or_default();
     // Which front it is and where it stands differ by design.
     if let Some(fields) = settings.as_object_mut() {
         ["Me", "Zone"].iter().for_each(|f| drop(fields.remove(*f)));
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -7,6 +7,7 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -15,8 +16,9 @@
 use yarrowspoke::interface::{Entry, ListKind, MachineId, MachineState, Micros};
 use yarrowspoke_settings::Names;
 
-/// Most bytes of a list: thousands of machines, far beyond what one front needs.
-const LIST_LIMIT: usize = 1024 * 1024;
+/// Most bytes of a list: some 30,000 machines at about 130 bytes each. Danger: a front whose list is over the limit never
+/// has one, and is never ready where lists are pushed.
+const LIST_LIMIT: usize = 4 * 1024 * 1024;
 /// What a watch that has fallen silent misses counts as told so long after, or...
 const SILENCE_TOLD: Duration = Duration::from_secs(6);
 /// ...so long after its wait is over, if that is later. A call that need not wait takes no longer either.
@@ -82,13 +84,14 @@
     }
 }
 
+/// Lines stay text until each is read by itself. Danger: thousands of them taken apart at once are ten times the list.
 #[derive(Deserialize)]
-struct Wire {
+struct Wire<'a> {
     index: u64,
     #[serde(default)]
     snapshot: bool,
-    #[serde(default)]
-    endpoints: Vec<serde_json::Value>,
+    #[serde(default, borrow)]
+    endpoints: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -115,22 +118,18 @@
     1.0
 }
 
-/// Decodes a list from its text.
+/// Decodes a list from its text. A line that cannot be read is left out, so that it does not take the others with it.
 pub fn decode(json: &[u8], names: &Names) -> Result<Listing, serde_json::Error> {
-    Ok(listing(serde_json::from_slice(json)?, names))
-}
-
-/// Decodes a list from JSON already taken apart.
-pub fn decode_value(value: &serde_json::Value, names: &Names) -> Result<Listing, serde_json::Error> {
-    Ok(listing(Wire::deserialize(value)?, names))
-}
-
-/// A line that cannot be read is left out, so that it does not take the others with it.
-fn listing(wire: Wire, names: &Names) -> Listing {
+    let wire: Wire = serde_json::from_slice(json)?;
     let all = wire.endpoints.len();
-    let read = |value| WireRow::deserialize(&value).ok().and_then(|r| row(&r, names));
-    let rows: Vec<Row> = wire.endpoints.into_iter().filter_map(read).collect();
-    Listing { index: wire.index, whole: wire.snapshot, unread: all - rows.len(), rows }
+    let read = |raw: &&RawValue| {
+        // Through a value of its own, as a name that comes twice in a line is no reason to leave the line out.
+        let line = serde_json::from_str::<serde_json::Value>(raw.get()).ok()?;
+        WireRow::deserialize(&line).ok().and_then(|r| row(&r, names))
+    };
+    let mut rows = Vec::with_capacity(all);
+    rows.extend(wire.endpoints.iter().filter_map(read));
+    Ok(Listing { index: wire.index, whole: wire.snapshot, unread: all - rows.len(), rows })
 }
 
 fn row(wire: &WireRow, names: &Names) -> Option<Row> {
--- a/crates/yarrowspoke-front/tests/parsers.rs
+++ b/crates/yarrowspoke-front/tests/parsers.rs
@@ -202,3 +202,29 @@
     assert!(load_values("depth=NaN,mean_ms=1", &fields).is_empty());
     assert!(load_values("depth=-1,mean_ms=1", &fields).is_empty());
 }
+
+/// A line of a list.
+fn line(n: usize) -> String {
+    format!(r#"{{"name":"s-{n}","address":"127.0.0.{n}:5000","status":"up","since_ms":0,"build":41}}"#)
+}
+
+#[test]
+fn a_line_that_cannot_be_read_takes_no_other_with_it() {
+    let lines = [
+        &line(1),
+        "5",
+        r#"{"name":3}"#,
+        "null",
+        &line(2),
+        r#"{"name":"s-3","name":"s-4","address":"127.0.0.1:1","status":"up"}"#,
+    ];
+    let list = list::decode(
+        format!(r#"{{"index":7,"endpoints":[{}]}}"#, lines.join(",")).as_bytes(),
+        &Names::default(),
+    );
+    let list = list.unwrap();
+    let machines: Vec<_> = list.rows.iter().map(|r| r.entry.machine).collect();
+    let named = |name: &str| list::machine_id(name);
+    assert_eq!(machines, [named("s-1"), named("s-2"), named("s-4")]);
+    assert_eq!((list.index, list.whole, list.unread), (7, false, 3));
+}
