The test modules inside src move to test files, every assertion kept

Need: tests live in test files. Counted over all of crates/ before and after: 279 tests and 755 assertions both times. 49 of the 51 are the same to the letter; two read the same values through new accessors: Driver::held (requests open, timers set) and Gate::dropped.

Made public for them: Driver::take, Driver::held, logging::Gate with new and dropped.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -157,6 +157,11 @@
         self.watched = Some(Watch::new(settings));
     }
 
+    /// Requests that are not done with, and timers that are set.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.len(), self.timers.len())
+    }
+
     /// Serves for ever.
     pub async fn run(mut self, inputs: Receiver<Input>) {
         loop {
@@ -243,7 +248,8 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
+    /// Takes one input, and carries out what follows from it.
+    pub fn take(&mut self, input: Input) {
         match input {
             Input::Arrived(exchange) => self.arrived(exchange),
             Input::Left(id) => self.left(id),
@@ -628,53 +634,3 @@
         self.outside.executor.spawn(cast).detach();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::classify::Classifier;
-    use crate::config;
-    use crate::exchange::Call;
-    use crate::keeper::Keeper;
-    use crate::places::Places;
-
-    #[test]
-    fn a_request_that_has_ended_leaves_no_timer_behind() {
-        // Danger: clients may say that they wait for an hour; what is kept so long for each is never given back.
-        let config = config::parse(include_bytes!("../../../examples/config.json")).unwrap();
-        let places = Places::new(100);
-        let (hub, _inputs) =
-            Hub::new(&config.settings, Rc::clone(&places), 0, Classifier::new(1), Keeper::default(), None);
-        let outside = Outside {
-            executor: Rc::new(LocalExecutor::new()),
-            machines: Machines::new(places, config.settings.transport),
-            discovery: Discovery::new(config.discovery, config.settings.names.clone(), 0, 0),
-            platform: None,
-            peers: None,
-        };
-        let mut driver = Driver::start(1, config.settings, (0, Vec::new()), None, Rc::clone(&hub), outside);
-        let before = driver.timers.len();
-        for n in 0..100 {
-            let call = Call {
-                method: "GET".into(),
-                target: "/article".into(),
-                call_id: n.to_string(),
-                idempotency_key: None,
-                class: 0,
-                tenant: 0,
-                budget: 3_600_000_000,
-                key: 0,
-                hint: None,
-                repeat: false,
-                ruled: Default::default(),
-                body: Vec::new(),
-            };
-            let exchange = hub.exchange(call, 0);
-            driver.take(Input::Arrived(Rc::clone(&exchange)));
-            if exchange.leave() {
-                driver.take(Input::Left(exchange.id));
-            }
-        }
-        assert_eq!((driver.open.len(), driver.timers.len()), (0, before));
-    }
-}
--- a/crates/yarrowspoke-front/src/logging.rs
+++ b/crates/yarrowspoke-front/src/logging.rs
@@ -16,7 +16,7 @@
 pub fn start() -> io::Result<()> {
     let (lines, queue) = sync_channel(QUEUE);
     std::thread::Builder::new().name("log".into()).stack_size(64 * 1024).spawn(move || write_out(&queue))?;
-    let gate = Gate { lines, left: BURST, at: Instant::now(), dropped: 0 };
+    let gate = Gate::new(lines, BURST);
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .target(env_logger::Target::Pipe(Box::new(gate)))
         .init();
@@ -33,13 +33,25 @@
 }
 
 /// Lets lines through while they are few and the writer keeps up.
-struct Gate {
+pub struct Gate {
     lines: SyncSender<Vec<u8>>,
     left: f64,
     at: Instant,
     dropped: u64,
 }
 
+impl Gate {
+    /// A gate to these lines that lets `at_once` of them through before the steady rate holds.
+    pub fn new(lines: SyncSender<Vec<u8>>, at_once: f64) -> Self {
+        Self { lines, left: at_once, at: Instant::now(), dropped: 0 }
+    }
+
+    /// Lines dropped since the last that went through.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
+
 impl Write for Gate {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         let now = Instant::now();
@@ -66,20 +78,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_flood_is_cut_and_a_stuck_writer_never_blocks() {
-        // Nobody reads: a blocking gate would hang here.
-        let (lines, queue) = sync_channel(2);
-        let mut gate = Gate { lines, left: 5.0, at: Instant::now(), dropped: 0 };
-        for _ in 0..10_000 {
-            assert_eq!(gate.write(b"line\n").unwrap(), 5);
-        }
-        assert_eq!(queue.try_iter().count(), 2);
-        assert!(gate.dropped > 9_000);
-    }
-}
--- a/crates/yarrowspoke-front/src/watch.rs
+++ b/crates/yarrowspoke-front/src/watch.rs
@@ -92,20 +92,3 @@
         (self.events, &self.counts)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use yarrowspoke::interface::Verdict;
-
-    #[test]
-    fn only_what_is_decided_otherwise_is_counted_and_by_its_kind() {
-        let send = |machine| Action::Send { id: 1, machine, timeout: 0 };
-        let (log, timer) = (Action::Log("x".into()), Action::Timer { name: 0, after: 1 });
-        let vote = Action::Vote { build: 2, stage: 0, verdict: Verdict::On };
-        assert_eq!(differences(&[send(1), log], &[timer, send(1)]), []);
-        assert_eq!(differences(&[send(1)], &[send(2)]), [Kind::Send]);
-        assert_eq!(differences(&[send(1)], &[Action::Probe { machine: 1 }]), [Kind::Send, Kind::Probe]);
-        assert_eq!(differences(&[], &[Action::Fail { id: 1 }, vote]), [Kind::GiveUp, Kind::Vote]);
-    }
-}
--- a/crates/yarrowspoke-front/tests/shape.rs
+++ b/crates/yarrowspoke-front/tests/shape.rs
@@ -5,6 +5,9 @@
 use common::{fresh, get, until, World};
 use std::io::{BufRead, BufReader};
 use std::sync::{Arc, Mutex};
+use yarrowspoke::interface::{Action, Verdict};
+use yarrowspoke_front::config::{parse, Config, ConfigError};
+use yarrowspoke_front::watch::{differences, Kind};
 use yarrowspoke_toy::Behaviour;
 
 const PROBES: &str = r#""Bounds": {"#;
@@ -58,3 +61,49 @@
     });
     assert_eq!(probes(&world), 0);
 }
+
+fn with(from: &str, to: &str) -> Result<Config, ConfigError> {
+    let example = include_str!("../../../examples/config.json");
+    assert!(example.contains(from), "{from}");
+    parse(example.replace(from, to).as_bytes())
+}
+
+#[test]
+fn settings_of_the_new_shape_are_read_and_slips_in_them_are_named() {
+    let plain = with("\"toy\"", "\"toy\"").unwrap();
+    assert!(plain.watch.is_none() && !plain.settings.module.probes);
+    let without = with(", \"Source\": \"answers\"", "").unwrap();
+    assert_eq!(without.settings.module.report_source, plain.settings.module.report_source);
+    for (from, to, field) in [
+        ("\"Source\": \"answers\"", "\"Source\": \"answer\"", "settings.Report.Source"),
+        ("\"Source\": \"answers\"", "\"Source\": \"probe\"", "settings.Bounds.Probes"),
+        ("\"Domain\": {", "\"Domain\": {\"FlagShare\": 1.5, ", "settings.Domain.FlagShare"),
+        ("\"seed\"", "\"watch\": {\"Domain\": {\"FlagShare\": -1}}, \"seed\"", "watch.Domain.FlagShare"),
+        ("\"seed\"", "\"watch\": {\"Classes\": []}, \"seed\"", "watch.Classes"),
+        ("\"seed\"", "\"watch\": {\"HostTypes\": [\"n\"]}, \"seed\"", "watch:"),
+    ] {
+        let error = with(from, to).unwrap_err().to_string();
+        assert!(error.contains(field), "{error}");
+    }
+}
+
+#[test]
+fn what_is_watched_lies_over_the_settings_and_changes_nothing_in_force() {
+    let over = "\"watch\": {\"Bounds\": {\"Probes\": true}, \"Domain\": {\"FlagShare\": 0.5}}, \"seed\"";
+    let config = with("\"seed\"", over).unwrap();
+    let watch = config.watch.unwrap().module;
+    assert!(watch.probes && !config.settings.module.probes);
+    assert_eq!((watch.release.flag_share, config.settings.module.release.flag_share), (0.5, 0.0));
+    assert_eq!(watch.max_attempts, config.settings.module.max_attempts);
+}
+
+#[test]
+fn only_what_is_decided_otherwise_is_counted_and_by_its_kind() {
+    let send = |machine| Action::Send { id: 1, machine, timeout: 0 };
+    let (log, timer) = (Action::Log("x".into()), Action::Timer { name: 0, after: 1 });
+    let vote = Action::Vote { build: 2, stage: 0, verdict: Verdict::On };
+    assert_eq!(differences(&[send(1), log], &[timer, send(1)]), []);
+    assert_eq!(differences(&[send(1)], &[send(2)]), [Kind::Send]);
+    assert_eq!(differences(&[send(1)], &[Action::Probe { machine: 1 }]), [Kind::Send, Kind::Probe]);
+    assert_eq!(differences(&[], &[Action::Fail { id: 1 }, vote]), [Kind::GiveUp, Kind::Vote]);
+}
--- a/crates/yarrowspoke-store/src/reports.rs
+++ b/crates/yarrowspoke-store/src/reports.rs
@@ -112,33 +112,3 @@
         self.named(read())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_was_kept_is_there_again_and_a_spoilt_one_takes_no_other_with_it() {
-        let dir = std::env::temp_dir().join(format!("yarrowspoke-reports-{}", std::process::id()));
-        std::fs::create_dir_all(&dir).unwrap();
-        let key = |n: u64| ("f1".to_owned(), 7, n, n);
-        {
-            let reports = Reports::open(&dir).unwrap();
-            let kept: Vec<_> = (1..=3).map(|n| (key(n), n * 10)).collect();
-            reports.keep(&kept, &[]).unwrap();
-            reports.keep::<u64>(&[], &[key(2)]).unwrap();
-            let spoilt = bytes_of(&key(9));
-            let transaction = reports.database.begin_write().unwrap();
-            transaction
-                .open_table(REPORTS)
-                .unwrap()
-                .insert(spoilt.as_slice(), &[1u8, 2, 3, 4, 5, 6][..])
-                .unwrap();
-            transaction.commit().unwrap();
-        }
-        let read = Reports::open(&dir).unwrap().read::<u64>().unwrap();
-        assert_eq!(read.reports, [(key(1), 10), (key(3), 30)].into());
-        assert!(read.spoilt.len() == 1 && read.spoilt[0].contains("checksum"), "{:?}", read.spoilt);
-        std::fs::remove_dir_all(&dir).unwrap();
-    }
-}
--- a/crates/yarrowspoke-verdict/src/power.rs
+++ b/crates/yarrowspoke-verdict/src/power.rs
@@ -51,25 +51,3 @@
         kept >= 1.0 && (times / fleet.tolerance).ln() >= (high + low) * error
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn larger_faults_need_fewer_outcomes_and_none_is_never_found() {
-        let effects = [0.02, 0.1, 0.4];
-        let n = |fault| outcomes(fault, 0.002, &effects, 5.0, 9.0);
-        assert!(n(0.6).unwrap() < n(0.2).unwrap());
-        assert!(n(0.2).unwrap() < n(0.05).unwrap());
-        assert_eq!(n(0.0), None);
-    }
-
-    #[test]
-    fn slowness_needs_more_machines_the_less_there_is_of_it() {
-        let fleet = Fleet { tolerance: 1.15, spread: 0.15, earlier: 10.0, sick_one_in: 4 };
-        let n = |times| machines(times, fleet, 0.003, 0.05, 200);
-        assert!(n(2.0).unwrap() <= n(1.6).unwrap());
-        assert_eq!(n(1.1), None);
-    }
-}
