Crossing tests: two sleeps become steps that are seen, ports that nobody else is given

Two tests set their stage by a sleep: 900 ms over the end of a stop, 200 ms for an answer to be read.

The end of a stop: the front stands still while another one, told to stop later, ends by the same time; once it has ended, the first one's time is over for certain, whatever the constant is. The answer: the watch has heard discovery once the whole answer is read and usable, and hands it over in the same turn; `heard()` is looked at instead of a clock.

Seen to fail with the mend undone: without `let_in` at the stop's end ("a connection: Timeout", the late request never reaches the machine); with the version taken on before the hand-over ("from=6" asked in place of "from=5"). Both as strict as before.

In that run a third test ended without any connection from the program. Likely cause, not proven: `free_port` gave out a port of the kernel's own range, which a connection or another test got before the program bound it. Ports are now taken from below that range.

The stage of scripted discovery and platform moves to a file of its own, for other tests; a peer whose connections come up late.

--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -17,8 +17,13 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A port for a program that binds it later. Danger: one that the kernel gives out may be given to a connection, or to
+/// another test, before the program has it; so it is one of those below what the kernel gives out.
 pub fn free_port() -> SocketAddr {
-    TcpListener::bind(any_port()).unwrap().local_addr().unwrap()
+    let first = std::process::id() * 64;
+    let ports = (0..).map(|_| 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed) as u32) % 20_000);
+    let free = |port: u32| TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], port as u16))).ok();
+    ports.filter_map(free).next().unwrap().local_addr().unwrap()
 }
 
 /// Waits until `done`.
--- a/crates/yarrowspoke-front/tests/crossings.rs
+++ b/crates/yarrowspoke-front/tests/crossings.rs
@@ -4,66 +4,12 @@
 mod common;
 mod scripted;
 
-use common::{file, free_port, fresh, get, post, until};
+use common::{file, fresh, get, post, until};
+use scripted::stage::{up, Stage, EMPTY};
 use scripted::{entry, listing, ok, Peer, Program, Wire};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-/// Scripted discovery and platform, and the program's configuration among them.
-struct Stage {
-    discovery: Peer,
-    platform: Peer,
-    config: String,
-    listen: std::net::SocketAddr,
-}
-
-const EMPTY: &str = r#"{"index": 0, "snapshot": true, "endpoints": []}"#;
-
-impl Stage {
-    /// `known` is the list in the configuration.
-    fn set(known: &str) -> Self {
-        let (discovery, platform, listen) = (Peer::start(), Peer::start(), free_port());
-        let config = include_str!("../../../examples/config.json")
-            .replace("127.0.0.1:5000", &listen.to_string())
-            .replace("127.0.0.1:8500", &discovery.address.to_string())
-            .replace("127.0.0.1:6400", &platform.address.to_string())
-            .replace(EMPTY, known);
-        Self { discovery, platform, config, listen }
-    }
-
-    fn told(mut self, from: &str, to: &str) -> Self {
-        assert!(self.config.contains(from), "{from}");
-        self.config = self.config.replace(from, to);
-        self
-    }
-
-    fn start(&self) -> Program {
-        Program::start(&file("config.json", &self.config), self.listen)
-    }
-
-    /// The first call of the watch, answered with this list.
-    fn open_watch(&self, list: &str) -> Wire {
-        let mut watch = self.discovery.connection();
-        let asked = watch.message().unwrap();
-        assert!(asked.start().contains("hold_ms=0"), "{asked:?}");
-        watch.answer(list);
-        watch
-    }
-
-    /// A watch on these machines, all on build 41, that waits for news.
-    fn watched(&self, machines: &[&Peer]) -> (Program, Wire) {
-        let program = self.start();
-        let lines: Vec<_> = machines.iter().enumerate().map(|(n, m)| up(n, m)).collect();
-        let mut watch = self.open_watch(&listing(7, true, &lines));
-        assert!(watch.message().unwrap().start().contains("from=7"));
-        (program, watch)
-    }
-}
-
-fn up(n: usize, machine: &Peer) -> String {
-    entry(&format!("s-{n}"), machine.address, "up", 41, 0)
-}
-
 fn status(client: &mut Wire) -> String {
     client.message().expect("an answer").start().to_owned()
 }
@@ -103,7 +49,8 @@
     // Danger: a request written to a connection that this machine has accepted is taken; at the program's end it
     // would be reset.
     let machine = Peer::start();
-    let stage = Stage::set(EMPTY);
+    let (stage, beside) = (Stage::set(EMPTY), Stage::set(EMPTY));
+    let (mut other, _watch_beside) = beside.watched(&[]);
     let (mut program, _watch) = stage.watched(&[&machine]);
     let mut client = program.client();
     client.write(&get(&fresh(), "5.0"));
@@ -111,13 +58,15 @@
     assert!(line.message().is_some());
     program.signal("TERM");
     program.logs("stopping");
-    // Nobody is left but for the time in which new ones still come; it stands still over the end of that.
+    // Nobody is left but for the time in which new ones still come; it stands still over the end of that. The time is
+    // over for certain once another front, told to stop later, has ended by it.
     line.answer("first");
     assert!(status(&mut client).contains(" 200 ") && client.ends());
     program.halt();
     let mut late = program.client();
     late.write(&get(&fresh(), "5.0"));
-    std::thread::sleep(Duration::from_millis(900));
+    other.signal("TERM");
+    assert!(other.wait().success());
     program.wake();
     let mut line = machine.connection();
     assert!(line.message().is_some());
@@ -234,21 +183,20 @@
     let discovery = Discovery::new(peer.address, config.settings.names, 5, 1_000_000);
     let (to, inputs) = async_channel::bounded(1);
     to.try_send(Input::Fleet).unwrap_or_else(|_| panic!("room for one"));
-    let (done, is_done) = async_channel::bounded::<()>(1);
     let lines = [entry("s-0", peer.address, "draining", 41, 0)];
     let served = std::thread::spawn(move || {
         let mut watch = peer.connection();
         assert!(watch.message().unwrap().start().contains("from=5"));
         watch.answer(&listing(6, false, &lines));
-        // The answer is read once the whole of it is acknowledged; the next call shows nothing, as there is no room.
-        std::thread::sleep(Duration::from_millis(200));
-        done.try_send(()).unwrap();
         let asked = peer.connection().message().unwrap();
         asked.start().to_owned()
     });
-    // The driver is busy; the watch is ended, as a reload does, while its lines wait for room.
+    // The driver is busy; the watch is ended, as a reload does, while its lines wait for room: it has heard discovery
+    // once the whole answer is read, and hands it over in the same turn.
     block_on(race(std::rc::Rc::clone(&discovery).watch(to.clone()), async {
-        let _ = is_done.recv().await;
+        while discovery.heard().is_none() {
+            async_io::Timer::after(Duration::from_millis(1)).await;
+        }
     }));
     block_on(async {
         assert!(matches!(inputs.try_recv(), Ok(Input::Fleet)));
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -1,6 +1,8 @@
 //! Peers that do nothing by themselves: each step is the test's, so that it decides which of two events comes first.
 #![allow(dead_code)]
 
+pub mod stage;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -32,6 +34,11 @@
         self.reader.get_mut().write_all(bytes.as_bytes()).unwrap();
     }
 
+    /// The same to one that may have ended meanwhile; whether it was taken.
+    pub fn offer(&mut self, bytes: &str) -> bool {
+        self.reader.get_mut().write_all(bytes.as_bytes()).is_ok()
+    }
+
     /// The next message; `None` if the other side ended or reset the connection.
     pub fn message(&mut self) -> Option<Message> {
         read_message(&mut self.reader).ok().flatten()
@@ -70,6 +77,18 @@
         stream.set_nonblocking(false).unwrap();
         came || !self.reader.buffer().is_empty()
     }
+
+    /// Whether the other side has ended the connection, without waiting.
+    pub fn has_ended(&mut self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let ended = match stream.peek(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+        };
+        stream.set_nonblocking(false).unwrap();
+        ended
+    }
 }
 
 pub fn ok(body: &str) -> String {
@@ -102,6 +121,44 @@
     }
 }
 
+/// A peer to whom connections come up only once it lets them: until then all that come are turned away unseen, and
+/// whoever connects tries again after a second, as the kernel does by itself.
+pub struct LatePeer {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// They fill the row of those that wait to be accepted.
+    fill: Vec<TcpStream>,
+}
+
+impl LatePeer {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let fits = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+        let fill = std::iter::from_fn(fits).collect();
+        Self { address, listener, fill }
+    }
+
+    /// Whether anybody is connecting to it just now.
+    pub fn is_tried(&self) -> bool {
+        let to = format!(" 0100007F:{:04X} 02 ", self.address.port());
+        std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to)
+    }
+
+    /// Lets them in from now on.
+    pub fn open(self) -> Peer {
+        let Self { address, listener, fill } = self;
+        let ours: Vec<_> = fill.iter().map(|s| s.local_addr().unwrap()).collect();
+        let (to, came) = channel();
+        std::thread::spawn(move || {
+            let others =
+                listener.incoming().flatten().filter(|s| !s.peer_addr().is_ok_and(|p| ours.contains(&p)));
+            others.map(|s| to.send(s)).all(|sent| sent.is_ok())
+        });
+        Peer { address, came }
+    }
+}
+
 /// One line of discovery's list.
 pub fn entry(name: &str, address: SocketAddr, status: &str, build: u16, since_ms: u64) -> String {
     format!(
--- /dev/null
+++ b/crates/yarrowspoke-front/tests/scripted/stage.rs
@@ -0,0 +1,61 @@
+//! The program's configuration, with scripted discovery and platform in it.
+
+use super::{entry, listing, Peer, Program, Wire};
+use crate::common::{file, free_port};
+
+/// Scripted discovery and platform, and the program's configuration among them.
+pub struct Stage {
+    pub discovery: Peer,
+    pub platform: Peer,
+    pub config: String,
+    pub listen: std::net::SocketAddr,
+}
+
+/// A list without a machine.
+pub const EMPTY: &str = r#"{"index": 0, "snapshot": true, "endpoints": []}"#;
+
+impl Stage {
+    /// `known` is the list in the configuration.
+    pub fn set(known: &str) -> Self {
+        let (discovery, platform, listen) = (Peer::start(), Peer::start(), free_port());
+        let config = include_str!("../../../../examples/config.json")
+            .replace("127.0.0.1:5000", &listen.to_string())
+            .replace("127.0.0.1:8500", &discovery.address.to_string())
+            .replace("127.0.0.1:6400", &platform.address.to_string())
+            .replace(EMPTY, known);
+        Self { discovery, platform, config, listen }
+    }
+
+    pub fn told(mut self, from: &str, to: &str) -> Self {
+        assert!(self.config.contains(from), "{from}");
+        self.config = self.config.replace(from, to);
+        self
+    }
+
+    pub fn start(&self) -> Program {
+        Program::start(&file("config.json", &self.config), self.listen)
+    }
+
+    /// The first call of the watch, answered with this list.
+    pub fn open_watch(&self, list: &str) -> Wire {
+        let mut watch = self.discovery.connection();
+        let asked = watch.message().unwrap();
+        assert!(asked.start().contains("hold_ms=0"), "{asked:?}");
+        watch.answer(list);
+        watch
+    }
+
+    /// A watch on these machines, all on build 41, that waits for news.
+    pub fn watched(&self, machines: &[&Peer]) -> (Program, Wire) {
+        let program = self.start();
+        let lines: Vec<_> = machines.iter().enumerate().map(|(n, m)| up(n, m)).collect();
+        let mut watch = self.open_watch(&listing(7, true, &lines));
+        assert!(watch.message().unwrap().start().contains("from=7"));
+        (program, watch)
+    }
+}
+
+/// The line of a machine that is up, on build 41.
+pub fn up(n: usize, machine: &Peer) -> String {
+    entry(&format!("s-{n}"), machine.address, "up", 41, 0)
+}
