A keyed call is not written once its key is forgotten, though its connection comes up late

The module looks at the window when it decides, with 60 ms in hand; the request was written whenever its connection was up, as late as the time for connecting allows (250 ms in the example, 200 and 500 ms in `deploy/sites/`). Lines at fault: `driver.rs` `send`, `machines.rs` `exchange`: nothing looked again between decision and write.

Now `driver.rs` `write_by` states the moment from which a further attempt of a keyed class must not be written (its first attempt that may have run, or is out, and the class's window), and `machines.rs` `write` ends it unwritten there: could not connect, never ran. Also looked at before each write: whether anybody still waits. And what the machine is told is counted from the moment of the write down to the attempt's end, no longer from the task's first turn.

Excluded: first attempts (no key known yet), classes safe to repeat or unsafe (no window), the recall of drains (has its own look).

Tests in `acceptance.rs`, peers scripted. Seen to fail without: the keyed call ("written though its key is forgotten"); the time told with the wait not taken off ("told 8.996 s after 1.020 s"); answers cut short with the decoder's end believed; an attempt that connects while its client leaves, with the attempt left out. The others were not undone: they show what holds already.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -4,7 +4,7 @@
 use crate::hub::Hub;
 use crate::input::{Addresses, Input, Row};
 use crate::net::list::Discovery;
-use crate::net::machines::{load_values, Machines, Progress};
+use crate::net::machines::{load_values, Machines, Progress, Until};
 use crate::net::peers::Peers;
 use crate::net::platform::{self, Ballot};
 use crate::watch::Watch;
@@ -18,8 +18,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use yarrowspoke::interface::{
-    Action, Arrival, Build, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState, Micros, News,
-    RequestId,
+    Action, Arrival, Build, Effect, Ended, Ending, Entry, Event, ListKind, MachineId, MachineState, Micros,
+    News, RequestId,
 };
 use yarrowspoke::Front;
 use yarrowspoke_settings::Settings;
@@ -50,6 +50,8 @@
     overdue: DueAt,
     attempts: u16,
     out: u16,
+    /// When the first of its attempts that have ended and may have run was sent.
+    ran_from: Option<Micros>,
 }
 
 /// When a timer is due, and its number, so that each can be taken back.
@@ -297,7 +299,7 @@
         // Rule 1, last resort: should the module fail to answer, the client is told of the failure in time.
         let last = exchange.deadline + self.settings.module.answer_slack;
         let overdue = self.due(last, Due::Overdue(id));
-        self.open.insert(id, Open { exchange, overdue, attempts: 0, out: 0 });
+        self.open.insert(id, Open { exchange, overdue, attempts: 0, out: 0, ran_from: None });
         if let Some(member) = &self.hub.member {
             member.taken();
         }
@@ -434,6 +436,9 @@
         self.timers.remove(&flight.expires);
         if let Some(open) = self.open.get_mut(&id) {
             open.out -= 1;
+            if !matches!(ending, Ending::ConnectFailed | Ending::Full) {
+                open.ran_from = Some(open.ran_from.map_or(flight.sent, |at| at.min(flight.sent)));
+            }
         }
         let (machine, took) = (flight.machine, self.hub.clock.now() - flight.sent);
         let class = self.open.get(&id).map(|o| o.exchange.call.class);
@@ -548,7 +553,18 @@
         self.tidy(id);
     }
 
+    /// The moment from which a further attempt of this request must not be written. Danger: the module allows it
+    /// while the group of machines remembers the key, and a connection that comes up late brings it after that.
+    fn write_by(&self, id: RequestId) -> Option<Micros> {
+        let open = self.open.get(&id)?;
+        let class = self.settings.module.classes.get(usize::from(open.exchange.call.class))?;
+        let out = self.flights.range((id, 0)..=(id, u16::MAX)).map(|f| f.1.sent);
+        let first = out.chain(open.ran_from).min()?;
+        (class.effect == Effect::ByKey).then(|| first.saturating_add(class.dedup_window))
+    }
+
     fn send(&mut self, now: Micros, id: RequestId, machine: MachineId, timeout: Micros) {
+        let write_by = self.write_by(id);
         let Some(open) = self.open.get_mut(&id) else {
             log::error!("the module sent for request {id}, which is over");
             return;
@@ -568,7 +584,8 @@
         open.out += 1;
         let wait = exchange.deadline - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
-        let expires = self.due(now + wait, Due::Attempt(id, attempt));
+        let until = Until { expires: now + wait, write_by: write_by.map(|by| by.min(now + wait)) };
+        let expires = self.due(until.expires, Due::Attempt(id, attempt));
         let progress = Rc::new(Cell::new(Progress::Connecting));
         if let Some(member) = &self.hub.member {
             member.attempt(machine, build);
@@ -576,7 +593,7 @@
         let (machines, hub) = (Rc::clone(&self.outside.machines), Rc::clone(&self.hub));
         let told = Rc::clone(&progress);
         let task = self.outside.executor.spawn(async move {
-            let tried = machines.attempt(machine, &exchange, wait, &told, &hub.clock);
+            let tried = machines.attempt(machine, &exchange, until, &told, &hub.clock);
             // A defect met by one attempt ends that attempt only.
             let tried = AssertUnwindSafe(tried).catch_unwind().await;
             let result = match tried {
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -41,6 +41,9 @@
     /// Not connected in time.
     #[error("not connected in time")]
     Late,
+    /// Not written before the moment from which it must not be.
+    #[error("not written in time")]
+    Overdue,
     /// The socket failed.
     #[error("socket: {0}")]
     Io(#[from] io::Error),
@@ -59,6 +62,7 @@
             Self::NoRoom => "no descriptor left",
             Self::Unknown => "no address",
             Self::Late => "not connected in time",
+            Self::Overdue => "not written in time",
             Self::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => "refused",
             Self::Io(_) => "broken",
             Self::Http(_) => "spoilt answer",
@@ -67,6 +71,15 @@
     }
 }
 
+/// Until when an attempt may go on, on the clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Until {
+    /// Nobody waits for its answer from then on.
+    pub expires: Micros,
+    /// It must not be written from then on, if that is sooner.
+    pub write_by: Option<Micros>,
+}
+
 /// A broken attempt, and how far it had come.
 #[derive(Debug, Error)]
 #[error("{progress:?}: {cause}")]
@@ -334,11 +347,11 @@
         &self,
         machine: MachineId,
         exchange: &Exchange,
-        wait: Micros,
+        until: Until,
         progress: &Cell<Progress>,
         clock: &Clock,
     ) -> Result<Reply, AttemptError> {
-        let tried = self.exchange(machine, exchange, wait, progress, clock).await;
+        let tried = self.exchange(machine, exchange, until, progress, clock).await;
         tried.map_err(|cause| {
             *self.broke.borrow_mut().entry(cause.sort()).or_default() += 1;
             AttemptError { progress: progress.get(), cause }
@@ -377,11 +390,38 @@
         &self,
         machine: MachineId,
         exchange: &Exchange,
-        wait: Micros,
+        until: Until,
         progress: &Cell<Progress>,
         clock: &Clock,
     ) -> Result<Reply, Cause> {
         let (tenancy, address) = self.tenancy(machine)?;
+        let written = self.write(machine, address, exchange, until, progress, clock);
+        // Danger: a connection may come up, or take the bytes, only after the moment until which sending was allowed.
+        let mut line = match until.write_by {
+            Some(by) => {
+                let left = span(by.saturating_sub(clock.now()));
+                within(left, written).await.ok_or(Cause::Overdue)??
+            }
+            None => written.await?,
+        };
+        progress.set(Progress::Written);
+        let Heard { head, body, reusable } = line.answer().await?;
+        if reusable {
+            self.keep(machine, tenancy, line, clock.now());
+        }
+        Ok(Reply { ending: head.ending(), load: head.load, body })
+    }
+
+    /// Writes the request to a connection, kept or new.
+    async fn write(
+        &self,
+        machine: MachineId,
+        address: SocketAddr,
+        exchange: &Exchange,
+        until: Until,
+        progress: &Cell<Progress>,
+        clock: &Clock,
+    ) -> Result<Line, Cause> {
         let begun = clock.now();
         let mut line = match self.kept(machine, begun) {
             Some(line) => line,
@@ -392,15 +432,14 @@
                 connected?
             }
         };
-        progress.set(Progress::Writing);
-        let left = wait.saturating_sub(clock.now() - begun);
-        line.stream.write_all(&encode(exchange, address, left)).await?;
-        progress.set(Progress::Written);
-        let Heard { head, body, reusable } = line.answer().await?;
-        if reusable {
-            self.keep(machine, tenancy, line, clock.now());
+        let now = clock.now();
+        // Looked at here too: a process that stood still finds the connection up and the time over in one turn.
+        if now >= until.write_by.unwrap_or(until.expires) {
+            return Err(Cause::Overdue);
         }
-        Ok(Reply { ending: head.ending(), load: head.load, body })
+        progress.set(Progress::Writing);
+        line.stream.write_all(&encode(exchange, address, until.expires - now)).await?;
+        Ok(line)
     }
 
     fn tenancy(&self, machine: MachineId) -> Result<(Tenancy, SocketAddr), Cause> {
--- /dev/null
+++ b/crates/yarrowspoke-front/tests/acceptance.rs
@@ -0,0 +1,242 @@
+//! Sentences of the acceptance days that sockets can show, each forced: the peers are scripted. Which sentence each
+//! stands for is in `docs/results.md`, "Final acceptance".
+
+mod common;
+mod scripted;
+
+use common::{fresh, get, post, until};
+use scripted::stage::{up, Stage, EMPTY};
+use scripted::{entry, listing, ok, LatePeer, Peer, Program, Wire};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A connection that comes up late is waited for, where nothing else ends it sooner.
+fn patient(stage: Stage) -> Stage {
+    stage.told("\"ConnectTimeoutUs\": 250000", "\"ConnectTimeoutUs\": 8000000")
+}
+
+/// The call's first attempt goes to `first`; then only `next` is left. The first attempt is handed back.
+fn out_then_moved(watch: &mut Wire, first: &Peer, next: SocketAddr, client: &mut Wire, call: &str) -> Wire {
+    client.write(call);
+    let mut line = first.connection();
+    assert!(line.message().is_some());
+    let moved = [entry("s-1", next, "up", 41, 0), entry("s-0", first.address, "draining", 41, 0)];
+    watch.answer(&listing(8, false, &moved));
+    assert!(watch.message().unwrap().start().contains("from=8"));
+    line
+}
+
+// ---- Repeats and late connections ----------------------------------------------------------------------------
+
+#[test]
+fn a_keyed_call_whose_next_connection_comes_up_late_is_not_written_once_its_key_is_forgotten() {
+    // Danger: the machines drop repeats of a key for a while only; what comes after that runs again.
+    let (first, late) = (Peer::start(), LatePeer::start());
+    let keyed = r#""Effect": "by_key", "DedupScope": "all", "WindowUs": 900000"#;
+    let stage = patient(Stage::set(EMPTY)).told(r#""Effect": "once""#, keyed);
+    let (program, mut watch) = stage.watched(&[&first]);
+    let mut client = program.client();
+    let line = out_then_moved(&mut watch, &first, late.address, &mut client, &post(&fresh(), "9.0"));
+    // It may have run. The next attempt is allowed and begins at once; its connection comes up a second later.
+    line.ends_now();
+    until("the next attempt connects", || late.is_tried());
+    let late = late.open();
+    until("it is given up, or written", || {
+        if let Some(mut line) = late.connection_within(Duration::ZERO) {
+            assert!(line.message().is_none(), "written though its key is forgotten");
+        }
+        client.has_news()
+    });
+    // Failed, and not refused: that would promise that trying again is harmless.
+    let answer = client.message().unwrap();
+    assert!(answer.start().contains(" 502 "), "{answer:?}");
+}
+
+#[test]
+fn a_keyed_call_is_sent_again_while_its_key_is_remembered() {
+    let (first, late) = (Peer::start(), LatePeer::start());
+    let keyed = r#""Effect": "by_key", "DedupScope": "all", "WindowUs": 20000000"#;
+    let stage = patient(Stage::set(EMPTY)).told(r#""Effect": "once""#, keyed);
+    let (program, mut watch) = stage.watched(&[&first]);
+    let mut client = program.client();
+    let line = out_then_moved(&mut watch, &first, late.address, &mut client, &post(&fresh(), "9.0"));
+    line.ends_now();
+    until("the next attempt connects", || late.is_tried());
+    let mut line = late.open().connection();
+    assert!(line.message().is_some());
+    line.answer("again");
+    assert_eq!(client.message().unwrap().body, b"again");
+}
+
+#[test]
+fn a_machine_is_told_what_is_left_to_the_client_when_its_late_connection_is_up() {
+    let (first, late) = (Peer::start(), LatePeer::start());
+    let stage = patient(Stage::set(EMPTY));
+    let (program, mut watch) = stage.watched(&[&first]);
+    let mut client = program.client();
+    let line = out_then_moved(&mut watch, &first, late.address, &mut client, &get(&fresh(), "9.0"));
+    line.ends_now();
+    until("the next attempt connects", || late.is_tried());
+    let mut line = late.open().connection();
+    let told: f64 = line.message().unwrap().field("x-budget").unwrap().parse().unwrap();
+    let took = |line: String| -> f64 {
+        let after = line.split("took=").nth(1).unwrap();
+        after.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse::<f64>().unwrap() / 1e6
+    };
+    let connecting: f64 = (0..2).map(|_| took(program.logs("connected"))).sum();
+    assert!(connecting > 0.9, "its connection took {connecting} s");
+    assert!(told > 0.0 && told <= 9.0 - connecting, "told {told} s after {connecting} s");
+    line.answer("x");
+    assert!(client.message().unwrap().start().contains(" 200 "));
+}
+
+// ---- Clients that leave --------------------------------------------------------------------------------------
+
+#[test]
+fn a_client_that_leaves_while_its_attempt_connects_takes_it_along() {
+    // Danger: work that nobody waits for, begun after the close.
+    let late = LatePeer::start();
+    let stage = patient(Stage::set(EMPTY));
+    let program = stage.start();
+    let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", late.address, "up", 41, 0)]));
+    assert!(watch.message().unwrap().start().contains("from=7"));
+    for call in [get(&fresh(), "9.0"), post(&fresh(), "9.0")] {
+        let mut client = program.client();
+        client.write(&call);
+        until("its attempt connects", || late.is_tried());
+        client.ends_now();
+        program.logs("ending=Cancelled");
+        until("nothing connects any more", || !late.is_tried());
+    }
+    assert!(late.open().connection_within(Duration::ZERO).is_none());
+}
+
+#[test]
+fn a_client_that_leaves_before_its_first_attempt_gets_none() {
+    // Danger: what waits for a machine is sent on as soon as one appears.
+    let machine = Peer::start();
+    // It waits for a machine for half its aim.
+    let (aim, longer) =
+        ("\"AimUs\": 1500000, \"DeadlineUs\": 5000000", "\"AimUs\": 20000000, \"DeadlineUs\": 20000000");
+    let stage = Stage::set(EMPTY).told(aim, longer);
+    let (program, mut watch) = stage.watched(&[]);
+    let ids: Vec<_> = (0..10).map(|_| fresh()).collect();
+    let mut gone: Vec<_> = ids.iter().map(|_| program.client()).collect();
+    gone.iter_mut().zip(&ids).for_each(|(client, id)| client.write(&post(id, "9.0")));
+    let (left, mut stays) = (gone.len(), program.client());
+    gone.into_iter().for_each(Wire::ends_now);
+    // All that went before the list comes is with the front before it.
+    stays.write(&post("stays", "9.0"));
+    watch.answer(&listing(8, false, &[up(0, &machine)]));
+    assert!(watch.message().unwrap().start().contains("from=8"));
+    let mut line = machine.connection();
+    let asked = line.message().unwrap();
+    assert_eq!(asked.field("x-call-id"), Some("stays"), "of {left} that left: {asked:?}");
+    line.answer("x");
+    assert_eq!(stays.message().unwrap().body, b"x");
+    assert!(machine.connection_within(Duration::ZERO).is_none());
+}
+
+// ---- Answers that break off ----------------------------------------------------------------------------------
+
+#[test]
+fn an_answer_that_breaks_off_is_none_and_what_the_client_gets_states_its_length() {
+    // Danger: half an answer served for a whole one.
+    let machine = Peer::start();
+    let stage = Stage::set(EMPTY);
+    let (program, _watch) = stage.watched(&[&machine]);
+    for cut in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nConnection: close\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\nff\r\nhalf",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "",
+    ] {
+        let mut client = program.client();
+        client.write(&post(&fresh(), "9.0"));
+        let mut line = machine.connection();
+        assert!(line.message().is_some());
+        line.write(cut);
+        line.ends_now();
+        let answer = client.message().unwrap();
+        assert!(answer.start().contains(" 502 "), "{cut:?}: {answer:?}");
+        assert_eq!(answer.field("content-length"), Some(answer.body.len().to_string().as_str()));
+        // One that may be repeated is asked for again, and served whole.
+        client.write(&get(&fresh(), "9.0"));
+        let mut line = machine.connection();
+        assert!(line.message().is_some());
+        line.write(cut);
+        line.ends_now();
+        let mut line = machine.connection();
+        assert!(line.message().is_some());
+        line.write(&ok("whole").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        let answer = client.message().unwrap();
+        assert!(answer.start().contains(" 200 ") && answer.body == b"whole", "{cut:?}: {answer:?}");
+        assert_eq!(answer.field("content-length"), Some("5"));
+    }
+}
+
+// ---- Ready after a start -------------------------------------------------------------------------------------
+
+/// A front to which lists are pushed, with one machine in its configuration.
+fn pushed(machine: &Peer) -> (Stage, Program) {
+    let known = listing(3, true, &[up(0, machine)]);
+    let stage = Stage::set(&known).told("\"ask\"", "\"push\"").told("\"AskWithinUs\": 10000000, ", "");
+    let program = stage.start();
+    program.logs("serves on");
+    (stage, program)
+}
+
+#[test]
+fn discovery_that_turns_its_callers_away_or_is_silent_holds_no_new_front_up() {
+    let machine = Peer::start();
+    for full in ["HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", ""] {
+        let (stage, program) = pushed(&machine);
+        let mut call = stage.discovery.connection();
+        assert!(call.message().is_some());
+        call.write(full);
+        until("it serves", || program.is_up());
+        assert!(call.ends());
+        let mut client = program.client();
+        client.write(&get(&fresh(), "9.0"));
+        let mut line = machine.connection();
+        assert!(line.message().is_some());
+        line.answer("x");
+        assert!(client.message().unwrap().start().contains(" 200 "));
+    }
+}
+
+#[test]
+fn a_front_is_ready_once_it_has_a_list_of_thousands_of_machines() {
+    for many in [2_000, 8_000] {
+        let machine = Peer::start();
+        let (stage, program) = pushed(&machine);
+        let line =
+            |n| format!(r#"{{"name":"s-{n}","address":"{}","status":"up","build":41}}"#, machine.address);
+        let lines: Vec<_> = (0..many).map(line).collect();
+        // The call after a whole list goes over the same connection, from the version that it has just got; one that
+        // stalled on its way, as a busy machine may make it, is asked for anew.
+        let mut watch = loop {
+            let mut call = stage.discovery.connection();
+            assert!(call.message().unwrap().start().contains("from=3&hold_ms=0"));
+            if call.offer(&ok(&listing(4, true, &lines))) {
+                if let Some(next) = call.message() {
+                    assert!(next.start().contains("from=4&hold_ms=4000"), "{next:?}");
+                    break call;
+                }
+            }
+        };
+        until("it serves", || program.is_up());
+        assert!(!watch.has_ended() && !watch.has_news());
+        let mut client = program.client();
+        client.write(&get(&fresh(), "9.0"));
+        let mut line = machine.connection();
+        assert!(line.message().is_some());
+        line.answer("x");
+        assert!(client.message().unwrap().start().contains(" 200 "));
+    }
+}
