Tests: a listening address for each test process; a program that ended says why

Crossings failed three times today on a busy machine, another test each time, with no connection from the program. Cause of the third: "Address already in use", read from the program's log, which a failing test now prints; the first two left no log. A port looked at and bound later by the program was given to another meanwhile (the kernel's own range before; ports by process number next, which overlapped). Now each test process has its own address in 127.64.0.0/10.

New in acceptance: a request that no machine got is refused and not failed; an indented list. The test of a client that leaves before its first attempt failed three times in some thirty runs: with no machine listed a request is refused at once and nothing waits, so its stage was wrong. Its requests now wait for a machine that drains and comes back.

--- a/crates/yarrowspoke-front/tests/acceptance.rs
+++ b/crates/yarrowspoke-front/tests/acceptance.rs
@@ -115,11 +115,12 @@
 fn a_client_that_leaves_before_its_first_attempt_gets_none() {
     // Danger: what waits for a machine is sent on as soon as one appears.
     let machine = Peer::start();
-    // It waits for a machine for half its aim.
-    let (aim, longer) =
-        ("\"AimUs\": 1500000, \"DeadlineUs\": 5000000", "\"AimUs\": 20000000, \"DeadlineUs\": 20000000");
-    let stage = Stage::set(EMPTY).told(aim, longer);
-    let (program, mut watch) = stage.watched(&[]);
+    // A request waits for half its aim where a machine is listed that may come back.
+    let aim = "\"AimUs\": 1500000, \"DeadlineUs\": 5000000";
+    let stage = Stage::set(EMPTY).told(aim, "\"AimUs\": 20000000, \"DeadlineUs\": 20000000");
+    let program = stage.start();
+    let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine.address, "draining", 41, 0)]));
+    assert!(watch.message().unwrap().start().contains("from=7"));
     let ids: Vec<_> = (0..10).map(|_| fresh()).collect();
     let mut gone: Vec<_> = ids.iter().map(|_| program.client()).collect();
     gone.iter_mut().zip(&ids).for_each(|(client, id)| client.write(&post(id, "9.0")));
@@ -137,6 +138,32 @@
     assert!(machine.connection_within(Duration::ZERO).is_none());
 }
 
+// ---- Requests that no machine got ----------------------------------------------------------------------------
+
+#[test]
+fn a_request_that_was_never_sent_on_is_refused_and_not_failed() {
+    // Danger: a failure promises nothing, though nothing has run; whoever gets it can't come again.
+    let late = LatePeer::start();
+    let never_up = listing(7, true, &[entry("s-0", late.address, "up", 41, 0)]);
+    let none = listing(7, true, &[]);
+    // No machine; connections that are given up one after another; one that is still on its way at the end.
+    for (list, stage, budget) in [
+        (&none, Stage::set(EMPTY), "9.0"),
+        (&never_up, Stage::set(EMPTY), "9.0"),
+        (&never_up, patient(Stage::set(EMPTY)), "0.4"),
+    ] {
+        let program = stage.start();
+        let mut watch = stage.open_watch(list);
+        assert!(watch.message().unwrap().start().contains("from=7"));
+        for call in [get(&fresh(), budget), post(&fresh(), budget)] {
+            let mut client = program.client();
+            client.write(&call);
+            let answer = client.message().unwrap();
+            assert!(answer.start().contains(" 503 "), "{list} {budget}: {answer:?}");
+        }
+    }
+}
+
 // ---- Answers that break off ----------------------------------------------------------------------------------
 
 #[test]
@@ -261,3 +288,21 @@
         assert!(client.message().unwrap().start().contains(" 200 "));
     }
 }
+
+#[test]
+fn a_list_may_come_indented() {
+    let machine = Peer::start();
+    let stage = Stage::set(EMPTY);
+    let program = stage.start();
+    let list = listing(7, true, &[up(0, &machine)]);
+    let list = list
+        .replace('{', "{\n\t  ")
+        .replace(",\"", " ,\r\n  \"")
+        .replace("\":", "\" :  ")
+        .replace(']', "\n ]");
+    let mut watch = stage.open_watch(&list);
+    assert!(watch.message().unwrap().start().contains("from=7"));
+    let mut client = program.client();
+    client.write(&get(&fresh(), "9.0"));
+    assert!(machine.connection().message().is_some());
+}
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -17,13 +17,13 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A port for a program that binds it later. Danger: one that the kernel gives out may be given to a connection, or to
-/// another test, before the program has it; so it is one of those below what the kernel gives out.
+/// Where a program listens that binds it later. Danger: a port that the kernel gives out may be given to a connection,
+/// or to another test, before the program has it; so each test process has a loopback address of its own.
 pub fn free_port() -> SocketAddr {
-    let first = std::process::id() * 64;
-    let ports = (0..).map(|_| 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed) as u32) % 20_000);
-    let free = |port: u32| TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], port as u16))).ok();
-    ports.filter_map(free).next().unwrap().local_addr().unwrap()
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = |n: usize| SocketAddr::from(([127, 64 + high % 64, middle, low], 5_000 + (n % 50_000) as u16));
+    let mut numbers = std::iter::repeat_with(|| NEXT.fetch_add(1, Ordering::Relaxed));
+    numbers.find_map(|n| TcpListener::bind(own(n)).ok()).unwrap().local_addr().unwrap()
 }
 
 /// Waits until `done`.
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -237,6 +237,10 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{} by then: {:?}; its log, as far as not read:", self.listen, self.child.try_wait());
+            self.lines.try_iter().for_each(|line| eprintln!("  {line}"));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
