--- a/crates/yarrowspoke-fleet/src/agreed.rs
+++ b/crates/yarrowspoke-fleet/src/agreed.rs
@@ -1,9 +1,9 @@
 //! What planners agree on: who may be out of service, within which limits, and whether anything may go out at all.
 //!
 //! A deterministic machine: the same entries in the same order give the same state at every planner, whatever its own files and
-//! clocks say; so limits, and who is lost, come in as entries too. After RFC 0003: a *bracket* is a permit from its grant to its
-//! end, *resource concurrency* the limit on how many are open. A permit that was granted and not taken yet counts as open, and
-//! so does a front that is lost by itself: planned work waits for it.
+//! clocks say; so limits, and who is lost, come in as entries too. After RFC 0003: a *bracket* is a permit from its grant
+//! to its end, *resource concurrency* the limit on how many are open. A permit that was granted and not taken yet counts as
+//! open, and so does a front that is lost by itself: planned work waits for it.
 
 use crate::mutant;
 use crate::settings::Most;
@@ -43,11 +43,11 @@
 /// What an operator, or a desk in his name, orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
-    /// A front is to go out of service, for this cause; the life meant is the one heard when it was ordered.
+    /// A front is to go out of service, for this cause; the incarnation meant is the one heard when it was ordered.
     Out {
         /// The front.
         front: String,
-        /// Its life.
+        /// Its incarnation.
         incarnation: u64,
         /// Why.
         cause: String,
@@ -102,7 +102,7 @@
         front: String,
         /// The permit.
         number: u64,
-        /// The life that takes it.
+        /// The incarnation that takes it.
         incarnation: u64,
     },
     /// It is in service again, or has declined.
@@ -130,7 +130,7 @@
 pub struct Permit {
     /// Its number; none is given twice.
     pub number: u64,
-    /// The life of the front that it was given to.
+    /// The incarnation of the front that it was given to.
     pub incarnation: u64,
     /// How far it is.
     pub phase: Phase,
@@ -164,7 +164,7 @@
     pub orders: u64,
     /// Why nothing new goes out, and who said so.
     pub halted: Option<(String, String)>,
-    /// What waits, in the order in which it came: front, life, cause.
+    /// What waits, in the order in which it came: front, incarnation, cause.
     pub waits: Vec<(String, u64, String)>,
     /// Permits by front.
     pub permits: BTreeMap<String, Permit>,
@@ -243,7 +243,7 @@
                 if !self.limits.fronts.contains_key(front) {
                     return Err(Refusal::Nobody(front.clone()));
                 }
-                // Asking twice is asking once; a later life's wish takes the place of an earlier one's.
+                // Asking twice is asking once; a later incarnation's wish takes the place of an earlier one's.
                 self.waits.retain(|w| w.0 != *front);
                 if !self.permits.contains_key(front) {
                     self.waits.push((front.clone(), *incarnation, cause.clone()));
@@ -303,12 +303,12 @@
     Out,
     /// It is in service again.
     In,
-    /// It came too late, or for another life.
+    /// It came too late, or for another incarnation.
     Declines,
 }
 
 /// A holder's side of a permit. Danger: a permit that comes late, twice, or from a planner that lost touch must not be used:
-/// it is taken up only while it is young by the holder's own clock, for this life, and once.
+/// it is taken up only while it is young by the holder's own clock, for this incarnation, and once.
 #[derive(Clone, Debug, Default)]
 pub struct Holder {
     held: Option<(u64, Word, crate::Micros)>,
@@ -328,7 +328,7 @@
             (Phase::Returning, Some((n, Word::Asks | Word::Out, _))) if n == p.number => {
                 self.held = Some((n, Word::In, now));
             }
-            // A permit taken by a life of this name that is not this one's doing.
+            // A permit taken by an incarnation of this name that is not this one's doing.
             (Phase::Taken | Phase::Returning, _) if p.number > last => {
                 self.held = Some((p.number, Word::Declines, now));
             }
--- a/crates/yarrowspoke-fleet/src/audit.rs
+++ b/crates/yarrowspoke-fleet/src/audit.rs
@@ -6,10 +6,11 @@
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
-/// A stretch of a front's life of which nothing is known, between two points of which something is. It is never shown as fine.
+/// A stretch of a front's incarnation of which nothing is known, between two points of which something is. It is never
+/// shown as fine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unknown {
-    /// Number of the last span before it; 0 = the life's beginning.
+    /// Number of the last span before it; 0 = the incarnation's beginning.
     pub after: u64,
     /// The end of that span on the front's clock.
     pub from: Micros,
@@ -30,12 +31,12 @@
     pub span: Span,
 }
 
-/// One life of a front.
+/// One incarnation of a front.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Life {
+pub struct Incarnation {
     /// The front.
     pub front: String,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: u64,
     /// What is known.
     pub rows: Vec<Row>,
@@ -46,8 +47,9 @@
 /// The whole.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Audit {
-    /// By front, in the order of their lives.
-    pub lives: Vec<Life>,
+    /// By front, in the order of their incarnations.
+    #[serde(rename = "lives")]
+    pub incarnations: Vec<Incarnation>,
     /// What can't both be.
     pub contradictions: Vec<Contradiction>,
 }
@@ -83,10 +85,10 @@
 
 /// Draws the audit from the merged record. Unknown stretches are always all told: a filter must not make them look fine.
 pub fn audit(book: &Book, asked: &Asked) -> Audit {
-    let lives: Vec<(&str, u64)> =
-        book.lives().into_iter().filter(|l| asked.front.as_ref().is_none_or(|f| f == l.0)).collect();
+    let incarnations: Vec<(&str, u64)> =
+        book.incarnations().into_iter().filter(|l| asked.front.as_ref().is_none_or(|f| f == l.0)).collect();
     let mut out = Vec::new();
-    for (n, (front, incarnation)) in lives.iter().enumerate() {
+    for (n, (front, incarnation)) in incarnations.iter().enumerate() {
         let view = book.view(front, *incarnation);
         let mut unknown = Vec::new();
         for (a, b) in book.gaps(front, *incarnation) {
@@ -100,7 +102,7 @@
                 why: format!("spans {a} to {b} have not come"),
             });
         }
-        let next = lives.get(n + 1).filter(|l| l.0 == *front);
+        let next = incarnations.get(n + 1).filter(|l| l.0 == *front);
         let next = next.and_then(|l| book.view(l.0, l.1).first().map(|r| begun_wall(r)));
         if let Some(last) = view.last().filter(|_| !mutant::is("tail-shown-fine")) {
             unknown.push(Unknown {
@@ -113,7 +115,7 @@
         }
         let rows = view.iter().filter(|r| asked.wants(&r.span));
         let rows = rows.map(|r| Row { numbers: (r.first, r.last), span: r.span.clone() }).collect();
-        out.push(Life { front: (*front).to_owned(), incarnation: *incarnation, rows, unknown });
+        out.push(Incarnation { front: (*front).to_owned(), incarnation: *incarnation, rows, unknown });
     }
-    Audit { lives: out, contradictions: book.contradictions() }
+    Audit { incarnations: out, contradictions: book.contradictions() }
 }
--- a/crates/yarrowspoke-fleet/src/book.rs
+++ b/crates/yarrowspoke-fleet/src/book.rs
@@ -1,4 +1,4 @@
-//! All reports as one: a union by front, life and number, so that order, repeats and who heard first don't matter.
+//! All reports as one: a union by front, incarnation and number, so that order, repeats and who heard first don't matter.
 
 use crate::mutant;
 use crate::span::Report;
@@ -11,7 +11,7 @@
 pub struct Contradiction {
     /// The front.
     pub front: String,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: u64,
     /// Number of the span at which it shows.
     pub number: u64,
@@ -19,16 +19,16 @@
     pub what: String,
 }
 
-/// One life of a front.
+/// One incarnation of a front.
 #[derive(Clone, Debug, Default)]
-struct Life {
+struct Incarnation {
     /// By first and last number. All that came is kept: which of it is shown is a matter of [`Book::view`].
     reports: BTreeMap<(u64, u64), Report>,
     /// The highest number that the front said it had closed.
     head: u64,
     /// Reports up to this number were given up for room or age.
     pruned: u64,
-    /// In which order lives were first heard of here.
+    /// In which order incarnations were first heard of here.
     order: u64,
     bytes: u64,
 }
@@ -36,7 +36,7 @@
 /// The merged record.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    lives: BTreeMap<(String, u64), Life>,
+    incarnations: BTreeMap<(String, u64), Incarnation>,
     contradictions: BTreeMap<Contradiction, u64>,
     orders: u64,
 }
@@ -47,11 +47,11 @@
 }
 
 impl Book {
-    fn life(&mut self, front: &str, incarnation: u64) -> &mut Life {
+    fn incarnation(&mut self, front: &str, incarnation: u64) -> &mut Incarnation {
         let orders = &mut self.orders;
-        self.lives.entry((front.to_owned(), incarnation)).or_insert_with(|| {
+        self.incarnations.entry((front.to_owned(), incarnation)).or_insert_with(|| {
             *orders += 1;
-            Life { order: *orders, ..Life::default() }
+            Incarnation { order: *orders, ..Incarnation::default() }
         })
     }
 
@@ -75,45 +75,45 @@
     pub fn insert(&mut self, front: &str, incarnation: u64, report: Report) -> Result<bool, Refused> {
         Self::check(&report)?;
         if mutant::is("merge-keeps-last") {
-            self.lives.retain(|k, _| k.0 != front || k.1 == incarnation);
-            let life = self.life(front, incarnation);
-            life.reports.retain(|k, _| k.0 + 8 > report.first);
+            self.incarnations.retain(|k, _| k.0 != front || k.1 == incarnation);
+            let known = self.incarnation(front, incarnation);
+            known.reports.retain(|k, _| k.0 + 8 > report.first);
         }
-        let life = self.life(front, incarnation);
-        if report.last <= life.pruned {
+        let known = self.incarnation(front, incarnation);
+        if report.last <= known.pruned {
             return Ok(false);
         }
         let number = (report.first, report.last);
-        if let Some(held) = life.reports.get(&number) {
+        if let Some(held) = known.reports.get(&number) {
             if *held == report {
                 return Ok(false);
             }
-            let what =
-                "two reports under one number: an altered one, or two processes in one life".to_owned();
+            let what = "two reports under one number: an altered one, or two processes in one incarnation"
+                .to_owned();
             let contradiction =
                 Contradiction { front: front.to_owned(), incarnation, number: report.first, what };
             *self.contradictions.entry(contradiction).or_default() += 1;
             return Ok(false);
         }
-        life.bytes += weight(&report);
-        life.head = life.head.max(report.last);
-        life.reports.insert(number, report);
+        known.bytes += weight(&report);
+        known.head = known.head.max(report.last);
+        known.reports.insert(number, report);
         Ok(true)
     }
 
     /// The front says that it has closed so many spans.
     pub fn head(&mut self, front: &str, incarnation: u64, number: u64) {
-        let life = self.life(front, incarnation);
-        life.head = life.head.max(number);
+        let known = self.incarnation(front, incarnation);
+        known.head = known.head.max(number);
     }
 
     /// Everything that is in `other` is in this one afterwards.
     pub fn merge(&mut self, other: &Self) {
-        for ((front, incarnation), life) in &other.lives {
-            for report in life.reports.values() {
+        for ((front, incarnation), known) in &other.incarnations {
+            for report in known.reports.values() {
                 let _ = self.insert(front, *incarnation, report.clone());
             }
-            self.head(front, *incarnation, life.head);
+            self.head(front, *incarnation, known.head);
         }
         for (contradiction, n) in &other.contradictions {
             let held = self.contradictions.entry(contradiction.clone()).or_default();
@@ -121,18 +121,18 @@
         }
     }
 
-    /// Lives of all fronts, each front's in the order in which they were first heard of.
-    pub fn lives(&self) -> Vec<(&str, u64)> {
-        let mut all: Vec<_> = self.lives.iter().map(|((f, i), l)| (f.as_str(), l.order, *i)).collect();
+    /// Incarnations of all fronts, each front's in the order in which they were first heard of.
+    pub fn incarnations(&self) -> Vec<(&str, u64)> {
+        let mut all: Vec<_> = self.incarnations.iter().map(|((f, i), l)| (f.as_str(), l.order, *i)).collect();
         all.sort_unstable();
         all.into_iter().map(|(f, _, i)| (f, i)).collect()
     }
 
-    /// What is known of a life, in order and without overlap. Where spans were joined because no planner could be reached and
-    /// another planner has them one by one, those are taken; the joined one holds where any of them is missing.
+    /// What is known of an incarnation, in order and without overlap. Where spans were joined because no planner could be
+    /// reached and another planner has them one by one, those are taken; the joined one holds where any of them is missing.
     pub fn view(&self, front: &str, incarnation: u64) -> Vec<&Report> {
-        let Some(life) = self.lives.get(&(front.to_owned(), incarnation)) else { return vec![] };
-        let mut all: Vec<&Report> = life.reports.values().collect();
+        let Some(known) = self.incarnations.get(&(front.to_owned(), incarnation)) else { return vec![] };
+        let mut all: Vec<&Report> = known.reports.values().collect();
         // The widest first among those that begin together, so that what it holds stands right behind it.
         all.sort_unstable_by_key(|r| (r.first, std::cmp::Reverse(r.last)));
         let mut out = Vec::new();
@@ -140,39 +140,39 @@
         out
     }
 
-    /// Numbers closed by a life that no report here holds, as closed ranges; those given up for age are not among them.
+    /// Numbers closed by an incarnation that no report here holds, as closed ranges; those given up for age are not among them.
     pub fn gaps(&self, front: &str, incarnation: u64) -> Vec<(u64, u64)> {
-        let Some(life) = self.lives.get(&(front.to_owned(), incarnation)) else { return vec![] };
-        self.gaps_of(front, incarnation, life)
+        let Some(known) = self.incarnations.get(&(front.to_owned(), incarnation)) else { return vec![] };
+        self.gaps_of(front, incarnation, known)
     }
 
     /// All numbers up to this one are held.
     pub fn held_to(&self, front: &str, incarnation: u64) -> u64 {
-        let Some(life) = self.lives.get(&(front.to_owned(), incarnation)) else { return 0 };
-        let first_gap = self.gaps_of(front, incarnation, life).first().map(|g| g.0);
-        first_gap.map_or(life.head, |g| g - 1)
+        let Some(known) = self.incarnations.get(&(front.to_owned(), incarnation)) else { return 0 };
+        let first_gap = self.gaps_of(front, incarnation, known).first().map(|g| g.0);
+        first_gap.map_or(known.head, |g| g - 1)
     }
 
-    fn gaps_of(&self, front: &str, incarnation: u64, life: &Life) -> Vec<(u64, u64)> {
-        let (mut next, mut out) = (life.pruned + 1, Vec::new());
+    fn gaps_of(&self, front: &str, incarnation: u64, known: &Incarnation) -> Vec<(u64, u64)> {
+        let (mut next, mut out) = (known.pruned + 1, Vec::new());
         for report in self.view(front, incarnation) {
             if report.first > next {
                 out.push((next, report.first - 1));
             }
             next = next.max(report.last + 1);
         }
-        if life.head >= next {
-            out.push((next, life.head));
+        if known.head >= next {
+            out.push((next, known.head));
         }
         out
     }
 
-    /// What is held, by front and life, as closed ranges of numbers.
+    /// What is held, by front and incarnation, as closed ranges of numbers.
     pub fn have(&self) -> Vec<Held> {
-        let ranges = |((front, incarnation), life): (&(String, u64), &Life)| {
+        let ranges = |((front, incarnation), known): (&(String, u64), &Incarnation)| {
             let mut out: Vec<(u64, u64)> = Vec::new();
-            if life.pruned > 0 {
-                out.push((1, life.pruned));
+            if known.pruned > 0 {
+                out.push((1, known.pruned));
             }
             for report in self.view(front, *incarnation) {
                 match out.last_mut() {
@@ -182,13 +182,13 @@
             }
             (front.clone(), *incarnation, out)
         };
-        self.lives.iter().map(ranges).collect()
+        self.incarnations.iter().map(ranges).collect()
     }
 
     /// Reports that somebody lacks who has these ranges, at most so many bytes of them.
     pub fn lacking(&self, have: &[Held], most: u64) -> Vec<(String, u64, Report)> {
         let (mut out, mut bytes) = (Vec::new(), 0);
-        for (front, incarnation) in self.lives() {
+        for (front, incarnation) in self.incarnations() {
             let ranges = have.iter().find(|h| h.0 == front && h.1 == incarnation).map(|h| &h.2);
             let held =
                 |r: &Report| ranges.is_some_and(|all| all.iter().any(|h| h.0 <= r.first && r.last <= h.1));
@@ -206,7 +206,7 @@
     /// What can't both be: reports under one number that differ, and links that don't join up.
     pub fn contradictions(&self) -> Vec<Contradiction> {
         let mut out: Vec<Contradiction> = self.contradictions.keys().cloned().collect();
-        for (front, incarnation) in self.lives() {
+        for (front, incarnation) in self.incarnations() {
             let view = self.view(front, incarnation);
             for pair in view.windows(2).filter(|p| p[0].last + 1 == p[1].first && p[0].link != p[1].before) {
                 let what = "its link does not continue the one before it".to_owned();
@@ -219,24 +219,24 @@
 
     /// Bytes held, about.
     pub fn bytes(&self) -> u64 {
-        self.lives.values().map(|l| l.bytes).sum()
+        self.incarnations.values().map(|l| l.bytes).sum()
     }
 
     /// Gives up reports that ended before this wall time, and then the oldest until no more than so many bytes are held; says
-    /// which, by front, life, first and last number, so that the same can be done where they are stored.
+    /// which, by front, incarnation, first and last number, so that the same can be done where they are stored.
     pub fn prune(&mut self, before: u64, most: u64) -> Vec<(String, u64, u64, u64)> {
         let (mut out, mut over) = (Vec::new(), self.bytes().saturating_sub(most));
-        let mut by_age: Vec<_> = self.lives.iter().map(|(k, l)| (l.order, k.clone())).collect();
+        let mut by_age: Vec<_> = self.incarnations.iter().map(|(k, l)| (l.order, k.clone())).collect();
         by_age.sort_unstable();
         for (_, key) in by_age {
-            let Some(life) = self.lives.get_mut(&key) else { continue };
+            let Some(known) = self.incarnations.get_mut(&key) else { continue };
             while let Some(first) =
-                life.reports.first_entry().filter(|r| over > 0 || r.get().span.wall < before)
+                known.reports.first_entry().filter(|r| over > 0 || r.get().span.wall < before)
             {
                 let report = first.remove();
                 let freed = weight(&report);
-                (life.bytes, over) = (life.bytes - freed, over.saturating_sub(freed));
-                life.pruned = life.pruned.max(report.last);
+                (known.bytes, over) = (known.bytes - freed, over.saturating_sub(freed));
+                known.pruned = known.pruned.max(report.last);
                 out.push((key.0.clone(), key.1, report.first, report.last));
             }
         }
--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -5,21 +5,21 @@
 use crate::settings::{Alone, Fleet};
 use crate::span::{Recorder, Stance};
 use crate::version::{Ages, News, Source, Version};
-use crate::wire::{Answer, Ask, Place, Ready, REPORTS_AT_ONCE};
+use crate::wire::{Answer, Heartbeat, Ready, Slot, REPORTS_AT_ONCE};
 use crate::Micros;
 use std::collections::BTreeMap;
 
 /// One planner, as a front knows it.
 #[derive(Clone, Debug, Default)]
 struct AtPlanner {
-    asked: u64,
+    sent: u64,
     answered: u64,
     acked: u64,
     /// Until when the lease that it granted last holds.
     until: Micros,
-    /// When an ask was begun that then failed, with none answered since.
+    /// When a heartbeat was begun that then failed, with none answered since.
     failed: Option<Micros>,
-    vote: Option<Place>,
+    vote: Option<Slot>,
     knows: (u64, u64),
     echo: (u64, Micros),
     /// The number of the highest permit that it knows has ended, if it is this front's.
@@ -49,8 +49,8 @@
     heard_news: Micros,
     ready: BTreeMap<u32, u16>,
     /// What planners brought: a list newer than its own, and news.
-    brought: Option<Ready>,
-    brought_news: Option<News>,
+    reconciled_list: Option<Ready>,
+    reconciled_news: Option<News>,
     /// A lease was ever held.
     held: bool,
     refused_shrink: u64,
@@ -70,8 +70,8 @@
             heard_list: None,
             heard_news: 0,
             ready: BTreeMap::new(),
-            brought: None,
-            brought_news: None,
+            reconciled_list: None,
+            reconciled_news: None,
             held: false,
             refused_shrink: 0,
             holder: Holder::default(),
@@ -122,8 +122,8 @@
         let epoch = version.list.epoch + u32::from(back);
         version.list = crate::version::List { index, source, epoch, digest };
         self.ready = ready;
-        if self.brought.as_ref().is_some_and(|b| b.epoch != epoch || b.index <= index) {
-            self.brought = None;
+        if self.reconciled_list.as_ref().is_some_and(|b| b.epoch != epoch || b.index <= index) {
+            self.reconciled_list = None;
         }
         if version != self.version() {
             self.moves_to(now, wall, version);
@@ -141,8 +141,8 @@
         let mut version = self.version();
         version.news = Some(news);
         let over = |b: &News| news.build != b.build || !b.narrows(&news);
-        if self.brought_news.as_ref().is_some_and(over) {
-            self.brought_news = None;
+        if self.reconciled_news.as_ref().is_some_and(over) {
+            self.reconciled_news = None;
         }
         if version != self.version() {
             self.moves_to(now, wall, version);
@@ -170,9 +170,9 @@
         until.get(self.fleet.majority() - 1).copied().unwrap_or(0)
     }
 
-    /// The place that a majority has voted it into.
-    fn out(&self) -> Option<Place> {
-        let votes: Vec<Place> = self.planners.iter().filter_map(|p| p.vote).collect();
+    /// The slot that a majority has voted it into.
+    fn out(&self) -> Option<Slot> {
+        let votes: Vec<Slot> = self.planners.iter().filter_map(|p| p.vote).collect();
         votes.iter().copied().find(|v| votes.iter().filter(|w| *w == v).count() >= self.fleet.majority())
     }
 
@@ -190,7 +190,7 @@
         if !self.held && now < self.fleet.lease {
             return Stance::Open;
         }
-        // Alone is found out, not supposed: every planner was asked after the lease had lapsed, and none answered.
+        // Alone is found out, not supposed: a heartbeat went to every planner after the lease had lapsed, and none answered.
         let alone = self.planners.iter().all(|p| p.failed.is_some_and(|at| at >= until));
         match self.fleet.alone {
             Alone::Serve if alone => Stance::Alone,
@@ -221,12 +221,12 @@
             return true;
         }
         let listed = |b: &Ready| b.machines.binary_search(&(machine, build)).is_ok();
-        self.brought.as_ref().is_some_and(|b| !listed(b))
+        self.reconciled_list.as_ref().is_some_and(|b| !listed(b))
     }
 
     /// News that planners brought, where it takes away from what its own source told.
     pub fn narrower_news(&self) -> Option<News> {
-        self.brought_news
+        self.reconciled_news
     }
 
     /// When its list was last confirmed by discovery, if it ever was.
@@ -234,29 +234,29 @@
         Ages { list: now - self.heard_list.unwrap_or(0).min(now), news: now.saturating_sub(self.heard_news) }
     }
 
-    /// What it asks a planner now.
-    pub fn ask(&mut self, planner: usize, now: Micros) -> Ask {
+    /// Its heartbeat for a planner now.
+    pub fn heartbeat(&mut self, planner: usize, now: Micros) -> Heartbeat {
         let (version, stance) = (self.version(), self.stance(now));
         let list = version.list;
         let votes = self.planners.iter().map(|p| p.vote).collect();
         let at = &mut self.planners[planner];
-        at.asked += 1;
+        at.sent += 1;
         let told = at.knows == (list.index, list.digest) || at.knows.0 > list.index;
         let mut shown = version;
         if mutant::is("relay-called-own") {
-            if let Some(brought) = &self.brought {
-                (shown.list.index, shown.list.digest) = (brought.index, brought.digest);
+            if let Some(reconciled) = &self.reconciled_list {
+                (shown.list.index, shown.list.digest) = (reconciled.index, reconciled.digest);
             }
         }
-        Ask {
+        Heartbeat {
             front: self.name.clone(),
             incarnation: self.incarnation,
-            number: at.asked,
+            number: at.sent,
             now,
             echo: at.echo,
             version: shown,
             ages: Ages::default(),
-            brought: (self.brought.as_ref().map_or(0, |b| b.index), self.brought_news),
+            reconciled: (self.reconciled_list.as_ref().map_or(0, |b| b.index), self.reconciled_news),
             stance,
             votes,
             head: self.recorder.number(),
@@ -273,25 +273,25 @@
         .aged(self.ages(now))
     }
 
-    /// An ask has failed that was begun at `asked_at`.
-    pub fn failed(&mut self, planner: usize, asked_at: Micros) {
+    /// A heartbeat has failed that was begun at `sent_at`.
+    pub fn failed(&mut self, planner: usize, sent_at: Micros) {
         let at = &mut self.planners[planner];
-        at.failed = Some(at.failed.unwrap_or(0).max(asked_at));
+        at.failed = Some(at.failed.unwrap_or(0).max(sent_at));
     }
 
-    /// A planner has answered the ask that was begun at `asked_at`.
-    pub fn answered(&mut self, planner: usize, asked_at: Micros, now: Micros, answer: Answer) -> Change {
+    /// A planner has answered the heartbeat that was begun at `sent_at`.
+    pub fn answered(&mut self, planner: usize, sent_at: Micros, now: Micros, answer: Answer) -> Change {
         let lease = answer.lease.min(self.fleet.lease);
         let at = &mut self.planners[planner];
-        if answer.number <= at.answered || answer.number > at.asked {
+        if answer.number <= at.answered || answer.number > at.sent {
             return Change::default();
         }
         (at.answered, at.failed, at.vote) = (answer.number, None, answer.vote);
-        // The lease counts from when it was asked for, by this front's own clock: that is before any planner granted it.
-        at.until = if lease > 0 { asked_at + lease } else { 0 };
+        // The lease counts from when its heartbeat was sent, by this front's own clock: that is before any planner granted it.
+        at.until = if lease > 0 { sent_at + lease } else { 0 };
         (at.acked, at.knows) = (answer.acked, answer.knows);
         at.echo = (answer.incarnation, answer.now);
-        // By the clock of now, not of the ask: it may have stood still in between.
+        // By the clock of now, not of the heartbeat: it may have stood still in between.
         let held = self.holder.word().map_or(0, |w| w.0);
         let stands = answer.permit.as_ref().is_some_and(|p| p.number == held);
         at.ended = if !stands && answer.granted >= held { held } else { 0 };
@@ -300,7 +300,7 @@
         if self.planners.iter().filter(|p| held > 0 && p.ended == held).count() >= self.fleet.majority() {
             self.holder.end(now);
         }
-        self.held |= asked_at < self.leased_until();
+        self.held |= sent_at < self.leased_until();
         // Kept until a majority has it, and every other planner that answers: those that don't get it from these.
         let mut acked: Vec<u64> = self.planners.iter().map(|p| p.acked).collect();
         acked.sort_unstable_by(|a, b| b.cmp(a));
@@ -313,7 +313,7 @@
         let own = self.version();
         if let Some(ready) = answer.ready {
             let newer = ready.epoch == own.list.epoch && ready.index > own.list.index;
-            let held = self.brought.as_ref().is_some_and(|b| b.index >= ready.index);
+            let held = self.reconciled_list.as_ref().is_some_and(|b| b.index >= ready.index);
             // Danger: one front that was told nonsense must not empty all others; what takes most machines away at once is
             // believed only where two fronts hold it from their own sources.
             let left =
@@ -321,14 +321,14 @@
             if newer && !held && 2 * left < self.ready.len() && ready.vouched < 2 {
                 self.refused_shrink += 1;
             } else if newer && !held {
-                self.brought = Some(ready);
+                self.reconciled_list = Some(ready);
                 change.narrowed = true;
             }
         }
         if let (Some(news), Some(told)) = (answer.news, own.news) {
-            let narrower = self.brought_news.is_none_or(|b| news.narrows(&b));
+            let narrower = self.reconciled_news.is_none_or(|b| news.narrows(&b));
             if news.narrows(&told) && narrower {
-                self.brought_news = Some(news);
+                self.reconciled_news = Some(news);
                 change.narrowed = true;
             }
         }
@@ -341,7 +341,7 @@
     }
 }
 
-impl Ask {
+impl Heartbeat {
     fn aged(self, ages: Ages) -> Self {
         Self { ages, ..self }
     }
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -6,14 +6,14 @@
 use crate::settings::{Fleet, Role};
 use crate::span::Stance;
 use crate::version::{News, Source, Standing, Version};
-use crate::wire::{Answer, Ask, Heard, Place, Pull, Pushed, Ready, Refused, REPORTS_AT_ONCE};
+use crate::wire::{Answer, Heard, Heartbeat, Pull, Pushed, Ready, Refused, Slot, REPORTS_AT_ONCE};
 use crate::Micros;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Fresh asks in a row after which another life of a front counts as the one that lives.
+/// Fresh heartbeats in a row after which another incarnation of a front counts as the one that runs.
 const FRESH: u32 = 3;
-/// Changes of life within the span of a lease, twice over, that show two processes under one name.
+/// Changes of incarnation within the span of a lease, twice over, that show two processes under one name.
 const FLIPS: u32 = 4;
 /// Most bytes of reports in one answer to another planner.
 const PUSH_LIMIT: u64 = 128 * 1024;
@@ -30,10 +30,10 @@
     Current,
     /// Behind the others, and not yet for longer than the bound.
     Lagging,
-    /// Behind the others for longer than the bound, and not yet brought up.
+    /// Behind the others for longer than the bound, and not yet reconciled.
     Noted,
     /// Behind by its own sources; what planners relayed takes away all that it must not do.
-    BroughtUp,
+    Reconciled,
     /// Says that it holds no lease.
     Narrowed,
     /// To be out; neither acknowledged nor surely lapsed.
@@ -48,28 +48,28 @@
 struct Known {
     incarnation: u64,
     number: u64,
-    /// It was surely alive after this: when the answer was given that its newest ask echoes.
+    /// It was surely alive after this: when the answer was given that its newest heartbeat echoes.
     heard: Option<Micros>,
-    /// When its newest ask came.
+    /// When its newest heartbeat came.
     came: Micros,
-    ask: Ask,
+    heartbeat: Heartbeat,
     behind_since: Option<Micros>,
     current_since: Option<Micros>,
     granted: Option<Micros>,
     fresh: u32,
     flips: Vec<Micros>,
-    /// The highest ask number of each earlier life.
+    /// The highest heartbeat number of each earlier incarnation.
     past: BTreeMap<u64, u64>,
     marks: Vec<(Micros, Step)>,
 }
 
-/// A place given away by this planner.
+/// A slot given away by this planner.
 #[derive(Clone, Copy, Debug)]
 struct Vote {
-    place: Place,
+    slot: Slot,
     incarnation: u64,
     since: Micros,
-    /// Taken back in the answer to this ask; free once a later one shows that the front knows.
+    /// Taken back in the answer to this heartbeat; free once a later one shows that the front knows.
     lifted: Option<u64>,
 }
 
@@ -104,11 +104,11 @@
     pub zone: String,
     /// Its step.
     pub step: Step,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: u64,
     /// Milliseconds since it was surely alive, by what it echoed; `None` if that was never known.
     pub heard_ms_ago: Option<u64>,
-    /// Milliseconds since its newest ask came, which may have been on its way for long.
+    /// Milliseconds since its newest heartbeat came, which may have been on its way for long.
     pub came_ms_ago: Option<u64>,
     /// What it acted on when last heard.
     pub version: Option<Version>,
@@ -116,8 +116,8 @@
     pub list_age_ms: u64,
     /// Milliseconds for which it has been behind the others.
     pub behind_ms: Option<u64>,
-    /// Index of the list that planners brought it up to; 0 = none.
-    pub brought_index: u64,
+    /// Index of the list that planners reconciled it to; 0 = none.
+    pub reconciled_index: u64,
     /// How it said it stands.
     pub stance: Option<Stance>,
     /// Where it is to be out: acknowledged, lapsed, or ordered and not confirmed.
@@ -135,7 +135,7 @@
 pub struct Status {
     /// The planner.
     pub planner: String,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: u64,
     /// Most fronts that may be out at once.
     pub most_out: usize,
@@ -193,11 +193,11 @@
         &self.fleet
     }
 
-    /// Fronts out of service without a permit: not heard, or shut out for being behind.
+    /// Fronts out of service without a permit: not heard, or quarantined for being behind.
     pub fn lost(&self, now: Micros) -> BTreeSet<String> {
         let by_itself = |name: &str| match self.fronts.get(name) {
             Some(k) if self.is_live(k, now) => {
-                k.ask.stance == Stance::Out && !self.permits.contains_key(name)
+                k.heartbeat.stance == Stance::Out && !self.permits.contains_key(name)
             }
             _ => true,
         };
@@ -209,30 +209,30 @@
         now.saturating_sub(self.begun) > self.fleet.lease_held()
     }
 
-    /// The life of a front that is heard, and whether that life is in service and current.
-    pub fn life(&self, front: &str, now: Micros) -> Option<(u64, bool)> {
+    /// The incarnation of a front that is heard, and whether that incarnation is in service and current.
+    pub fn incarnation(&self, front: &str, now: Micros) -> Option<(u64, bool)> {
         let known = self.fronts.get(front).filter(|k| self.is_live(k, now))?;
         let sound = known.fresh >= FRESH
             && known.behind_since.is_none()
-            && matches!(known.ask.stance, Stance::Open)
+            && matches!(known.heartbeat.stance, Stance::Open)
             && !self.is_twin(known, now);
         Some((known.incarnation, sound))
     }
 
-    /// Whether a holder was seen in service in another life than the one that holds this permit. Danger: this planner may not have
-    /// heard yet of the life that holds it, and take the one before it, dead by now, for the one that came after; so it has to
-    /// have been alive since the permit was known here.
+    /// Whether a holder was seen in service in another incarnation than the one that holds this permit. Danger: this
+    /// planner may not have heard yet of the incarnation that holds it, and take the one before it, dead by now, for the
+    /// one that came after; so it has to have been alive since the permit was known here.
     pub fn came_back(&self, front: &str, permit: &Permit, now: Micros) -> bool {
         let since = self.permits_since.get(&permit.number).copied();
         let heard = self.fronts.get(front).and_then(|k| k.heard);
         let after = since.zip(heard).is_some_and(|(since, heard)| heard > since);
-        after && self.life(front, now).is_some_and(|l| l.0 != permit.incarnation && l.1)
+        after && self.incarnation(front, now).is_some_and(|l| l.0 != permit.incarnation && l.1)
     }
 
-    /// What fronts heard lately say of their permits: front, life, number, word.
+    /// What fronts heard lately say of their permits: front, incarnation, number, word.
     pub fn words(&self, now: Micros) -> Vec<(String, u64, u64, Word)> {
         let live = self.fronts.iter().filter(|(_, k)| self.is_live(k, now));
-        live.filter_map(|(f, k)| k.ask.permit.map(|(n, w)| (f.clone(), k.incarnation, n, w))).collect()
+        live.filter_map(|(f, k)| k.heartbeat.permit.map(|(n, w)| (f.clone(), k.incarnation, n, w))).collect()
     }
 
     /// Counts a refusal by its reason.
@@ -248,34 +248,34 @@
     /// behind each other.
     fn is_behind(&self, front: &str, version: &Version, now: Micros) -> bool {
         let others = self.fronts.iter().filter(|(name, k)| *name != front && self.is_live(k, now));
-        others.into_iter().any(|(_, k)| version.stands(&k.ask.version).contains(&Standing::Older))
+        others.into_iter().any(|(_, k)| version.stands(&k.heartbeat.version).contains(&Standing::Older))
     }
 
-    /// Takes a front's ask, and answers it.
-    pub fn take(&mut self, now: Micros, ask: Ask) -> Result<Answer, Refused> {
-        let done = self.take_checked(now, ask);
+    /// Takes a front's heartbeat, and answers it.
+    pub fn take(&mut self, now: Micros, heartbeat: Heartbeat) -> Result<Answer, Refused> {
+        let done = self.take_checked(now, heartbeat);
         if let Err(why) = &done {
             self.count_refused(why);
         }
         done
     }
 
-    fn take_checked(&mut self, now: Micros, mut ask: Ask) -> Result<Answer, Refused> {
-        if self.fleet.member(&ask.front).is_none_or(|m| m.role != Role::Front) {
-            return Err(Refused::Stranger(ask.front));
+    fn take_checked(&mut self, now: Micros, mut heartbeat: Heartbeat) -> Result<Answer, Refused> {
+        if self.fleet.member(&heartbeat.front).is_none_or(|m| m.role != Role::Front) {
+            return Err(Refused::Stranger(heartbeat.front));
         }
-        if ask.reports.len() > REPORTS_AT_ONCE {
-            return Err(Refused::Many(ask.reports.len()));
+        if heartbeat.reports.len() > REPORTS_AT_ONCE {
+            return Err(Refused::Many(heartbeat.reports.len()));
         }
-        // All or nothing: of an ask with a report that can't be, nothing is believed.
-        ask.reports.iter().try_for_each(Book::check)?;
-        for report in std::mem::take(&mut ask.reports) {
-            self.book.insert(&ask.front, ask.incarnation, report)?;
+        // All or nothing: of a heartbeat with a report that can't be, nothing is believed.
+        heartbeat.reports.iter().try_for_each(Book::check)?;
+        for report in std::mem::take(&mut heartbeat.reports) {
+            self.book.insert(&heartbeat.front, heartbeat.incarnation, report)?;
         }
-        self.book.head(&ask.front, ask.incarnation, ask.head);
-        self.learn_list(ask.ready.take());
-        let (front, number) = (ask.front.clone(), ask.number);
-        let acked = self.book.held_to(&front, ask.incarnation);
+        self.book.head(&heartbeat.front, heartbeat.incarnation, heartbeat.head);
+        self.learn_list(heartbeat.ready.take());
+        let (front, number) = (heartbeat.front.clone(), heartbeat.number);
+        let acked = self.book.held_to(&front, heartbeat.incarnation);
         let mut answer = Answer {
             planner: self.name.clone(),
             incarnation: self.incarnation,
@@ -292,18 +292,19 @@
             permit: self.permits.get(&front).cloned(),
             granted: self.granted,
         };
-        if !self.hear(now, ask) {
+        if !self.hear(now, heartbeat) {
             return Ok(answer);
         }
         self.judge(now, &front);
         let Some(known) = self.fronts.get(&front) else { return Ok(answer) };
-        let version = known.ask.version;
+        let version = known.heartbeat.version;
         answer.twin = self.is_twin(known, now);
         answer.again = known.behind_since.is_some();
         answer.news = self.newest_news(&front, &version, now);
         let list = version.list;
-        let lacks =
-            |r: &&Ready| r.epoch == list.epoch && r.index > list.index && r.index > known.ask.brought.0;
+        let lacks = |r: &&Ready| {
+            r.epoch == list.epoch && r.index > list.index && r.index > known.heartbeat.reconciled.0
+        };
         let newer = self.ready.as_ref().filter(lacks);
         answer.ready = newer.map(|r| Ready { vouched: self.vouched(r), ..r.clone() });
         answer.vote = self.vote(now, &front);
@@ -318,18 +319,19 @@
         Ok(answer)
     }
 
-    /// Notes an ask; false if it is an old one come late, which tells nothing of now.
-    fn hear(&mut self, now: Micros, ask: Ask) -> bool {
+    /// Notes a heartbeat; false if it is an old one come late, which tells nothing of now.
+    fn hear(&mut self, now: Micros, heartbeat: Heartbeat) -> bool {
         let span = 2 * self.fleet.lease_held();
-        let echoed = (ask.echo.0 == self.incarnation).then_some(ask.echo.1.min(now));
-        let Some(known) = self.fronts.get_mut(&ask.front) else {
-            let (incarnation, number, front) = (ask.incarnation, ask.number, ask.front.clone());
+        let echoed = (heartbeat.echo.0 == self.incarnation).then_some(heartbeat.echo.1.min(now));
+        let Some(known) = self.fronts.get_mut(&heartbeat.front) else {
+            let (incarnation, number, front) =
+                (heartbeat.incarnation, heartbeat.number, heartbeat.front.clone());
             let known = Known {
                 incarnation,
                 number,
                 heard: echoed,
                 came: now,
-                ask,
+                heartbeat,
                 behind_since: None,
                 current_since: None,
                 granted: None,
@@ -341,24 +343,24 @@
             self.fronts.insert(front, known);
             return true;
         };
-        if ask.incarnation == known.incarnation {
-            if ask.number <= known.number {
+        if heartbeat.incarnation == known.incarnation {
+            if heartbeat.number <= known.number {
                 return false;
             }
             known.fresh += 1;
         } else {
-            if known.past.get(&ask.incarnation).is_some_and(|n| ask.number <= *n) {
+            if known.past.get(&heartbeat.incarnation).is_some_and(|n| heartbeat.number <= *n) {
                 return false;
             }
             known.past.insert(known.incarnation, known.number);
             known.flips.retain(|at| now.saturating_sub(*at) <= span);
             known.flips.push(now);
-            (known.incarnation, known.fresh) = (ask.incarnation, 1);
+            (known.incarnation, known.fresh) = (heartbeat.incarnation, 1);
             (known.behind_since, known.current_since) = (None, None);
             known.heard = None;
         }
         known.heard = known.heard.max(echoed);
-        (known.number, known.came, known.ask) = (ask.number, now, ask);
+        (known.number, known.came, known.heartbeat) = (heartbeat.number, now, heartbeat);
         true
     }
 
@@ -368,7 +370,7 @@
     }
 
     fn judge(&mut self, now: Micros, front: &str) {
-        let Some(version) = self.fronts.get(front).map(|k| k.ask.version) else { return };
+        let Some(version) = self.fronts.get(front).map(|k| k.heartbeat.version) else { return };
         let behind = self.is_behind(front, &version, now);
         if let Some(known) = self.fronts.get_mut(front) {
             if behind {
@@ -397,7 +399,7 @@
             l.source == Source::Discovery
                 && (l.epoch, l.index, l.digest) == (list.epoch, list.index, list.digest)
         };
-        let here = self.fronts.iter().filter(|(_, k)| holds(&k.ask.version)).map(|(name, _)| name);
+        let here = self.fronts.iter().filter(|(_, k)| holds(&k.heartbeat.version)).map(|(name, _)| name);
         let there =
             self.elsewhere.values().flatten().filter(|(_, (_, h))| holds(&h.version)).map(|(name, _)| name);
         here.chain(there).collect::<BTreeSet<_>>().len() as u32
@@ -409,27 +411,27 @@
         let live = self.fronts.iter().filter(|(n, k)| *n != front && self.is_live(k, now));
         let by_hearsay = self.elsewhere.values().flat_map(|m| m.values());
         let hearsay = by_hearsay.filter(|(at, h)| now.saturating_sub(*at) + h.ago <= self.fleet.lease_held());
-        let all = live.filter_map(|(_, k)| k.ask.version.news);
+        let all = live.filter_map(|(_, k)| k.heartbeat.version.news);
         let all = all.chain(hearsay.filter_map(|(_, h)| h.version.news));
         let narrower = all.filter(|n| n.narrows(&told) && n.stands(&told) != Standing::Older);
         narrower.reduce(|a, b| if b.narrows(&a) { b } else { a })
     }
 
-    /// The place that a front is voted into, after what its last ask says of earlier ones.
-    fn vote(&mut self, now: Micros, front: &str) -> Option<Place> {
+    /// The slot that a front is voted into, after what its last heartbeat says of earlier ones.
+    fn vote(&mut self, now: Micros, front: &str) -> Option<Slot> {
         let me = self.me();
         let known = self.fronts.get(front)?.clone();
-        let told = known.ask.votes.get(me).copied().flatten();
+        let told = known.heartbeat.votes.get(me).copied().flatten();
         match self.votes.get(front).copied() {
-            // What the front knows from this planner's earlier life still binds.
+            // What the front knows from this planner's earlier incarnation still binds.
             None => {
-                if let Some(place) = told {
-                    let vote = Vote { place, incarnation: known.incarnation, since: now, lifted: None };
+                if let Some(slot) = told {
+                    let vote = Vote { slot, incarnation: known.incarnation, since: now, lifted: None };
                     self.votes.insert(front.to_owned(), vote);
                 }
             }
             Some(vote) if vote.incarnation != known.incarnation => {
-                // The life that was voted out is over only once another has spoken for a while.
+                // The incarnation that was voted out is over only once another has spoken for a while.
                 if known.fresh >= FRESH && !self.is_twin(&known, now) {
                     self.votes.remove(front);
                 }
@@ -440,10 +442,11 @@
             Some(vote) if vote.lifted.is_none() => {
                 let back =
                     known.current_since.is_some_and(|at| now.saturating_sub(at) >= self.fleet.back_after);
-                let counted = |p: &Place| known.ask.votes.iter().flatten().filter(|v| *v == p).count();
+                let counted = |p: &Slot| known.heartbeat.votes.iter().flatten().filter(|v| *v == p).count();
                 let waited = now.saturating_sub(vote.since) > self.fleet.lease_held();
-                let unmet =
-                    waited && known.ask.stance != Stance::Out && counted(&vote.place) < self.fleet.majority();
+                let unmet = waited
+                    && known.heartbeat.stance != Stance::Out
+                    && counted(&vote.slot) < self.fleet.majority();
                 if back || unmet {
                     let lifted = Some(known.number);
                     self.votes.insert(front.to_owned(), Vote { lifted, ..vote });
@@ -456,7 +459,7 @@
         }
         let held = self.votes.get(front).copied();
         if let Some(vote) = held {
-            return vote.lifted.is_none().then_some(vote.place);
+            return vote.lifted.is_none().then_some(vote.slot);
         }
         let due = known.behind_since.is_some_and(|at| now.saturating_sub(at) > self.fleet.shut_after);
         // A planner that has just started may have voted before: those that it voted for tell it, once they are heard.
@@ -465,23 +468,23 @@
         if !due || !knows || cools {
             return None;
         }
-        let place = self.place_for(now, front, &known)?;
-        let vote = Vote { place, incarnation: known.incarnation, since: now, lifted: None };
+        let slot = self.slot_for(now, front, &known)?;
+        let vote = Vote { slot, incarnation: known.incarnation, since: now, lifted: None };
         self.votes.insert(front.to_owned(), vote);
-        Some(place)
+        Some(slot)
     }
 
-    /// A free place for a front, within the limits; fronts that are silent by themselves take one up.
-    fn place_for(&self, now: Micros, front: &str, known: &Known) -> Option<Place> {
+    /// A free slot for a front, within the limits; fronts that are silent by themselves take one up.
+    fn slot_for(&self, now: Micros, front: &str, known: &Known) -> Option<Slot> {
         let zone_of = |name: &str| self.fleet.member(name).map_or("", |m| m.zone.as_str());
         let zone = zone_of(front);
         // Out by a permit, or lost by itself: both count.
         let silent = |name: &str| {
-            let in_service = |k: &Known| self.is_live(k, now) && k.ask.stance != Stance::Out;
+            let in_service = |k: &Known| self.is_live(k, now) && k.heartbeat.stance != Stance::Out;
             !self.votes.contains_key(name)
                 && (self.permits.contains_key(name) || !self.fronts.get(name).is_some_and(in_service))
         };
-        let places = |whole: bool| -> Option<Vec<u16>> {
+        let slots = |whole: bool| -> Option<Vec<u16>> {
             let group: Vec<&str> = self
                 .fleet
                 .fronts()
@@ -493,17 +496,17 @@
             let most = if forgotten { group.len() } else { most };
             let lost = if forgotten { 0 } else { group.iter().filter(|n| **n != front && silent(n)).count() };
             let votes = group.iter().filter_map(|n| self.votes.get(*n));
-            let used: Vec<u16> = votes.map(|v| if whole { v.place.all } else { v.place.zone }).collect();
+            let used: Vec<u16> = votes.map(|v| if whole { v.slot.all } else { v.slot.zone }).collect();
             if used.len() + lost >= most {
                 return None;
             }
             Some((0..most as u16).filter(|n| !used.contains(n)).collect())
         };
-        let (all, in_zone) = (places(true)?, places(false)?);
-        let free = |p: &Place| all.contains(&p.all) && in_zone.contains(&p.zone);
+        let (all, in_zone) = (slots(true)?, slots(false)?);
+        let free = |p: &Slot| all.contains(&p.all) && in_zone.contains(&p.zone);
         // What other planners chose is chosen too, so that a majority comes together.
-        let wanted = known.ask.votes.iter().flatten().copied().filter(free).min();
-        wanted.or_else(|| Some(Place { all: *all.first()?, zone: *in_zone.first()? }))
+        let wanted = known.heartbeat.votes.iter().flatten().copied().filter(free).min();
+        wanted.or_else(|| Some(Slot { all: *all.first()?, zone: *in_zone.first()? }))
     }
 
     fn lapsed_here(&self, front: &str, now: Micros) -> bool {
@@ -525,7 +528,7 @@
     pub fn step(&self, front: &str, now: Micros) -> Step {
         let Some(known) = self.fronts.get(front) else { return Step::Unknown };
         let live = self.is_live(known, now) || mutant::is("silence-called-current");
-        let out = known.ask.stance == Stance::Out;
+        let out = known.heartbeat.stance == Stance::Out;
         if let Some(vote) = self.votes.get(front) {
             let confirmed = live && out || self.surely_lapsed(front, now);
             return match (vote.lifted, confirmed) {
@@ -537,25 +540,25 @@
         if !live {
             return Step::Unknown;
         }
-        match (known.ask.stance, known.behind_since) {
+        match (known.heartbeat.stance, known.behind_since) {
             (Stance::Out, _) => Step::Out,
             (Stance::Narrowed, _) => Step::Narrowed,
             // Whoever has just started has not heard the others, against whom a front is held.
             _ if now.saturating_sub(self.begun) <= self.fleet.lease_held() => Step::Unknown,
             (_, Some(at)) if now.saturating_sub(at) > self.fleet.behind => {
                 let newest = self.ready.as_ref().map_or(0, |r| r.index);
-                let list = known.ask.version.list.index.max(known.ask.brought.0) >= newest;
-                let news = self.newest_news(front, &known.ask.version, now);
-                let told = news.is_none_or(|n| known.ask.brought.1.is_some_and(|b| !n.narrows(&b)));
+                let list = known.heartbeat.version.list.index.max(known.heartbeat.reconciled.0) >= newest;
+                let news = self.newest_news(front, &known.heartbeat.version, now);
+                let told = news.is_none_or(|n| known.heartbeat.reconciled.1.is_some_and(|b| !n.narrows(&b)));
                 if list && told {
-                    Step::BroughtUp
+                    Step::Reconciled
                 } else {
                     Step::Noted
                 }
             }
             (_, Some(_)) => Step::Lagging,
-            // Others may have come back since it last asked.
-            (_, None) if self.is_behind(front, &known.ask.version, now) => Step::Lagging,
+            // Others may have come back since its last heartbeat.
+            (_, None) if self.is_behind(front, &known.heartbeat.version, now) => Step::Lagging,
             (_, None) => Step::Current,
         }
     }
@@ -600,8 +603,8 @@
             front: name.clone(),
             incarnation: k.incarnation,
             ago: now.saturating_sub(k.heard.unwrap_or(0)),
-            version: k.ask.version,
-            stance: k.ask.stance,
+            version: k.heartbeat.version,
+            stance: k.heartbeat.stance,
             lapsed: self.lapsed_here(name, now),
         };
         Ok(Pushed {
@@ -639,7 +642,7 @@
             let known = self.fronts.get(&member.name);
             let ago = |at: Micros| now.saturating_sub(at) / 1_000;
             let out = self.votes.get(&member.name).map(|_| match known {
-                Some(k) if k.ask.stance == Stance::Out && self.is_live(k, now) => "acknowledged",
+                Some(k) if k.heartbeat.stance == Stance::Out && self.is_live(k, now) => "acknowledged",
                 _ if self.surely_lapsed(&member.name, now) => "lapsed: narrowed at the most",
                 _ => "ordered, not confirmed",
             });
@@ -651,11 +654,11 @@
                 incarnation: known.map_or(0, |k| k.incarnation),
                 heard_ms_ago: known.and_then(|k| k.heard).map(ago),
                 came_ms_ago: known.map(|k| ago(k.came)),
-                version: known.map(|k| k.ask.version),
-                list_age_ms: known.map_or(0, |k| k.ask.ages.list / 1_000),
+                version: known.map(|k| k.heartbeat.version),
+                list_age_ms: known.map_or(0, |k| k.heartbeat.ages.list / 1_000),
                 behind_ms: known.and_then(|k| k.behind_since).map(ago),
-                brought_index: known.map_or(0, |k| k.ask.brought.0),
-                stance: known.map(|k| k.ask.stance),
+                reconciled_index: known.map_or(0, |k| k.heartbeat.reconciled.0),
+                stance: known.map(|k| k.heartbeat.stance),
                 out,
                 twin: known.is_some_and(|k| self.is_twin(k, now)),
                 missing: gaps.iter().map(|g| g.1 - g.0 + 1).sum(),
--- a/crates/yarrowspoke-fleet/src/settings.rs
+++ b/crates/yarrowspoke-fleet/src/settings.rs
@@ -59,21 +59,21 @@
 pub struct Fleet {
     /// All members, in the order of the file.
     pub members: Vec<Member>,
-    /// Time between two asks of a front at each planner, and between two spans of its record.
+    /// Time between two heartbeats of a front at each planner, and between two spans of its record.
     pub renew: Micros,
-    /// How long a lease lasts, on the front's clock from when it asked.
+    /// How long a lease lasts, on the front's clock from when it sent its heartbeat.
     pub lease: Micros,
     /// Most by which two monotonic clocks drift apart, as a share.
     pub drift: f64,
     /// Behind for longer than this, a front is noted.
     pub behind: Micros,
-    /// Behind for longer than this, a front is to be shut out.
+    /// Behind for longer than this, a front is to be quarantined.
     pub shut_after: Micros,
-    /// Current for so long, a front that was shut out comes back in.
+    /// Current for so long, a front that was quarantined comes back in.
     pub back_after: Micros,
     /// A list that its own source has not confirmed for so long is no ground for a narrowed front to send on.
     pub list_within: Micros,
-    /// Most fronts shut out at once, those out by themselves counted in.
+    /// Most fronts quarantined at once, those out by themselves counted in.
     pub most_out: Most,
     /// The same for each zone.
     pub most_out_zone: Most,
--- a/crates/yarrowspoke-fleet/src/span.rs
+++ b/crates/yarrowspoke-fleet/src/span.rs
@@ -18,7 +18,7 @@
     Alone,
     /// No lease: nothing for a build on trial, nothing for machines that may be draining.
     Narrowed,
-    /// Shut out.
+    /// Quarantined.
     Out,
 }
 
@@ -47,7 +47,7 @@
     pub given_up: u32,
 }
 
-/// A span, or several that were joined, with its place in the chain of a front's life.
+/// A span, or several that were joined, with its place in the chain of a front's incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Number of the first span in it, from 1.
--- a/crates/yarrowspoke-fleet/src/version.rs
+++ b/crates/yarrowspoke-fleet/src/version.rs
@@ -32,7 +32,7 @@
     pub index: u64,
     /// Where it came from.
     pub source: Source,
-    /// How often the index went back in this life of the front: before and after, indices don't compare.
+    /// How often the index went back in this incarnation of the front: before and after, indices don't compare.
     pub epoch: u32,
     /// Of the machines, their states and builds.
     pub digest: u64,
--- a/crates/yarrowspoke-fleet/src/wire.rs
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -17,7 +17,7 @@
 pub const SCHEMA: u16 = 1;
 /// Most bytes of a body.
 pub const BODY_LIMIT: usize = 256 * 1024;
-/// Most reports of one ask.
+/// Most reports of one heartbeat.
 pub const REPORTS_AT_ONCE: usize = 64;
 
 /// Why a message is refused.
@@ -38,7 +38,7 @@
     /// A report that can't be.
     #[error("report {0}: {1}")]
     Report(u64, &'static str),
-    /// More than one ask may bring.
+    /// More than one heartbeat may bring.
     #[error("{0} reports at once, at most {REPORTS_AT_ONCE}")]
     Many(usize),
 }
@@ -64,10 +64,10 @@
     }
 }
 
-/// A place among those that may be out at once: one number among all fronts, one within its zone. No two fronts are voted
-/// into one place by one planner, so no two have a majority for it.
+/// A slot among those that may be out at once: one number among all fronts, one within its zone. No two fronts are voted
+/// into one slot by one planner, so no two have a majority for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Place {
+pub struct Slot {
     /// Among all.
     pub all: u16,
     /// Within the zone.
@@ -89,30 +89,30 @@
     pub machines: Vec<(u32, u16)>,
 }
 
-/// What a front tells a planner and asks of it.
+/// What a front tells a planner at every renewal, and what it wants of it: a lease, and what it lacks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Who asks.
+pub struct Heartbeat {
+    /// Who sends it.
     pub front: String,
-    /// Which life of it.
+    /// Which incarnation of it.
     pub incarnation: u64,
-    /// Number of this ask at this planner in this life: an answer to an older one is void.
+    /// Number of this heartbeat at this planner in this incarnation: an answer to an older one is void.
     pub number: u64,
     /// Microseconds since the front's start.
     pub now: Micros,
-    /// The planner's life and clock as its last answer had them. Danger: what stood in a buffer while the planner, or the link,
-    /// stood still looks as if it came just now; it was surely asked only after this.
+    /// The planner's incarnation and clock as its last answer had them. Danger: what stood in a buffer while the planner,
+    /// or the link, stood still looks as if it came just now; it was surely sent only after this.
     pub echo: (u64, Micros),
     /// What it acts on, by its own sources.
     pub version: Version,
     /// When it last heard them.
     pub ages: Ages,
-    /// What it was brought up to by planners: an index of the list, and news.
-    pub brought: (u64, Option<News>),
+    /// What it was reconciled to by planners: an index of the list, and news.
+    pub reconciled: (u64, Option<News>),
     /// How it stands.
     pub stance: Stance,
-    /// The places that each planner has voted it into, as far as it knows.
-    pub votes: Vec<Option<Place>>,
+    /// The slots that each planner has voted it into, as far as it knows.
+    pub votes: Vec<Option<Slot>>,
     /// Number of its last closed span.
     pub head: u64,
     /// Spans that this planner may not have.
@@ -128,18 +128,18 @@
 pub struct Answer {
     /// Who answers.
     pub planner: String,
-    /// Which life of it.
+    /// Which incarnation of it.
     pub incarnation: u64,
-    /// The ask that is answered.
+    /// The heartbeat that is answered.
     pub number: u64,
-    /// Its clock, to be echoed by the next ask.
+    /// Its clock, to be echoed by the next heartbeat.
     pub now: Micros,
     /// It has all reports up to this one.
     pub acked: u64,
-    /// The lease granted, from when the ask was made; 0 = none.
+    /// The lease granted, from when the heartbeat was sent; 0 = none.
     pub lease: Micros,
-    /// The place that it is voted into: it is to be out.
-    pub vote: Option<Place>,
+    /// The slot that it is voted into: it is to be out.
+    pub vote: Option<Slot>,
     /// It is behind the others and is to ask its own sources again.
     pub again: bool,
     /// A list newer than its own, for what that takes away.
@@ -156,10 +156,10 @@
     pub granted: u64,
 }
 
-/// What is held of one life: the front, its life, and closed ranges of numbers.
+/// What is held of one incarnation: the front, its incarnation, and closed ranges of numbers.
 pub type Held = (String, u64, Vec<(u64, u64)>);
 
-/// What a planner asks another: what it has, by front and life, as closed ranges of numbers.
+/// What a planner asks another: what it has, by front and incarnation, as closed ranges of numbers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pull {
     /// Who asks.
@@ -188,7 +188,7 @@
 pub struct Heard {
     /// The front.
     pub front: String,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: u64,
     /// How long ago.
     pub ago: Micros,
--- a/crates/yarrowspoke-fleet/tests/agreed.rs
+++ b/crates/yarrowspoke-fleet/tests/agreed.rs
@@ -34,7 +34,7 @@
     assert_eq!((s.permits.len(), s.waits.len()), (2, 2));
     let number = s.permits["f0"].number;
     s.apply(&Entry::Took { front: "f0".into(), number, incarnation: 7 });
-    assert_eq!(s.permits["f0"].phase, Phase::Granted, "not by another life");
+    assert_eq!(s.permits["f0"].phase, Phase::Granted, "not by another incarnation");
     s.apply(&Entry::Took { front: "f0".into(), number, incarnation: 100 });
     s.apply(&Entry::Done { front: "f0".into(), number: number + 9 });
     assert_eq!(s.permits["f0"].phase, Phase::Taken, "nor is another permit its end");
@@ -101,12 +101,12 @@
 }
 
 #[test]
-fn a_holder_uses_a_permit_once_while_it_is_young_and_for_its_own_life_only() {
+fn a_holder_uses_a_permit_once_while_it_is_young_and_for_its_own_incarnation_only() {
     let permit = |number, phase| Permit { number, incarnation: 5, phase, cause: "c".into() };
     let within = 1_000;
     let mut h = Holder::default();
     h.shown(0, 6, Some(&permit(1, Phase::Granted)), within);
-    assert_eq!(h.word(), None, "another life's");
+    assert_eq!(h.word(), None, "another incarnation's");
     h.shown(0, 5, Some(&permit(1, Phase::Granted)), within);
     assert!(h.word() == Some((1, Word::Asks)) && !h.is_out());
     h.shown(500, 5, Some(&permit(1, Phase::Taken)), within);
--- a/crates/yarrowspoke-fleet/tests/common/mod.rs
+++ b/crates/yarrowspoke-fleet/tests/common/mod.rs
@@ -77,12 +77,12 @@
         });
     }
 
-    /// A front asks all planners once.
-    pub fn ask(&mut self, front: usize) {
+    /// A front sends all planners a heartbeat once.
+    pub fn heartbeat(&mut self, front: usize) {
         for p in 0..self.planners.len() {
-            let ask = self.fronts[front].ask(p, self.now);
+            let heartbeat = self.fronts[front].heartbeat(p, self.now);
             let (to, back) = self.links[&(front, p)];
-            let answer = if to { self.planners[p].take(self.now, ask).ok() } else { None };
+            let answer = if to { self.planners[p].take(self.now, heartbeat).ok() } else { None };
             match answer.filter(|_| back) {
                 Some(answer) => drop(self.fronts[front].answered(p, self.now, self.now, answer)),
                 None => self.fronts[front].failed(p, self.now),
@@ -97,7 +97,7 @@
             for front in (0..self.fronts.len()).filter(|f| !still.contains(f)) {
                 let now = self.now;
                 self.fronts[front].tick(now, 1_000_000 + now);
-                self.ask(front);
+                self.heartbeat(front);
             }
             for p in 0..3 {
                 for q in (0..3).filter(|q| *q != p) {
--- a/crates/yarrowspoke-fleet/tests/ladder.rs
+++ b/crates/yarrowspoke-fleet/tests/ladder.rs
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn a_straggler_is_noted_brought_up_shut_out_and_comes_back_in() {
+fn a_straggler_is_noted_reconciled_quarantined_and_comes_back_in() {
     let mut rig = Rig::new(fleet(4));
     all_on(&mut rig, 5);
     rig.run(10, &[]);
@@ -27,10 +27,13 @@
     // Machine 3 drains, and front 0 is not told by its own source.
     rig.list(1..4, 6, &ready(10, &[3]));
     rig.run(2, &[]);
-    assert!(rig.fronts[0].leaves_out(rig.now, 3, 1), "brought up by the first ask after the planners knew");
+    assert!(
+        rig.fronts[0].leaves_out(rig.now, 3, 1),
+        "reconciled by the first heartbeat after the planners knew"
+    );
     assert!(!rig.fronts[0].leaves_out(rig.now, 4, 1));
     rig.run(3, &[]);
-    assert_eq!(rig.planners[0].step("f0", rig.now), Step::BroughtUp);
+    assert_eq!(rig.planners[0].step("f0", rig.now), Step::Reconciled);
     rig.run(10, &[]);
     assert_eq!((outs(&rig), rig.planners[1].step("f0", rig.now)), (vec![0], Step::Out));
     assert!(
@@ -114,8 +117,8 @@
     }
     rig.run(7, &[]);
     assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed, "heard by all, hearing one");
-    let ask = rig.fronts[0].ask(1, rig.now);
-    let late = rig.planners[1].take(rig.now, ask).unwrap();
+    let heartbeat = rig.fronts[0].heartbeat(1, rig.now);
+    let late = rig.planners[1].take(rig.now, heartbeat).unwrap();
     let begun = rig.now;
     rig.run(10, &[]);
     rig.fronts[0].answered(1, begun, rig.now, late);
@@ -136,7 +139,7 @@
         assert!(out.len() <= 2 && in_zone(0) <= 1 && in_zone(1) <= 1, "{out:?}");
     }
     assert_eq!(outs(&rig).len(), 2);
-    // A front of zone b that died by itself takes its zone's only place.
+    // A front of zone b that died by itself takes its zone's only slot.
     let mut rig = Rig::new(fleet(8));
     all_on(&mut rig, 5);
     rig.run(10, &[1]);
@@ -196,7 +199,7 @@
 }
 
 #[test]
-fn a_restart_frees_the_place_only_once_the_new_life_has_spoken_for_a_while() {
+fn a_restart_frees_the_slot_only_once_the_new_incarnation_has_spoken_for_a_while() {
     let mut rig = Rig::new(fleet(4));
     all_on(&mut rig, 5);
     rig.run(10, &[]);
@@ -208,9 +211,9 @@
     new.listed((0, 0), (6, 42), Source::Discovery, list);
     std::mem::swap(&mut rig.fronts[0], &mut new);
     rig.run(1, &[]);
-    assert!(rig.planners[0].status(rig.now).fronts[0].out.is_some(), "one ask may be a late one");
-    // A late copy of the old life's ask takes nothing back.
-    let late = new.ask(0, rig.now);
+    assert!(rig.planners[0].status(rig.now).fronts[0].out.is_some(), "one heartbeat may be a late one");
+    // A late copy of the old incarnation's heartbeat takes nothing back.
+    let late = new.heartbeat(0, rig.now);
     let _ = rig.planners[0].take(rig.now, late);
     rig.run(12, &[]);
     assert!(rig.planners[0].status(rig.now).fronts[0].out.is_none() && outs(&rig).is_empty());
@@ -220,14 +223,14 @@
 fn what_stood_in_a_buffer_is_no_sign_of_life() {
     let mut rig = Rig::new(fleet(3));
     all_on(&mut rig, 5);
-    let (asked_at, queued) = (rig.now, rig.fronts[0].ask(0, rig.now));
+    let (sent_at, queued) = (rig.now, rig.fronts[0].heartbeat(0, rig.now));
     // Planner and front stand still; the planner wakes, reads what was queued for it, and the front is dead.
     rig.now += 60_000 * MS;
     let answer = rig.planners[0].take(rig.now, queued).unwrap();
     assert_eq!(rig.planners[0].step("f0", rig.now), Step::Unknown);
     assert!(rig.planners[0].status(rig.now).fronts[0].heard_ms_ago.is_some_and(|ms| ms >= 60_000));
-    // Nor does the answer give a lease to a front that wakes later: it counts from when it was asked for.
-    rig.fronts[0].answered(0, asked_at, rig.now, answer);
+    // Nor does the answer give a lease to a front that wakes later: it counts from when its heartbeat was sent.
+    rig.fronts[0].answered(0, sent_at, rig.now, answer);
     assert_eq!(rig.fronts[0].stance(rig.now), Stance::Narrowed);
 }
 
@@ -240,12 +243,13 @@
     for _ in 0..8 {
         rig.run(1, &[]);
         other.tick(rig.now, 0);
-        let ask = other.ask(0, rig.now);
-        told |= other.answered(0, rig.now, rig.now, rig.planners[0].take(rig.now, ask).unwrap()).twin;
+        let heartbeat = other.heartbeat(0, rig.now);
+        told |= other.answered(0, rig.now, rig.now, rig.planners[0].take(rig.now, heartbeat).unwrap()).twin;
     }
     assert!(told && rig.planners[0].status(rig.now).fronts[0].twin);
-    let lives: Vec<u64> = rig.planners[0].book.lives().iter().filter(|l| l.0 == "f0").map(|l| l.1).collect();
-    assert_eq!(lives, [100, 777]);
+    let incarnations: Vec<u64> =
+        rig.planners[0].book.incarnations().iter().filter(|l| l.0 == "f0").map(|l| l.1).collect();
+    assert_eq!(incarnations, [100, 777]);
     assert!(rig.planners[0].book.contradictions().is_empty());
 }
 
@@ -281,7 +285,7 @@
         fn whatever_happens_never_more_are_out_than_allowed(events in prop::collection::vec(event(), 20..160)) {
             let mut rig = Rig::new(fleet(6));
             all_on(&mut rig, 1);
-            let (mut index, mut lives, mut until) = (1u64, 1_000u64, [0u64; 6]);
+            let (mut index, mut incarnation, mut until) = (1u64, 1_000u64, [0u64; 6]);
             for event in events {
                 match event {
                     Event::Link(f, p, to, back) => drop(rig.links.insert((f, p), (to, back))),
@@ -291,15 +295,15 @@
                         rig.list((0..6).filter(|f| *f != but && index % 7 != *f as u64), index, &ready(10, &[3]));
                     }
                     Event::EmptyPlanner(p) => {
-                        lives += 1;
+                        incarnation += 1;
                         let (fleet, name) = (rig.fleet.clone(), format!("p{p}"));
                         let book = Default::default();
-                        rig.planners[p] = yarrowspoke_fleet::planner::Planner::new(fleet, &name, lives, rig.now, book);
+                        rig.planners[p] = yarrowspoke_fleet::planner::Planner::new(fleet, &name, incarnation, rig.now, book);
                     }
                     Event::Restart(f) => {
-                        lives += 1;
+                        incarnation += 1;
                         let (fleet, name) = (rig.fleet.clone(), format!("f{f}"));
-                        rig.fronts[f] = yarrowspoke_fleet::front::FrontSide::new(fleet, &name, lives, version());
+                        rig.fronts[f] = yarrowspoke_fleet::front::FrontSide::new(fleet, &name, incarnation, version());
                     }
                     Event::Still(f, n) => until[f] = rig.now + n as u64 * rig.fleet.renew,
                     Event::Nothing => {}
--- a/crates/yarrowspoke-fleet/tests/model.rs
+++ b/crates/yarrowspoke-fleet/tests/model.rs
@@ -1,5 +1,6 @@
-//! Model check of shutting out and coming back: every order of asks, answers, late answers, stops, restarts of planners and
-//! fronts, at a small size. What must never be: two fronts out at once where one may be, or a front out whom no majority holds.
+//! Model check of quarantining and coming back: every order of heartbeats, answers, late answers, stops, restarts of
+//! planners and fronts, at a small size. What must never be: two fronts out at once where one may be, or a front out whom
+//! no majority holds.
 
 use stateright::{Checker, Model, Property};
 
@@ -11,7 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mistake {
     None,
-    /// A planner frees a place as soon as it takes its vote back, not when the front shows that it knows.
+    /// A planner frees a slot as soon as it takes its vote back, not when the front shows that it knows.
     FreesAtOnce,
     /// A planner that lost its memory votes without having heard who holds its votes.
     VotesBlind,
@@ -22,51 +23,51 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Default)]
 struct Vote {
     front: Option<usize>,
-    /// Taken back, in the answer to this ask.
+    /// Taken back, in the answer to this heartbeat.
     lifted: Option<u8>,
 }
 
-/// One place only: the limit is one front.
+/// One slot only: the limit is one front.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    /// By planner: whom it voted into the place.
+    /// By planner: whom it voted into the slot.
     votes: [Vote; PLANNERS],
     /// By planner: fronts heard since its start; all before it may vote.
     heard: [[bool; FRONTS]; PLANNERS],
-    /// By front and planner: the vote as the front knows it, number of the last ask, and of the last answer taken.
+    /// By front and planner: the vote as the front knows it, number of the last heartbeat, and of the last answer taken.
     known: [[bool; PLANNERS]; FRONTS],
-    asked: [[u8; PLANNERS]; FRONTS],
+    sent: [[u8; PLANNERS]; FRONTS],
     taken: [[u8; PLANNERS]; FRONTS],
-    /// Answers under way: front, planner, ask's number, voted.
+    /// Answers under way: front, planner, heartbeat's number, voted.
     answers: Vec<(usize, usize, u8, bool)>,
     restarts: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Step {
-    /// A front asks a planner, which either wants it out or not at this moment.
-    Ask(usize, usize, bool),
+    /// A front sends a planner its heartbeat, which either wants it out or not at this moment.
+    Heartbeat(usize, usize, bool),
     /// An answer arrives; late and in any order.
     Deliver(usize),
     Lose(usize),
     RestartPlanner(usize),
 }
 
-struct Places {
+struct Slots {
     mistake: Mistake,
 }
 
-const MOST_ASKS: u8 = 2;
+const MOST_HEARTBEATS: u8 = 2;
 const MOST_ANSWERS: usize = 3;
 
-impl Places {
+impl Slots {
     fn out(&self, s: &State, front: usize) -> bool {
         let needed = if self.mistake == Mistake::OneVoteIsEnough { 1 } else { MAJORITY };
         s.known[front].iter().filter(|v| **v).count() >= needed
     }
 }
 
-impl Model for Places {
+impl Model for Slots {
     type State = State;
     type Action = Step;
 
@@ -75,7 +76,7 @@
             votes: Default::default(),
             heard: [[true; FRONTS]; PLANNERS],
             known: Default::default(),
-            asked: Default::default(),
+            sent: Default::default(),
             taken: Default::default(),
             answers: vec![],
             restarts: 0,
@@ -84,8 +85,10 @@
 
     fn actions(&self, s: &State, out: &mut Vec<Step>) {
         for f in 0..FRONTS {
-            for p in (0..PLANNERS).filter(|p| s.asked[f][*p] < MOST_ASKS && s.answers.len() < MOST_ANSWERS) {
-                out.extend([Step::Ask(f, p, true), Step::Ask(f, p, false)]);
+            for p in
+                (0..PLANNERS).filter(|p| s.sent[f][*p] < MOST_HEARTBEATS && s.answers.len() < MOST_ANSWERS)
+            {
+                out.extend([Step::Heartbeat(f, p, true), Step::Heartbeat(f, p, false)]);
             }
         }
         out.extend((0..s.answers.len()).flat_map(|n| [Step::Deliver(n), Step::Lose(n)]));
@@ -97,13 +100,13 @@
     fn next_state(&self, s: &State, step: Step) -> Option<State> {
         let mut s = s.clone();
         match step {
-            Step::Ask(f, p, wanted) => {
-                s.asked[f][p] += 1;
-                let (number, told) = (s.asked[f][p], s.known[f][p]);
+            Step::Heartbeat(f, p, wanted) => {
+                s.sent[f][p] += 1;
+                let (number, told) = (s.sent[f][p], s.known[f][p]);
                 s.heard[p][f] = true;
                 let vote = &mut s.votes[p];
                 match vote.front {
-                    // What the front knows from the planner's earlier life still binds.
+                    // What the front knows from the planner's earlier incarnation still binds.
                     None if told => *vote = Vote { front: Some(f), lifted: None },
                     Some(g) if g == f => match vote.lifted {
                         Some(at) if number > at && !told => *vote = Vote::default(),
@@ -136,8 +139,8 @@
                 s.restarts += 1;
                 s.votes[p] = Vote::default();
                 s.heard[p] = [false; FRONTS];
-                // An answer of its earlier life may still be under way, but a lease's span passes before it votes: none is
-                // taken by then, as the front waits for an answer for less than that.
+                // An answer of its earlier incarnation may still be under way, but a lease's span passes before it votes:
+                // none is taken by then, as the front waits for an answer for less than that.
                 s.answers.retain(|a| a.1 != p);
             }
         }
@@ -161,7 +164,7 @@
 /// Whether it is found, and among how many states: deeper and deeper, so that a shallow one costs little.
 fn found(mistake: Mistake) -> (usize, bool) {
     let at = |depth| {
-        let checked = Places { mistake }.checker().threads(4).target_max_depth(depth).spawn_bfs().join();
+        let checked = Slots { mistake }.checker().threads(4).target_max_depth(depth).spawn_bfs().join();
         (checked.unique_state_count(), checked.discovery("one at the most is out").is_some())
     };
     (8..=11).map(at).find(|f| f.1).unwrap_or((0, false))
@@ -170,7 +173,7 @@
 #[test]
 fn no_order_of_messages_and_restarts_puts_two_fronts_out() {
     let checked =
-        Places { mistake: Mistake::None }.checker().threads(4).target_max_depth(10).spawn_bfs().join();
+        Slots { mistake: Mistake::None }.checker().threads(4).target_max_depth(10).spawn_bfs().join();
     assert!(checked.discovery("one at the most is out").is_none());
     assert!(checked.discovery("one is out").is_some());
     assert!(checked.unique_state_count() > 20_000, "{}", checked.unique_state_count());
--- a/crates/yarrowspoke-fleet/tests/record.rs
+++ b/crates/yarrowspoke-fleet/tests/record.rs
@@ -8,7 +8,7 @@
 use yarrowspoke_fleet::book::Book;
 use yarrowspoke_fleet::span::{Recorder, Report, Stance};
 use yarrowspoke_fleet::version::{List, Source, Standing, Version};
-use yarrowspoke_fleet::wire::{decode, encode, Ask, Refused, SCHEMA};
+use yarrowspoke_fleet::wire::{decode, encode, Heartbeat, Refused, SCHEMA};
 
 /// A recorder that keeps so many, run through so many spans of one attempt each.
 fn recorded(spans: u64, keeps: usize) -> Recorder {
@@ -80,7 +80,7 @@
     book.head("f0", 1, 12);
     assert_eq!(book.gaps("f0", 1), [(5, 6), (11, 12)]);
     assert_eq!(book.held_to("f0", 1), 4);
-    let unknown = audit(&book, &Asked::default()).lives[0].unknown.clone();
+    let unknown = audit(&book, &Asked::default()).incarnations[0].unknown.clone();
     // Two gaps, and the stretch behind the last span: each with the end of what is known before it.
     assert_eq!(unknown.iter().map(|u| u.after).collect::<Vec<_>>(), [4, 10, 10]);
     assert_eq!((unknown[0].from, unknown[0].until_wall), (4_000, Some(5_000 + 6_000)));
@@ -103,9 +103,9 @@
     let reports = recorded(10, 100).behind(0, 100);
     let book = filled(&[&reports[..2], &reports[5..]].concat());
     let drawn = audit(&book, &Asked { index: Some(99), ..Asked::default() });
-    assert!(drawn.lives[0].rows.is_empty() && drawn.lives[0].unknown.len() == 2);
+    assert!(drawn.incarnations[0].rows.is_empty() && drawn.incarnations[0].unknown.len() == 2);
     let drawn = audit(&book, &Asked { from: Some(13_500), ..Asked::default() });
-    assert_eq!(drawn.lives[0].rows.iter().map(|r| r.numbers.0).collect::<Vec<_>>(), [9, 10]);
+    assert_eq!(drawn.incarnations[0].rows.iter().map(|r| r.numbers.0).collect::<Vec<_>>(), [9, 10]);
 }
 
 #[test]
@@ -155,16 +155,16 @@
     let held = rig.planners[0].book.view("f0", 100).len();
     let mut recorder = recorded(3, 10);
     recorder.vote();
-    let refused = |rig: &mut Rig, change: &dyn Fn(&mut Ask)| {
-        let mut ask = rig.fronts[0].ask(0, rig.now);
-        change(&mut ask);
-        rig.planners[0].take(rig.now, ask).unwrap_err()
+    let refused = |rig: &mut Rig, change: &dyn Fn(&mut Heartbeat)| {
+        let mut heartbeat = rig.fronts[0].heartbeat(0, rig.now);
+        change(&mut heartbeat);
+        rig.planners[0].take(rig.now, heartbeat).unwrap_err()
     };
     assert_eq!(refused(&mut rig, &|a| a.front = "p1".into()), Refused::Stranger("p1".into()));
     assert_eq!(refused(&mut rig, &|a| a.front = "x".into()), Refused::Stranger("x".into()));
     let bad = |change: fn(&mut Report)| {
         let reports = recorded(3, 10).behind(0, 10);
-        move |a: &mut Ask| {
+        move |a: &mut Heartbeat| {
             a.reports = reports.clone();
             change(&mut a.reports[1]);
         }
@@ -175,20 +175,20 @@
         Refused::Report(2, "it ends before it begins")
     ));
     assert!(matches!(refused(&mut rig, &bad(|r| r.span.taken = 9)), Refused::Report(2, _)));
-    let many = |a: &mut Ask| a.reports = vec![recorded(1, 10).behind(0, 1)[0].clone(); 65];
+    let many = |a: &mut Heartbeat| a.reports = vec![recorded(1, 10).behind(0, 1)[0].clone(); 65];
     assert_eq!(refused(&mut rig, &many), Refused::Many(65));
     assert_eq!(rig.planners[0].book.view("f0", 100).len(), held);
     let status = rig.planners[0].status(rig.now);
     assert_eq!(status.refused.values().sum::<u64>(), 6);
 
-    let good = encode(&rig.fronts[0].ask(0, rig.now));
-    assert!(decode::<Ask>(&good).is_ok());
-    assert_eq!(decode::<Ask>(b"GET / HTTP/1.1").unwrap_err(), Refused::Alien);
-    assert_eq!(decode::<Ask>(b"ys").unwrap_err(), Refused::Alien);
+    let good = encode(&rig.fronts[0].heartbeat(0, rig.now));
+    assert!(decode::<Heartbeat>(&good).is_ok());
+    assert_eq!(decode::<Heartbeat>(b"GET / HTTP/1.1").unwrap_err(), Refused::Alien);
+    assert_eq!(decode::<Heartbeat>(b"ys").unwrap_err(), Refused::Alien);
     let mut newer = good.clone();
     newer[4] = (SCHEMA + 1) as u8;
-    assert_eq!(decode::<Ask>(&newer).unwrap_err(), Refused::Schema(SCHEMA + 1));
+    assert_eq!(decode::<Heartbeat>(&newer).unwrap_err(), Refused::Schema(SCHEMA + 1));
     for cut in 6..good.len() {
-        assert!(matches!(decode::<Ask>(&good[..cut]), Err(Refused::Unreadable(_))), "cut at {cut}");
+        assert!(matches!(decode::<Heartbeat>(&good[..cut]), Err(Refused::Unreadable(_))), "cut at {cut}");
     }
 }
--- a/crates/yarrowspoke-front/src/agree.rs
+++ b/crates/yarrowspoke-front/src/agree.rs
@@ -186,9 +186,9 @@
 pub struct Batch {
     /// Who sends.
     pub from: String,
-    /// Which life of it.
-    pub life: u64,
-    /// Number of the batch in that life, to this planner.
+    /// Which incarnation of it.
+    pub incarnation: u64,
+    /// Number of the batch in that incarnation, to this planner.
     pub number: u64,
     messages: Vec<Message<Logged>>,
 }
@@ -201,7 +201,7 @@
     applied: usize,
     names: Vec<String>,
     name: String,
-    life: u64,
+    incarnation: u64,
     out: BTreeMap<String, Vec<Message<Logged>>>,
     sent: BTreeMap<String, u64>,
     came: BTreeMap<String, (u64, u64)>,
@@ -223,7 +223,7 @@
     pub fn open(
         names: Vec<String>,
         name: &str,
-        life: u64,
+        incarnation: u64,
         dir: Option<&Path>,
         found: bool,
     ) -> Result<Self, Apart> {
@@ -251,7 +251,7 @@
             applied: 0,
             names,
             name: name.to_owned(),
-            life,
+            incarnation,
             out: BTreeMap::new(),
             sent: empty(),
             came: BTreeMap::new(),
@@ -311,7 +311,7 @@
         let messages: Vec<_> = waiting.drain(..waiting.len().min(BATCH)).collect();
         let number = self.sent.entry(to.to_owned()).or_default();
         *number += 1;
-        Some(Batch { from: self.name.clone(), life: self.life, number: *number, messages })
+        Some(Batch { from: self.name.clone(), incarnation: self.incarnation, number: *number, messages })
     }
 
     /// How a batch went. After one that was lost, the next that arrives begins a session anew.
@@ -330,12 +330,12 @@
     /// A batch has come.
     pub fn incoming(&mut self, batch: Batch) {
         let Some(pid) = self.pid(&batch.from) else { return };
-        let (life, number) = self.came.get(&batch.from).copied().unwrap_or((0, 0));
-        if batch.life < life || batch.life == life && batch.number <= number {
+        let (incarnation, number) = self.came.get(&batch.from).copied().unwrap_or((0, 0));
+        if batch.incarnation < incarnation || batch.incarnation == incarnation && batch.number <= number {
             return;
         }
-        self.came.insert(batch.from.clone(), (batch.life, batch.number));
-        if (batch.life, batch.number) != (life, number + 1) && (life, number) != (0, 0) {
+        self.came.insert(batch.from.clone(), (batch.incarnation, batch.number));
+        if (batch.incarnation, batch.number) != (incarnation, number + 1) && (incarnation, number) != (0, 0) {
             self.paxos.reconnected(pid);
         }
         batch.messages.into_iter().for_each(|m| self.paxos.handle_incoming(m));
--- a/crates/yarrowspoke-front/src/cli.rs
+++ b/crates/yarrowspoke-front/src/cli.rs
@@ -53,7 +53,7 @@
         #[command(flatten)]
         fleet: Tier,
     },
-    /// Run a planner: gathers what the fronts of a fleet report, grants leases, brings stragglers up or shuts them out
+    /// Run a planner: gathers what the fronts of a fleet report, grants leases, reconciles stragglers or quarantines them
     Planner {
         /// Its name among the members
         #[arg(long)]
--- a/crates/yarrowspoke-front/src/fleets.rs
+++ b/crates/yarrowspoke-front/src/fleets.rs
@@ -123,15 +123,15 @@
             return serde_json::to_string(&audit).map(|t| t + "\n").map_err(|e| e.to_string());
         }
         let mut text = String::new();
-        for life in &audit.lives {
-            let _ = writeln!(text, "{} life {}", life.front, life.incarnation);
+        for one in &audit.incarnations {
+            let _ = writeln!(text, "{} incarnation {}", one.front, one.incarnation);
             let mut at = 0;
-            while let Some(first) = life.rows.get(at) {
+            while let Some(first) = one.rows.get(at) {
                 let same = |r: &&yarrowspoke_fleet::audit::Row| {
                     (r.span.version, r.span.stance) == (first.span.version, first.span.stance)
                         && r.span.until == first.span.until
                 };
-                let run: Vec<_> = life.rows[at..].iter().take_while(same).collect();
+                let run: Vec<_> = one.rows[at..].iter().take_while(same).collect();
                 at += run.len();
                 let last = run.last().map_or(first, |r| r);
                 let attempts: u32 = run.iter().flat_map(|r| &r.span.attempts).map(|a| a.2).sum();
@@ -150,7 +150,7 @@
                     if joined { "  (joined: no planner could be reached)" } else { "" },
                 );
             }
-            for u in &life.unknown {
+            for u in &one.unknown {
                 let _ = writeln!(
                     text,
                     "  UNKNOWN from {:.3} s on{}: {}",
@@ -164,7 +164,7 @@
         for c in &audit.contradictions {
             let _ = writeln!(
                 text,
-                "CONTRADICTION {} life {} span {}: {}",
+                "CONTRADICTION {} incarnation {} span {}: {}",
                 c.front, c.incarnation, c.number, c.what
             );
         }
@@ -261,14 +261,15 @@
     let verified = || {
         let (book, spoilt) = planner::read_book(dir)?;
         let mut text = String::new();
-        for (front, incarnation) in book.lives() {
+        for (front, incarnation) in book.incarnations() {
             let (view, gaps) = (book.view(front, incarnation), book.gaps(front, incarnation));
-            let _ = writeln!(text, "{front} life {incarnation}: {} reports, gaps {gaps:?}", view.len());
+            let _ =
+                writeln!(text, "{front} incarnation {incarnation}: {} reports, gaps {gaps:?}", view.len());
         }
         let wrong: Vec<String> = book
             .contradictions()
             .into_iter()
-            .map(|c| format!("{} life {} span {}: {}", c.front, c.incarnation, c.number, c.what))
+            .map(|c| format!("{} incarnation {} span {}: {}", c.front, c.incarnation, c.number, c.what))
             .chain(spoilt)
             .collect();
         if wrong.is_empty() {
--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -230,7 +230,7 @@
         let changed = self.shown_news.get().is_some_and(|shown| now.narrows(&shown));
         changed.then(|| {
             self.shown_news.set(Some(now));
-            log::warn!(build = now.build, phase:? = narrowed.phase, cap = narrowed.cap; "fleet: brought up by planners");
+            log::warn!(build = now.build, phase:? = narrowed.phase, cap = narrowed.cap; "fleet: reconciled by planners");
             narrowed
         })
     }
@@ -258,8 +258,8 @@
         }
     }
 
-    fn answered(&self, planner: usize, asked_at: Micros, answer: Answer) -> Change {
-        let change = self.side.borrow_mut().answered(planner, asked_at, self.now(), answer);
+    fn answered(&self, planner: usize, sent_at: Micros, answer: Answer) -> Change {
+        let change = self.side.borrow_mut().answered(planner, sent_at, self.now(), answer);
         if self.twin.replace(change.twin) != change.twin && change.twin {
             log::error!("fleet: another process runs under this front's name");
         }
@@ -276,13 +276,13 @@
     }
 }
 
-/// Starts what a member does by itself: its spans, and an ask at each planner at every renewal.
+/// Starts what a member does by itself: its spans, and a heartbeat to each planner at every renewal.
 pub fn start(member: &Rc<Member>, executor: &LocalExecutor<'static>, inputs: &Sender<Input>) {
     let fleet = member.side.borrow().fleet().clone();
     for (n, planner) in fleet.planners().enumerate() {
         if let Some(address) = planner.address {
-            let asks = ask(Rc::clone(member), n, planner.name.clone(), address, inputs.clone());
-            executor.spawn(asks).detach();
+            let heartbeats = heartbeats(Rc::clone(member), n, planner.name.clone(), address, inputs.clone());
+            executor.spawn(heartbeats).detach();
         }
     }
     let (member, inputs) = (Rc::clone(member), inputs.clone());
@@ -297,7 +297,7 @@
     executor.spawn(ticks).detach();
 }
 
-async fn ask(member: Rc<Member>, n: usize, name: String, address: SocketAddr, inputs: Sender<Input>) {
+async fn heartbeats(member: Rc<Member>, n: usize, name: String, address: SocketAddr, inputs: Sender<Input>) {
     let (mut line, mut complained) = (None, None::<Instant>);
     loop {
         let (renew, lease) = {
@@ -305,25 +305,25 @@
             (Duration::from_micros(side.fleet().renew), Duration::from_micros(side.fleet().lease))
         };
         let begun = Instant::now();
-        let asked_at = member.now();
-        let body = encode(&member.side.borrow_mut().ask(n, asked_at));
-        let asked = exchange(&mut line, address, ("POST", "/fleet/report"), &body);
-        let answer = within((lease / 4).max(renew), asked).await;
+        let sent_at = member.now();
+        let body = encode(&member.side.borrow_mut().heartbeat(n, sent_at));
+        let exchanged = exchange(&mut line, address, ("POST", "/fleet/report"), &body);
+        let answer = within((lease / 4).max(renew), exchanged).await;
         let heard = match answer {
             Some(Ok(bytes)) => decode::<Answer>(&bytes).map_err(|e| e.to_string()),
             Some(Err(LinkError::Status(status, why))) => Err(format!("refused with {status}: {why}")),
             Some(Err(e)) => {
-                member.side.borrow_mut().failed(n, asked_at);
+                member.side.borrow_mut().failed(n, sent_at);
                 Err(e.to_string())
             }
             None => {
-                member.side.borrow_mut().failed(n, asked_at);
+                member.side.borrow_mut().failed(n, sent_at);
                 Err("no answer in time".to_owned())
             }
         };
         match heard {
             Ok(answer) if answer.planner == name => {
-                let change = member.answered(n, asked_at, answer);
+                let change = member.answered(n, sent_at, answer);
                 if change.narrowed {
                     let _ = inputs.send(Input::Fleet).await;
                 }
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -21,7 +21,7 @@
 use yarrowspoke_fleet::planner::Planner;
 use yarrowspoke_fleet::settings::{Fleet, Role};
 use yarrowspoke_fleet::span::Report;
-use yarrowspoke_fleet::wire::{decode, encode, Ask, Pull, Pushed};
+use yarrowspoke_fleet::wire::{decode, encode, Heartbeat, Pull, Pushed};
 use yarrowspoke_store::reports::{Key, Reports};
 
 /// How often what came is handed to the disk, and steps are looked at.
@@ -50,7 +50,7 @@
     let (mut book, mut spoilt) = (Book::default(), read.spoilt);
     for ((front, incarnation, ..), report) in read.reports {
         if let Err(e) = book.insert(&front, incarnation, report) {
-            spoilt.push(format!("{front} life {incarnation}: {e}"));
+            spoilt.push(format!("{front} incarnation {incarnation}: {e}"));
         }
     }
     Ok((book, spoilt))
@@ -126,7 +126,7 @@
             Err(e) => return LinkAnswer::refused(400, e),
         };
         let order = match asked.what.as_str() {
-            "out" => match self.planner.borrow().life(&asked.front, self.now()) {
+            "out" => match self.planner.borrow().incarnation(&asked.front, self.now()) {
                 Some((incarnation, _)) => Order::Out { front: asked.front, incarnation, cause: asked.why },
                 None => return LinkAnswer::refused(400, format!("{:?} is not heard here", asked.front)),
             },
@@ -177,7 +177,7 @@
             };
             let entry = match (word, permit.phase) {
                 (Word::Asks, Phase::Granted) => Entry::Took { front, number, incarnation },
-                (Word::In, _) if planner.life(&front, now) == Some((incarnation, true)) => {
+                (Word::In, _) if planner.incarnation(&front, now) == Some((incarnation, true)) => {
                     Entry::Done { front, number }
                 }
                 (Word::Declines, _) => Entry::Done { front, number },
@@ -185,7 +185,7 @@
             };
             entries.push((format!("{entry:?}"), entry));
         }
-        // A holder is done only once it is seen in service: here, in a later life than the one that held the permit.
+        // A holder is done only once it is seen in service: here, in a later incarnation than the one that held the permit.
         for (front, permit) in &agree.state.permits {
             if planner.came_back(front, permit, now) {
                 let entry = Entry::Done { front: front.clone(), number: permit.number };
@@ -206,18 +206,19 @@
     }
 
     fn report(&self, body: &[u8]) -> LinkAnswer {
-        let ask = match decode::<Ask>(body) {
-            Ok(ask) => ask,
+        let heartbeat = match decode::<Heartbeat>(body) {
+            Ok(heartbeat) => heartbeat,
             Err(e) => return self.refuse(e),
         };
-        let (front, incarnation, reports) = (ask.front.clone(), ask.incarnation, ask.reports.clone());
-        match self.planner.borrow_mut().take(self.now(), ask) {
+        let (front, incarnation, reports) =
+            (heartbeat.front.clone(), heartbeat.incarnation, heartbeat.reports.clone());
+        match self.planner.borrow_mut().take(self.now(), heartbeat) {
             Ok(answer) => {
                 reports.into_iter().for_each(|r| self.keep(&front, incarnation, r));
                 LinkAnswer::ok(encode(&answer))
             }
             Err(why) => {
-                log::warn!(front = front.as_str(), why:%; "fleet: an ask is refused");
+                log::warn!(front = front.as_str(), why:%; "fleet: a heartbeat is refused");
                 LinkAnswer::refused(400, why)
             }
         }
@@ -275,8 +276,8 @@
         member.ok_or_else(|| format!("{shown}: no planner {name}, expected one of {}", names.join(", ")))?;
     let address = member.address.ok_or_else(|| format!("{shown}: the planner {name} has no address"))?;
     let (mut book, mut writes, mut disk) = (Book::default(), None, None);
-    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
-    let agree = take_part(&fleet, name, life, dir.as_deref(), found)?;
+    let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
+    let agree = take_part(&fleet, name, incarnation, dir.as_deref(), found)?;
     if let Some(dir) = dir {
         if !dir.is_dir() {
             return Err(format!("{}: no such directory; it is not made by itself", dir.display()));
@@ -300,7 +301,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let done = async_io::block_on(executor.run(plan(
         fleet,
-        (name, life),
+        (name, incarnation),
         address,
         (book, agree),
         writes,
@@ -382,7 +383,7 @@
     if fresh.is_empty() && gone.is_empty() {
         return;
     }
-    // A disk that is behind holds up no ask: what it could not take yet is tried again.
+    // A disk that is behind holds up no heartbeat: what it could not take yet is tried again.
     if let Err(mpsc::TrySendError::Full((fresh, _))) = writes.try_send((fresh, gone)) {
         running.fresh.borrow_mut().extend(fresh);
     }
@@ -412,14 +413,14 @@
 fn take_part(
     fleet: &Fleet,
     name: &str,
-    life: u64,
+    incarnation: u64,
     dir: Option<&Path>,
     found: bool,
 ) -> Result<Option<Agree>, String> {
     let names: Vec<String> = fleet.planners().map(|p| p.name.clone()).collect();
     // One planner alone has nobody to agree with; its own word would be gone with it.
     let Some(dir) = dir.filter(|_| names.len() > 1) else { return Ok(None) };
-    match Agree::open(names, name, life, Some(dir), found) {
+    match Agree::open(names, name, incarnation, Some(dir), found) {
         Ok(agree) => Ok(Some(agree)),
         Err(Apart::Io(e)) => Err(format!("{}: {e}", dir.display())),
         Err(Apart::Forgot) => {
--- a/crates/yarrowspoke-front/tests/fleet.rs
+++ b/crates/yarrowspoke-front/tests/fleet.rs
@@ -41,7 +41,7 @@
     // Every step of the ladder was met, or nothing would have been shown.
     let f = &report.findings;
     assert!(
-        f.stragglers >= 4 && f.brought_up >= 2 && f.shut_out >= 2 && f.attempts_seen > 1_000,
+        f.stragglers >= 4 && f.reconciled >= 2 && f.quarantined >= 2 && f.attempts_seen > 1_000,
         "{}",
         f.told()
     );
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn a_front_cut_from_its_sources_is_brought_up_by_planners() {
+fn a_front_cut_from_its_sources_is_reconciled_by_planners() {
     let _alone = alone();
     let dir = dir("stale");
     // The same without planners acts on what is old to the end (docs/measurements/fleet.md); the bounds here are wide.
--- a/crates/yarrowspoke-lab/src/fleet/agreed.rs
+++ b/crates/yarrowspoke-lab/src/fleet/agreed.rs
@@ -36,7 +36,7 @@
 const SCHEDULES: u64 = 3;
 /// How long a front stays down when its desk restarts it.
 const DOWN: Duration = Duration::from_millis(1_800);
-/// A loss by itself is known to planners after a lease, its drift, some asks and an entry agreed on.
+/// A loss by itself is known to planners after a lease, its drift, some heartbeats and an entry agreed on.
 const LOSS_KNOWN: u64 = 4_000_000;
 /// Nothing goes out later than this after a halt was acknowledged, with a look's grain.
 const HALTED_WITHIN: u64 = 1_200_000;
--- a/crates/yarrowspoke-lab/src/fleet/audit.rs
+++ b/crates/yarrowspoke-lab/src/fleet/audit.rs
@@ -62,8 +62,8 @@
     pub looks: Vec<Look>,
     /// Each planner's audit at the end.
     pub audits: Vec<Option<serde_json::Value>>,
-    /// When each life of each front was started: world's time and Unix time, both in microseconds.
-    pub lives: Vec<Vec<(u64, u64)>>,
+    /// When each incarnation of each front was started: world's time and Unix time, both in microseconds.
+    pub incarnations: Vec<Vec<(u64, u64)>>,
     /// Faults as they were put on: when they really began and ended, in the world's time.
     pub faults: Vec<(Fault, u64, u64)>,
     /// When the build on trial came, and when its trial ended.
@@ -111,9 +111,9 @@
     pub findings: Findings,
     /// Median and longest time from when a planner knew of a drain, to the grain of a look, to the last attempt against it by a
     /// front that was cut from discovery and reached a planner, in ms.
-    pub bring_up_ms_median: u64,
+    pub reconcile_ms_median: u64,
     /// The longest.
-    pub bring_up_ms_max: u64,
+    pub reconcile_ms_max: u64,
     /// Schedules of the trials in which something was wrong, by seed: that seed alone plays it again.
     pub failing: BTreeMap<u64, (Vec<String>, Vec<Fault>)>,
     /// Mutants tried.
@@ -167,7 +167,7 @@
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
         (world.now(), wall)
     };
-    let mut lives: Vec<Vec<(u64, u64)>> =
+    let mut incarnations: Vec<Vec<(u64, u64)>> =
         (0..fronts).map(|_| vec![(0, started(&world).1 - world.now())]).collect();
     site.come_up()?;
     site.drive();
@@ -226,7 +226,7 @@
                     Event::End(fault) => {
                         let at = world.now();
                         if fault.kind == Kind::Kill {
-                            lives[fault.who].push(started(&world));
+                            incarnations[fault.who].push(started(&world));
                         }
                         put(&mut site, &fault, false)?;
                         faults.push((fault, zero + fault.at * 1_000, at.max(world.now())));
@@ -257,7 +257,7 @@
         calls: site.load.calls(),
         looks: looks.into_inner().unwrap_or_else(|e| e.into_inner()),
         audits: planners_at.iter().map(audit).collect(),
-        lives,
+        incarnations,
         faults,
         trial,
         zones,
@@ -380,7 +380,7 @@
                             eprintln!("yarrowspoke-lab: {}: {e}", path.display());
                         }
                     }
-                    played = watched.map(|w| (w.faults.clone(), lives(&w), check(&w)));
+                    played = watched.map(|w| (w.faults.clone(), incarnations(&w), check(&w)));
                     if played.as_ref().map_or(true, |p| !p.2.wrongs().is_empty()) {
                         break;
                     }
@@ -391,12 +391,12 @@
         }
     });
     let mut report = Report { seed: trials.seed, trials: trials.trials, ..Report::default() };
-    let mut brought = Vec::new();
+    let mut reconciled = Vec::new();
     for (seed, mutant, played) in results.into_inner().unwrap_or_else(|e| e.into_inner()) {
-        let (faults, lives, mut findings) = played?;
+        let (faults, incarnations, mut findings) = played?;
         match mutant {
             None => {
-                report.processes_started += lives + 3;
+                report.processes_started += incarnations + 3;
                 if !findings.wrongs().is_empty() {
                     let mut schedule = faults.iter().map(|f| f.0).collect();
                     if trials.shrink {
@@ -407,7 +407,7 @@
                 for (fault, ..) in faults {
                     *report.faults.entry(format!("{:?}", fault.kind)).or_default() += 1;
                 }
-                brought.append(&mut findings.bring_up_ms);
+                reconciled.append(&mut findings.reconcile_ms);
                 report.findings.add(findings);
             }
             Some(name) => {
@@ -419,14 +419,14 @@
             }
         }
     }
-    brought.sort_unstable();
-    report.bring_up_ms_median = brought.get(brought.len() / 2).copied().unwrap_or(0);
-    report.bring_up_ms_max = brought.last().copied().unwrap_or(0);
+    reconciled.sort_unstable();
+    report.reconcile_ms_median = reconciled.get(reconciled.len() / 2).copied().unwrap_or(0);
+    report.reconcile_ms_max = reconciled.last().copied().unwrap_or(0);
     Ok(report)
 }
 
-fn lives(watched: &Watched) -> usize {
-    watched.lives.iter().map(Vec::len).sum()
+fn incarnations(watched: &Watched) -> usize {
+    watched.incarnations.iter().map(Vec::len).sum()
 }
 
 /// Mutants that the trials have to catch, by the names under which the program built with them knows them.
@@ -446,14 +446,14 @@
 /// The report as a table.
 pub fn table(report: &Report) -> String {
     let mut text = format!(
-        "{} trials from seed {}: {} processes started, faults {:?}\n{}\nbrought up in ms: median {}, most {}\n",
+        "{} trials from seed {}: {} processes started, faults {:?}\n{}\nreconciled in ms: median {}, most {}\n",
         report.trials,
         report.seed,
         report.processes_started,
         report.faults,
         report.findings.told(),
-        report.bring_up_ms_median,
-        report.bring_up_ms_max
+        report.reconcile_ms_median,
+        report.reconcile_ms_max
     );
     for (seed, (wrongs, schedule)) in &report.failing {
         let _ = writeln!(text, "seed {seed}: {}", wrongs.join(", "));
--- a/crates/yarrowspoke-lab/src/fleet/check.rs
+++ b/crates/yarrowspoke-lab/src/fleet/check.rs
@@ -13,12 +13,12 @@
 /// Rule 3's grace, with the protocol's slack and some for a crowded machine.
 const DRAIN_WITHIN: u64 = 900_000;
 /// A straggler that reaches a planner has what it lacks within this; the aim is 500 ms from a planner's knowing.
-const BROUGHT_WITHIN: u64 = 1_800_000;
+const RECONCILED_WITHIN: u64 = 1_800_000;
 /// A front's last attempts, and its spans, may be seen so much later or earlier than it notes them.
 const APART: u64 = 150_000;
 /// How long a planner may call a front current that it has not heard: a lease, its drift, and a look.
 const SILENT: u64 = LEASE_MS * 1_000 + 900_000;
-/// After a front's shut-out was acknowledged, calls that were under way are over within this.
+/// After a front's quarantine was acknowledged, calls that were under way are over within this.
 const SETTLED: u64 = 200_000;
 
 /// What was found; all but the first five are wrongs.
@@ -32,10 +32,10 @@
     pub attempts_unknown: u64,
     /// Fronts that were behind for longer than the bound, by what discovery had told them.
     pub stragglers: u64,
-    /// Of these, how many planners said were brought up.
-    pub brought_up: u64,
-    /// How often a front was shut out.
-    pub shut_out: u64,
+    /// Of these, how many planners said were reconciled.
+    pub reconciled: u64,
+    /// How often a front was quarantined.
+    pub quarantined: u64,
     /// Calls that clients made, and those that were served.
     pub calls: u64,
     /// Those served.
@@ -44,13 +44,13 @@
     pub contradicted: u64,
     /// A planner called a front current that was not, or of which it could not know.
     pub called_current_but_old: u64,
-    /// Calls sent to a front behind its acknowledged shut-out that reached a machine.
-    pub sent_after_shut_out: u64,
+    /// Calls sent to a front behind its acknowledged quarantine that reached a machine.
+    pub sent_after_quarantine: u64,
     /// Attempts at a build on trial by a front whose leases had surely lapsed.
     pub sent_without_lease: u64,
     /// Looks at which more fronts were out than the limits allow.
     pub out_over_limit: u64,
-    /// Drains not kept by a front that was told, or that could be brought up.
+    /// Drains not kept by a front that was told, or that could be reconciled.
     pub rules_broken: u64,
     /// Calls without a final answer, or with what no machine made for them.
     pub requests_lost: u64,
@@ -60,9 +60,9 @@
     pub spans_missing: u64,
     /// Processes that ended by themselves.
     pub crashed: u64,
-    /// Milliseconds of each bringing up.
+    /// Milliseconds of each reconciliation.
     #[serde(skip)]
-    pub bring_up_ms: Vec<u64>,
+    pub reconcile_ms: Vec<u64>,
     /// The first of each wrong, in words.
     pub first: BTreeMap<&'static str, String>,
 }
@@ -72,7 +72,7 @@
         [
             ("contradicted", self.contradicted),
             ("called_current_but_old", self.called_current_but_old),
-            ("sent_after_shut_out", self.sent_after_shut_out),
+            ("sent_after_quarantine", self.sent_after_quarantine),
             ("sent_without_lease", self.sent_without_lease),
             ("out_over_limit", self.out_over_limit),
             ("rules_broken", self.rules_broken),
@@ -95,13 +95,13 @@
     /// In words.
     pub fn told(&self) -> String {
         let mut text = format!(
-            "attempts seen {}, audited {}, unknown {}; stragglers {}, brought up {}, shut out {}; {} of {} calls served\n",
+            "attempts seen {}, audited {}, unknown {}; stragglers {}, reconciled {}, quarantined {}; {} of {} calls served\n",
             self.attempts_seen,
             self.attempts_audited,
             self.attempts_unknown,
             self.stragglers,
-            self.brought_up,
-            self.shut_out,
+            self.reconciled,
+            self.quarantined,
             self.served,
             self.calls
         );
@@ -120,13 +120,13 @@
             (&mut self.attempts_audited, other.attempts_audited),
             (&mut self.attempts_unknown, other.attempts_unknown),
             (&mut self.stragglers, other.stragglers),
-            (&mut self.brought_up, other.brought_up),
-            (&mut self.shut_out, other.shut_out),
+            (&mut self.reconciled, other.reconciled),
+            (&mut self.quarantined, other.quarantined),
             (&mut self.calls, other.calls),
             (&mut self.served, other.served),
             (&mut self.contradicted, other.contradicted),
             (&mut self.called_current_but_old, other.called_current_but_old),
-            (&mut self.sent_after_shut_out, other.sent_after_shut_out),
+            (&mut self.sent_after_quarantine, other.sent_after_quarantine),
             (&mut self.sent_without_lease, other.sent_without_lease),
             (&mut self.out_over_limit, other.out_over_limit),
             (&mut self.rules_broken, other.rules_broken),
@@ -145,7 +145,7 @@
         let count = match name {
             "contradicted" => &mut self.contradicted,
             "called_current_but_old" => &mut self.called_current_but_old,
-            "sent_after_shut_out" => &mut self.sent_after_shut_out,
+            "sent_after_quarantine" => &mut self.sent_after_quarantine,
             "sent_without_lease" => &mut self.sent_without_lease,
             "out_over_limit" => &mut self.out_over_limit,
             "rules_broken" => &mut self.rules_broken,
@@ -214,18 +214,18 @@
     found
 }
 
-/// The life of a front in which something happened.
-fn life_at(w: &Watched, front: usize, at: u64) -> usize {
-    w.lives[front].iter().rposition(|l| l.0 <= at).unwrap_or(0)
+/// The incarnation of a front in which something happened.
+fn incarnation_at(w: &Watched, front: usize, at: u64) -> usize {
+    w.incarnations[front].iter().rposition(|l| l.0 <= at).unwrap_or(0)
 }
 
-/// The audits' lives: every planner is to know all in the end, so each is held against what was seen.
+/// The audits' incarnations: every planner is to know all in the end, so each is held against what was seen.
 fn attempts(w: &Watched, found: &mut Findings) {
     // By machine, not by build: a front that has just started notes the build that its list names, which may be an old one.
     let mut seen: BTreeMap<(usize, usize, u64), Vec<u64>> = BTreeMap::new();
     for (at, s) in &w.seen {
         if let Seen::Attempt { front, machine, .. } = s {
-            let key = (*front, life_at(w, *front, *at), machine_number(*machine));
+            let key = (*front, incarnation_at(w, *front, *at), machine_number(*machine));
             seen.entry(key).or_default().push(*at);
         }
     }
@@ -234,28 +234,28 @@
         let mut audited: BTreeMap<(usize, usize, u64), u64> = BTreeMap::new();
         let mut unknown: BTreeMap<(usize, usize), Vec<(u64, u64)>> = BTreeMap::new();
         let mut known: BTreeSet<(usize, usize)> = BTreeSet::new();
-        for life in audit["lives"].as_array().into_iter().flatten() {
-            let Some((front, number)) = life_of(w, life) else {
+        for one in audit["lives"].as_array().into_iter().flatten() {
+            let Some((front, number)) = incarnation_of(w, one) else {
                 found.wrong("contradicted", || {
-                    format!("planner {n}: a life that was never started: {}", life["front"])
+                    format!("planner {n}: an incarnation that was never started: {}", one["front"])
                 });
                 continue;
             };
             known.insert((front, number));
-            for row in life["rows"].as_array().into_iter().flatten() {
+            for row in one["rows"].as_array().into_iter().flatten() {
                 for a in row["span"]["attempts"].as_array().into_iter().flatten() {
                     let field = |i: usize| a[i].as_u64().unwrap_or(0);
                     *audited.entry((front, number, field(0))).or_default() += field(2);
                 }
             }
-            // Wall clock and world differ by what they were apart at the life's start; all run on one machine here.
-            let (world, wall) = w.lives[front][number];
+            // Wall clock and world differ by what they were apart at the incarnation's start; all run on one machine here.
+            let (world, wall) = w.incarnations[front][number];
             let to_world = |t: u64| (t + world).saturating_sub(wall);
-            for u in life["unknown"].as_array().into_iter().flatten() {
+            for u in one["unknown"].as_array().into_iter().flatten() {
                 let from = u["from_wall"].as_u64().filter(|t| *t > 0).map_or(world, to_world);
                 let until = u["until_wall"].as_u64().map_or(u64::MAX, to_world);
                 unknown.entry((front, number)).or_default().push((from, until));
-                let runs = number + 1 == w.lives[front].len();
+                let runs = number + 1 == w.incarnations[front].len();
                 // What is younger may still be on its way from one planner to another.
                 let settled = until.saturating_add(2_000_000) < ended;
                 if runs && settled && u["why"].as_str().is_some_and(|why| why.contains("have not come")) {
@@ -263,14 +263,14 @@
                 }
             }
         }
-        for ((front, life, machine), times) in &seen {
-            let held = audited.get(&(*front, *life, *machine)).copied().unwrap_or(0);
+        for ((front, incarnation, machine), times) in &seen {
+            let held = audited.get(&(*front, *incarnation, *machine)).copied().unwrap_or(0);
             let total = times.len() as u64;
             let missing = total.saturating_sub(held);
             let in_unknown = |t: &&u64| {
-                let spans = unknown.get(&(*front, *life));
-                // Of a life that nobody ever heard, all is unknown.
-                !known.contains(&(*front, *life))
+                let spans = unknown.get(&(*front, *incarnation));
+                // Of an incarnation that nobody ever heard, all is unknown.
+                !known.contains(&(*front, *incarnation))
                     || spans
                         .is_some_and(|all| all.iter().any(|u| u.0.saturating_sub(APART) <= **t && **t <= u.1))
             };
@@ -282,26 +282,26 @@
             }
             if missing > explained {
                 found.wrong("contradicted", || {
-                    format!("planner {n}: f{front} life {life}: {total} attempts seen at machine {machine}, {held} audited, {explained} in unknown stretches")
+                    format!("planner {n}: f{front} incarnation {incarnation}: {total} attempts seen at machine {machine}, {held} audited, {explained} in unknown stretches")
                 });
             }
         }
     }
 }
 
-fn life_of(w: &Watched, life: &Value) -> Option<(usize, usize)> {
-    let front: usize = life["front"].as_str()?.strip_prefix('f')?.parse().ok()?;
-    let (incarnation, lives) = (life["incarnation"].as_u64()?, w.lives.get(front)?);
-    Some((front, lives.iter().rposition(|l| l.1 <= incarnation)?))
+fn incarnation_of(w: &Watched, one: &Value) -> Option<(usize, usize)> {
+    let front: usize = one["front"].as_str()?.strip_prefix('f')?.parse().ok()?;
+    let (incarnation, incarnations) = (one["incarnation"].as_u64()?, w.incarnations.get(front)?);
+    Some((front, incarnations.iter().rposition(|l| l.1 <= incarnation)?))
 }
 
 /// No front may be said to have acted on a list that nobody had told it yet.
 fn versions(w: &Watched, found: &mut Findings) {
     for (n, audit) in w.audits.iter().enumerate().filter_map(|(n, a)| Some((n, a.as_ref()?))) {
-        for life in audit["lives"].as_array().into_iter().flatten() {
-            let Some((front, number)) = life_of(w, life) else { continue };
-            let (world, wall) = w.lives[front][number];
-            for row in life["rows"].as_array().into_iter().flatten() {
+        for one in audit["lives"].as_array().into_iter().flatten() {
+            let Some((front, number)) = incarnation_of(w, one) else { continue };
+            let (world, wall) = w.incarnations[front][number];
+            for row in one["rows"].as_array().into_iter().flatten() {
                 let span = &row["span"];
                 let ended = (span["wall"].as_u64().unwrap_or(0) + world).saturating_sub(wall);
                 let list = &span["version"]["list"];
@@ -326,15 +326,15 @@
 
 /// What planners said of fronts while it all went on.
 fn statuses(w: &Watched, found: &mut Findings) {
-    let fronts = w.lives.len();
-    let (mut stragglers, mut brought, mut outs) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+    let fronts = w.incarnations.len();
+    let (mut stragglers, mut reconciled, mut outs) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
     for look in &w.looks {
         for (n, status) in look.status.iter().enumerate().filter_map(|(n, s)| Some((n, s.as_ref()?))) {
             for front in 0..fronts {
                 let Some(f) = named(status, front) else { continue };
                 let step = f["step"].as_str().unwrap_or("");
-                if step == "brought-up" {
-                    brought.insert(front);
+                if step == "reconciled" {
+                    reconciled.insert(front);
                 }
                 if step == "out" || step == "ordered-out" {
                     outs.insert(front);
@@ -383,13 +383,13 @@
         }
     }
     found.stragglers += stragglers.len() as u64;
-    found.brought_up += brought.len() as u64;
-    found.shut_out += outs.len() as u64;
+    found.reconciled += reconciled.len() as u64;
+    found.quarantined += outs.len() as u64;
 }
 
 /// Never more out than allowed, by `GET /up` of fronts that can hold a lease and are neither starting nor dead.
 fn limits(w: &Watched, found: &mut Findings) {
-    let fronts = w.lives.len();
+    let fronts = w.incarnations.len();
     // The build on trial, its list and its leases settle first.
     let begun = w.looks.first().map_or(0, |l| l.at) + 1_000_000;
     for look in w.looks.iter().filter(|l| l.at > begun) {
@@ -405,7 +405,7 @@
             found.wrong("out_over_limit", || format!("at {} us out: {out:?}", look.at));
         }
     }
-    // Calls behind an acknowledged shut-out reach no machine.
+    // Calls behind an acknowledged quarantine reach no machine.
     let arrived: BTreeSet<&str> = w
         .seen
         .iter()
@@ -430,7 +430,7 @@
         let stretch = first + SETTLED..last.saturating_sub(800_000);
         for call in w.calls.iter().filter(|c| c.front == front) {
             if call.sent.is_some_and(|t| stretch.contains(&t)) && arrived.contains(call.id.as_str()) {
-                found.wrong("sent_after_shut_out", || {
+                found.wrong("sent_after_quarantine", || {
                     format!("f{front} sent on {} at {:?}", call.id, call.sent)
                 });
             }
@@ -438,9 +438,9 @@
     }
 }
 
-/// Drains: kept by whoever was told, and by whoever could be brought up.
+/// Drains: kept by whoever was told, and by whoever could be reconciled.
 fn drains(w: &Watched, found: &mut Findings) {
-    let fronts = w.lives.len();
+    let fronts = w.incarnations.len();
     for (at, index, machine, status) in &w.changes {
         if *status != "draining" {
             continue;
@@ -479,8 +479,8 @@
             if let Some(known) = known.filter(|_| first_told.is_some_and(|t| t < at + 500_000)) {
                 let last =
                     attempts.iter().copied().filter(|t| *t < window.1).max().unwrap_or(known).max(known);
-                found.bring_up_ms.push((last - known) / 1_000);
-                if last > known + BROUGHT_WITHIN {
+                found.reconcile_ms.push((last - known) / 1_000);
+                if last > known + RECONCILED_WITHIN {
                     found.wrong("rules_broken", || {
                         format!(
                             "f{front}, cut from discovery, sent to m{machine} {} us after a planner knew",
--- a/crates/yarrowspoke-lab/src/fleet/cost.rs
+++ b/crates/yarrowspoke-lab/src/fleet/cost.rs
@@ -49,8 +49,8 @@
     pub out_per_s: u64,
     /// Bytes of reports that it holds after a minute.
     pub held: u64,
-    /// Microseconds of processor time for each ask, the answer's part in it.
-    pub ask_us: f64,
+    /// Microseconds of processor time for each heartbeat, the answer's part in it.
+    pub heartbeat_us: f64,
 }
 
 /// Both.
@@ -120,7 +120,7 @@
         (0..fronts).map(|n| FrontSide::new(fleet.clone(), &format!("f{n}"), 1 + n as u64, version)).collect();
     let mut planners: Vec<Planner> =
         (0..3).map(|n| Planner::new(fleet.clone(), &format!("p{n}"), 1, 0, Book::default())).collect();
-    let (mut came, mut went, mut asks, mut spent) = (0u64, 0u64, 0u64, Duration::ZERO);
+    let (mut came, mut went, mut heartbeats, mut spent) = (0u64, 0u64, 0u64, Duration::ZERO);
     let (renew, second) = (fleet.renew, 1_000_000);
     for step in 1..=60 * second / renew {
         let now = step * renew;
@@ -132,21 +132,22 @@
             (0..4u32).for_each(|k| front.recorder().attempt((n as u32 * 7 + k * 13 + step as u32) % 50, 1));
             front.tick(now, now);
             for (p, planner) in planners.iter_mut().enumerate() {
-                let ask = front.ask(p, now);
-                let bytes = encode(&ask).len() as u64;
+                let heartbeat = front.heartbeat(p, now);
+                let bytes = encode(&heartbeat).len() as u64;
                 let begun = Instant::now();
-                let Ok(answer) = planner.take(now, ask) else { continue };
+                let Ok(answer) = planner.take(now, heartbeat) else { continue };
                 if p == 0 {
                     spent += begun.elapsed();
-                    (came, went, asks) = (came + bytes, went + encode(&answer).len() as u64, asks + 1);
+                    (came, went, heartbeats) =
+                        (came + bytes, went + encode(&answer).len() as u64, heartbeats + 1);
                 }
                 front.answered(p, now, now, answer);
             }
         }
     }
     let held = planners[0].book.bytes();
-    let ask_us = spent.as_secs_f64() * 1e6 / asks.max(1) as f64;
-    Size { fronts, in_per_s: came / 60, out_per_s: went / 60, held, ask_us }
+    let heartbeat_us = spent.as_secs_f64() * 1e6 / heartbeats.max(1) as f64;
+    Size { fronts, in_per_s: came / 60, out_per_s: went / 60, held, heartbeat_us }
 }
 
 /// Measures both.
@@ -170,12 +171,13 @@
             f.cpu_thousandths, f.memory_kib, f.median_us, f.p99_us, f.calls
         );
     }
-    text += "a planner, simulated: fronts, bytes/s in, bytes/s out, bytes held after a minute, us an ask\n";
+    text +=
+        "a planner, simulated: fronts, bytes/s in, bytes/s out, bytes held after a minute, us a heartbeat\n";
     for s in &report.planners {
         let _ = writeln!(
             text,
             "  {:>5} {:>10} {:>10} {:>12} {:>8.1}",
-            s.fronts, s.in_per_s, s.out_per_s, s.held, s.ask_us
+            s.fronts, s.in_per_s, s.out_per_s, s.held, s.heartbeat_us
         );
     }
     text
--- a/crates/yarrowspoke-lab/src/fleet/picture.rs
+++ b/crates/yarrowspoke-lab/src/fleet/picture.rs
@@ -1,4 +1,5 @@
-//! The audit as a picture: a line for each life of a front, versions of the list as bands, stances marked, unknown hatched.
+//! The audit as a picture: a line for each incarnation of a front, versions of the list as bands, stances marked, unknown
+//! hatched.
 
 use plotters::prelude::*;
 use serde_json::Value;
@@ -29,9 +30,9 @@
 fn lines(audit: &Value) -> Vec<Line> {
     let seconds = |v: &Value| v.as_f64().unwrap_or(0.0) / 1e6;
     let mut out = Vec::new();
-    for life in audit["lives"].as_array().into_iter().flatten() {
+    for one in audit["lives"].as_array().into_iter().flatten() {
         let mut bands: Vec<Band> = Vec::new();
-        for row in life["rows"].as_array().into_iter().flatten() {
+        for row in one["rows"].as_array().into_iter().flatten() {
             let span = &row["span"];
             let to = seconds(&span["wall"]);
             let from = to - (seconds(&span["to"]) - seconds(&span["from"]));
@@ -44,16 +45,16 @@
                 _ => bands.push(Band { from, to, index, stance }),
             }
         }
-        let unknown = life["unknown"].as_array().into_iter().flatten();
+        let unknown = one["unknown"].as_array().into_iter().flatten();
         let unknown = unknown.map(|u| (seconds(&u["from_wall"]), u["until_wall"].as_f64().map(|t| t / 1e6)));
-        let name = format!("{} ({})", life["front"].as_str().unwrap_or("?"), out.len());
+        let name = format!("{} ({})", one["front"].as_str().unwrap_or("?"), out.len());
         out.push(Line { name, unknown: unknown.collect(), bands });
     }
-    // Lives of one front are numbered from 1.
+    // Incarnations of one front are numbered from 1.
     for n in 0..out.len() {
         let front = out[n].name.split(' ').next().unwrap_or("").to_owned();
         let before = out[..n].iter().filter(|l| l.name.split(' ').next() == Some(&front)).count();
-        out[n].name = format!("{front} life {}", before + 1);
+        out[n].name = format!("{front} incarnation {}", before + 1);
     }
     out
 }
@@ -80,7 +81,7 @@
         .configure_mesh()
         .disable_y_mesh()
         .y_labels(0)
-        .x_desc("s since the first span, by the fronts' wall clocks; orange edge: narrowed, red: shut out, grey: unknown")
+        .x_desc("s since the first span, by the fronts' wall clocks; orange edge: narrowed, red: quarantined, grey: unknown")
         .draw()?;
     for (i, line) in lines.iter().enumerate() {
         let (low, high) = (n - i as f64 - 0.85, n - i as f64 - 0.15);
--- a/crates/yarrowspoke-lab/src/fleet/process.rs
+++ b/crates/yarrowspoke-lab/src/fleet/process.rs
@@ -17,7 +17,7 @@
     log: PathBuf,
     child: Option<Child>,
     /// How often it was started.
-    pub lives: u32,
+    pub starts: u32,
 }
 
 impl Process {
@@ -36,7 +36,7 @@
             envs,
             log: dir.join(format!("{name}.log")),
             child: None,
-            lives: 0,
+            starts: 0,
         }
     }
 
@@ -44,9 +44,9 @@
     pub fn start(&mut self) -> io::Result<()> {
         self.kill();
         let log = File::options().create(true).append(true).open(&self.log)?;
-        self.lives += 1;
-        if self.lives > 1 {
-            // Only its first life is new.
+        self.starts += 1;
+        if self.starts > 1 {
+            // Only its first start is new.
             self.args.retain(|a| a != "--found");
         }
         let child = Command::new(&self.program)
