--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -1,14 +1,34 @@
 //! A front's side: its record, its lease, what planners take away, and how it stands at any moment.
 
-use crate::agreed::Holder;
+use crate::agreed::{Holder, Word};
+use crate::delta::{Base, Listed};
 use crate::mutant;
-use crate::settings::{Alone, Fleet};
-use crate::span::{Recorder, Stance};
+use crate::pace::{self, Beat};
+use crate::settings::{Alone, Fleet, Lists, Spans};
+use crate::span::{Recorder, Report, Stance};
 use crate::version::{Ages, News, Source, Version};
-use crate::wire::{Answer, Heartbeat, Ready, Slot, REPORTS_AT_ONCE};
+use crate::wire::{Answer, Heartbeat, ListState, Ready, Slot, REPORTS_AT_ONCE};
 use crate::Micros;
 use std::collections::BTreeMap;
 
+/// Answers in a row of one incarnation of a planner after which it is heard at the pace: it has to have seen this incarnation
+/// of the front for a while before it counts it as the one that runs.
+const STEADY: u32 = 6;
+/// Renewals for which one planner is asked for its whole list before another is.
+const ASK_FOR: Micros = 5;
+/// Least time for which a span may lie at the home planner alone before it goes to the others too, and the same in paces.
+const HOME_FOR: (Micros, u64) = (2_000_000, 3);
+
+/// What a heartbeat says that must not wait for the pace.
+#[derive(Clone, Debug, PartialEq)]
+struct Telling {
+    version: Version,
+    stance: Stance,
+    votes: Vec<Option<Slot>>,
+    permit: Option<(u64, Word)>,
+    reconciled: (u64, Option<News>),
+}
+
 /// One planner, as a front knows it.
 #[derive(Clone, Debug, Default)]
 struct AtPlanner {
@@ -24,6 +44,20 @@
     echo: (u64, Micros),
     /// The number of the highest permit that it knows has ended, if it is this front's.
     ended: u64,
+    /// When the last heartbeat was begun, and what it said, with its number.
+    last: Option<Micros>,
+    saying: Option<(u64, Telling)>,
+    /// What the last one said that was answered.
+    told: Option<Telling>,
+    /// Since when something must not wait for the pace.
+    hurry: Option<Micros>,
+    /// Answers in a row from one incarnation of it.
+    steady: u32,
+    /// It finds this front behind, or has a permit for it.
+    concerned: bool,
+    /// The list that it named last, and whether it wants this front's whole one.
+    holds: Option<Base>,
+    wants_whole: bool,
 }
 
 /// What an answer changes.
@@ -37,6 +71,15 @@
     pub twin: bool,
 }
 
+/// What planners and a lapsed lease take away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakenAway {
+    /// This build and later ones.
+    trial: Option<u16>,
+    /// Whatever is not on this list: epoch, index, digest.
+    list: Option<(u32, u64, u64)>,
+}
+
 /// The front's side of the ladder.
 #[derive(Debug)]
 pub struct FrontSide {
@@ -47,7 +90,11 @@
     planners: Vec<AtPlanner>,
     heard_list: Option<Micros>,
     heard_news: Micros,
-    ready: BTreeMap<u32, u16>,
+    ready: Listed,
+    /// Which planner is asked for its whole list, and since when.
+    asking: Option<(usize, Micros)>,
+    /// When the last span was closed.
+    closed: Micros,
     /// What planners brought: a list newer than its own, and news.
     reconciled_list: Option<Ready>,
     reconciled_news: Option<News>,
@@ -69,7 +116,9 @@
             planners,
             heard_list: None,
             heard_news: 0,
-            ready: BTreeMap::new(),
+            ready: Listed::default(),
+            asking: None,
+            closed: 0,
             reconciled_list: None,
             reconciled_news: None,
             held: false,
@@ -102,6 +151,7 @@
 
     fn moves_to(&mut self, now: Micros, wall: Micros, version: Version) {
         let stance = self.stance(now);
+        self.closed = now;
         self.recorder.close(now, wall, version, stance);
     }
 
@@ -121,7 +171,7 @@
         let back = source == Source::Discovery && index < version.list.index;
         let epoch = version.list.epoch + u32::from(back);
         version.list = crate::version::List { index, source, epoch, digest };
-        self.ready = ready;
+        self.ready.replace((epoch, index, digest), ready);
         if self.reconciled_list.as_ref().is_some_and(|b| b.epoch != epoch || b.index <= index) {
             self.reconciled_list = None;
         }
@@ -157,12 +207,106 @@
         }
     }
 
-    /// Closes a span, as is due at every renewal.
+    /// Closes a span where one is due: at every renewal, or at the pace while neither version nor stance has changed.
     pub fn tick(&mut self, now: Micros, wall: Micros) {
+        let stands = self.stance(now) == self.recorder.stance();
+        let early = |pace: Micros| now.saturating_sub(self.closed) + self.fleet.renew / 2 < pace;
+        if stands && self.fleet.paced.is_some_and(|p| early(p.pace)) {
+            return;
+        }
         let version = self.version();
         self.moves_to(now, wall, version);
     }
 
+    fn telling(&self, now: Micros) -> Telling {
+        Telling {
+            version: self.version(),
+            stance: self.stance(now),
+            votes: self.planners.iter().map(|p| p.vote).collect(),
+            permit: self.holder.word(),
+            reconciled: self.reconciled(),
+        }
+    }
+
+    fn reconciled(&self) -> (u64, Option<News>) {
+        (self.reconciled_list.as_ref().map_or(0, |b| b.index), self.reconciled_news)
+    }
+
+    /// Whether the next heartbeat to this planner must not wait for the pace.
+    fn hurries(&self, planner: usize, now: Micros) -> bool {
+        let at = &self.planners[planner];
+        if at.failed.is_some() || at.steady < STEADY {
+            return true;
+        }
+        // As many as a lease needs and no more: the next that fails would cost it.
+        let answering = self.planners.iter().filter(|p| p.failed.is_none()).count();
+        if answering < self.planners.len() && answering <= self.fleet.majority() {
+            return true;
+        }
+        if mutant::is("change-waits-for-pace") {
+            return false;
+        }
+        let brings = at.wants_whole
+            || at.holds.is_some_and(|held| self.own_base().is_some_and(|own| own.is_newer(&held)))
+                && self.ready.since(&at.holds.unwrap_or_default(), 1).is_some();
+        at.concerned
+            || brings
+            || self.asking.is_some_and(|a| a.0 == planner)
+            || self.stance(now) != Stance::Open
+            || at.told.as_ref() != Some(&self.telling(now))
+    }
+
+    /// When the next heartbeat to this planner is due. To be asked again in each part of a renewal: whatever changes may
+    /// bring it forward.
+    pub fn due(&mut self, planner: usize, now: Micros) -> Micros {
+        let renew = self.fleet.renew;
+        let Some(paced) = self.fleet.paced else {
+            return self.planners[planner].last.map_or(0, |at| at + renew);
+        };
+        let hurries = self.hurries(planner, now);
+        let at = &mut self.planners[planner];
+        at.hurry = hurries.then(|| at.hurry.unwrap_or(now));
+        let beat = |p: &AtPlanner| Beat { last: p.last, hurry: p.hurry, answers: p.failed.is_none() };
+        let beats: Vec<Beat> = self.planners.iter().map(beat).collect();
+        let seed =
+            [self.incarnation, planner as u64, self.planners[planner].sent].map(u64::to_le_bytes).concat();
+        pace::due(&beats, planner, (renew, paced.pace), crate::version::digest(&seed))
+    }
+
+    /// Its own list by name, where it is discovery's.
+    fn own_base(&self) -> Option<Base> {
+        let own = self.version().list;
+        (own.source == Source::Discovery).then(|| self.ready.base())
+    }
+
+    fn by_delta(&self) -> bool {
+        self.fleet.paced.is_some_and(|p| p.lists == Lists::Delta)
+    }
+
+    /// The planner that gets this front's spans first: by rendezvous hashing among those that answer, so that another one's
+    /// failure moves nothing.
+    fn home(&self) -> Option<usize> {
+        let answers = |n: &usize| self.planners[*n].failed.is_none() || mutant::is("spans-to-nobody");
+        let weight = |n: &usize| {
+            let planner = self.fleet.planners().nth(*n).map_or("", |p| p.name.as_str());
+            crate::version::digest(format!("{}\n{planner}", self.name).as_bytes())
+        };
+        (0..self.planners.len()).filter(answers).max_by_key(weight)
+    }
+
+    /// Spans for this planner.
+    fn spans_for(&self, planner: usize, now: Micros) -> Vec<Report> {
+        let mut spans = self.recorder.behind(self.planners[planner].acked, REPORTS_AT_ONCE);
+        let Some(paced) = self.fleet.paced.filter(|p| p.spans == Spans::Home) else { return spans };
+        if self.home() != Some(planner) {
+            let waits = HOME_FOR.0.max(HOME_FOR.1 * paced.pace);
+            // Danger: a home planner that answers and then dies, or that no other reaches, must not be the only one to know.
+            let keeps = |r: &Report| now.saturating_sub(r.span.to) > waits && !mutant::is("spans-to-nobody");
+            spans.retain(keeps);
+        }
+        spans
+    }
+
     /// Until when a majority of planners has granted a lease.
     fn leased_until(&self) -> Micros {
         let mut until: Vec<Micros> = self.planners.iter().map(|p| p.until).collect();
@@ -215,6 +359,15 @@
         self.version().news.filter(|n| n.phase != 1).map(|n| n.build)
     }
 
+    /// By what machines are left out now: while it is the same, so is [`Self::leaves_out`] for every machine and build.
+    pub fn taken_away(&self, now: Micros) -> TakenAway {
+        let narrowed = self.stance(now) == Stance::Narrowed;
+        TakenAway {
+            trial: self.on_trial().filter(|_| narrowed),
+            list: self.reconciled_list.as_ref().map(|r| (r.epoch, r.index, r.digest)),
+        }
+    }
+
     /// Whether nothing may be sent to this machine of this build now, whatever its own sources say.
     pub fn leaves_out(&self, now: Micros, machine: u32, build: u16) -> bool {
         if self.stance(now) == Stance::Narrowed && self.on_trial().is_some_and(|trial| build >= trial) {
@@ -239,9 +392,26 @@
         let (version, stance) = (self.version(), self.stance(now));
         let list = version.list;
         let votes = self.planners.iter().map(|p| p.vote).collect();
+        let reports = self.spans_for(planner, now);
+        let by_delta = self.by_delta();
+        let list_state = by_delta.then(|| {
+            let (own, held) = (self.own_base(), self.planners[planner].holds);
+            let lags = |held: &Base| own.is_some_and(|own| own.is_newer(held));
+            ListState {
+                holds: own.unwrap_or_default(),
+                wants_whole: self.asking.is_some_and(|a| a.0 == planner),
+                delta: held.filter(lags).and_then(|held| self.ready.since(&held, 1)),
+            }
+        });
+        let telling = self.fleet.paced.map(|_| self.telling(now));
+        let reconciled = self.reconciled();
         let at = &mut self.planners[planner];
         at.sent += 1;
+        // What hurried it is said now, or goes on to hurry from here.
+        (at.last, at.hurry) = (Some(now), None);
+        at.saying = telling.map(|t| (at.sent, t));
         let told = at.knows == (list.index, list.digest) || at.knows.0 > list.index;
+        let whole = if by_delta { at.wants_whole } else { !told };
         let mut shown = version;
         if mutant::is("relay-called-own") {
             if let Some(reconciled) = &self.reconciled_list {
@@ -256,19 +426,20 @@
             echo: at.echo,
             version: shown,
             ages: Ages::default(),
-            reconciled: (self.reconciled_list.as_ref().map_or(0, |b| b.index), self.reconciled_news),
+            reconciled,
             stance,
             votes,
             head: self.recorder.number(),
             permit: self.holder.word(),
-            reports: self.recorder.behind(at.acked, REPORTS_AT_ONCE),
-            ready: (!told && list.source == Source::Discovery).then(|| Ready {
+            reports,
+            ready: (whole && list.source == Source::Discovery).then(|| Ready {
                 index: list.index,
                 epoch: list.epoch,
                 digest: list.digest,
                 vouched: 1,
-                machines: self.ready.iter().map(|(m, b)| (*m, *b)).collect(),
+                machines: self.ready.machines().iter().map(|(m, b)| (*m, *b)).collect(),
             }),
+            list: list_state,
         }
         .aged(self.ages(now))
     }
@@ -277,6 +448,7 @@
     pub fn failed(&mut self, planner: usize, sent_at: Micros) {
         let at = &mut self.planners[planner];
         at.failed = Some(at.failed.unwrap_or(0).max(sent_at));
+        self.asking = self.asking.filter(|a| a.0 != planner);
     }
 
     /// A planner has answered the heartbeat that was begun at `sent_at`.
@@ -290,6 +462,13 @@
         // The lease counts from when its heartbeat was sent, by this front's own clock: that is before any planner granted it.
         at.until = if lease > 0 { sent_at + lease } else { 0 };
         (at.acked, at.knows) = (answer.acked, answer.knows);
+        at.steady = if at.echo.0 == answer.incarnation { at.steady.saturating_add(1) } else { 1 };
+        at.concerned = answer.again || answer.twin || answer.permit.is_some();
+        if let Some((_, said)) = at.saying.take_if(|s| s.0 == answer.number) {
+            at.told = Some(said);
+        }
+        (at.holds, at.wants_whole) =
+            answer.list.as_ref().map_or((None, false), |l| (Some(l.holds), l.wants_whole));
         at.echo = (answer.incarnation, answer.now);
         // By the clock of now, not of the heartbeat: it may have stood still in between.
         let held = self.holder.word().map_or(0, |w| w.0);
@@ -311,14 +490,19 @@
             return change;
         }
         let own = self.version();
-        if let Some(ready) = answer.ready {
+        let told = answer.list.map(|list| self.told_list(planner, now, list, answer.ready.is_some()));
+        if let Some(ready) = answer.ready.or(told.flatten()) {
             let newer = ready.epoch == own.list.epoch && ready.index > own.list.index;
             let held = self.reconciled_list.as_ref().is_some_and(|b| b.index >= ready.index);
             // Danger: one front that was told nonsense must not empty all others; what takes most machines away at once is
             // believed only where two fronts hold it from their own sources.
-            let left =
-                self.ready.iter().filter(|(m, b)| ready.machines.binary_search(&(**m, **b)).is_ok()).count();
-            if newer && !held && 2 * left < self.ready.len() && ready.vouched < 2 {
+            let left = self
+                .ready
+                .machines()
+                .iter()
+                .filter(|(m, b)| ready.machines.binary_search(&(**m, **b)).is_ok())
+                .count();
+            if newer && !held && 2 * left < self.ready.machines().len() && ready.vouched < 2 {
                 self.refused_shrink += 1;
             } else if newer && !held {
                 self.reconciled_list = Some(ready);
@@ -335,6 +519,29 @@
         change
     }
 
+    /// A planner's list from what its answer says of it, where it is newer and a delta fits; where none does, the whole is
+    /// asked for, of one planner at a time.
+    fn told_list(&mut self, planner: usize, now: Micros, list: ListState, came: bool) -> Option<Ready> {
+        let own = self.version().list;
+        let known = self.reconciled_list.as_ref().map_or(0, |r| r.index).max(own.index);
+        let lacks = list.holds.epoch == own.epoch && list.holds.index > known;
+        if came || !lacks {
+            self.asking = self.asking.filter(|_| !came && lacks);
+            return None;
+        }
+        if let Some(Ok(machines)) = list.delta.as_ref().map(|delta| self.ready.with(delta)) {
+            let delta = list.delta?;
+            self.asking = None;
+            let (index, epoch, digest) = (delta.to.index, delta.to.epoch, delta.to.digest);
+            return Some(Ready { index, epoch, digest, vouched: delta.vouched, machines });
+        }
+        let over = |(_, since): (usize, Micros)| now.saturating_sub(since) > ASK_FOR * self.fleet.renew;
+        if self.asking.is_none_or(over) {
+            self.asking = Some((planner, now));
+        }
+        None
+    }
+
     /// Lists from planners that were held back for taking most machines away.
     pub fn refused_shrinks(&self) -> u64 {
         self.refused_shrink
--- a/crates/yarrowspoke-fleet/src/lib.rs
+++ b/crates/yarrowspoke-fleet/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod agreed;
 pub mod audit;
 pub mod book;
+pub mod delta;
 pub mod front;
 pub mod mutant;
+pub mod pace;
 pub mod planner;
 pub mod settings;
 pub mod span;
--- a/crates/yarrowspoke-fleet/src/mutant.rs
+++ b/crates/yarrowspoke-fleet/src/mutant.rs
@@ -5,7 +5,7 @@
 static ON: std::sync::OnceLock<String> = std::sync::OnceLock::new();
 
 /// Every mutant by name.
-pub const ALL: [&str; 12] = [
+pub const ALL: [&str; 15] = [
     "lease-unchecked",
     "merge-keeps-last",
     "tail-shown-fine",
@@ -18,6 +18,9 @@
     "silence-called-current",
     "halt-ignored",
     "unplanned-not-counted",
+    "delta-on-any-base",
+    "change-waits-for-pace",
+    "spans-to-nobody",
 ];
 
 /// Puts one on for the rest of the process; false if there is none of this name, or this build has none.
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -2,11 +2,12 @@
 
 use crate::agreed::{Permit, Word};
 use crate::book::{Book, Contradiction};
+use crate::delta::{Delta, Listed};
 use crate::mutant;
 use crate::settings::{Fleet, Role};
 use crate::span::Stance;
 use crate::version::{News, Source, Standing, Version};
-use crate::wire::{Answer, Heard, Heartbeat, Pull, Pushed, Ready, Refused, Slot, REPORTS_AT_ONCE};
+use crate::wire::{Answer, Heard, Heartbeat, ListState, Pull, Pushed, Ready, Refused, Slot, REPORTS_AT_ONCE};
 use crate::Micros;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,8 @@
 const FLIPS: u32 = 4;
 /// Most bytes of reports in one answer to another planner.
 const PUSH_LIMIT: u64 = 128 * 1024;
+/// Renewals for which one front is asked for its whole list before another is.
+const ASK_FOR: Micros = 5;
 /// Steps of the ladder kept for each front.
 const MARKS: usize = 256;
 
@@ -86,6 +89,10 @@
     votes: BTreeMap<String, Vote>,
     cool: BTreeMap<String, Micros>,
     ready: Option<Ready>,
+    /// The same with the steps by which it came about, so that a delta can be told.
+    listed: Listed,
+    /// Whose whole list was asked for, and when: one front's at a time, as all have the same.
+    asked: Option<(String, Micros)>,
     /// What other planners last said of each front, and when that came.
     elsewhere: BTreeMap<String, BTreeMap<String, (Micros, Heard)>>,
     refused: BTreeMap<String, u64>,
@@ -164,6 +171,8 @@
             votes: BTreeMap::new(),
             cool: BTreeMap::new(),
             ready: None,
+            listed: Listed::default(),
+            asked: None,
             elsewhere: BTreeMap::new(),
             refused: BTreeMap::new(),
             permits: BTreeMap::new(),
@@ -274,6 +283,10 @@
         }
         self.book.head(&heartbeat.front, heartbeat.incarnation, heartbeat.head);
         self.learn_list(heartbeat.ready.take());
+        let mut told = heartbeat.list.take();
+        if let Some(delta) = told.as_mut().and_then(|l| l.delta.take()) {
+            self.learn_delta(&delta);
+        }
         let (front, number) = (heartbeat.front.clone(), heartbeat.number);
         let acked = self.book.held_to(&front, heartbeat.incarnation);
         let mut answer = Answer {
@@ -291,7 +304,9 @@
             twin: false,
             permit: self.permits.get(&front).cloned(),
             granted: self.granted,
+            list: None,
         };
+        answer.list = told.as_ref().map(|told| self.list_state(now, &front, told));
         if !self.hear(now, heartbeat) {
             return Ok(answer);
         }
@@ -306,7 +321,17 @@
             r.epoch == list.epoch && r.index > list.index && r.index > known.heartbeat.reconciled.0
         };
         let newer = self.ready.as_ref().filter(lacks);
-        answer.ready = newer.map(|r| Ready { vouched: self.vouched(r), ..r.clone() });
+        match (newer, &told, &mut answer.list) {
+            (Some(ready), Some(told), Some(state)) => {
+                let vouched = self.vouched(ready);
+                state.delta = self.listed.since(&told.holds, vouched);
+                if told.wants_whole {
+                    answer.ready = Some(Ready { vouched, ..ready.clone() });
+                }
+            }
+            (Some(ready), ..) => answer.ready = Some(Ready { vouched: self.vouched(ready), ..ready.clone() }),
+            (None, ..) => {}
+        }
         answer.vote = self.vote(now, &front);
         let fenced = self.votes.contains_key(&front);
         if !fenced {
@@ -388,8 +413,37 @@
         let Some(told) = told else { return };
         match &mut self.ready {
             Some(held) if (held.epoch, held.index) >= (told.epoch, told.index) => {}
-            held => *held = Some(told),
+            held => {
+                let machines = told.machines.iter().copied().collect();
+                self.listed.replace((told.epoch, told.index, told.digest), machines);
+                *held = Some(told);
+                self.asked = None;
+            }
+        }
+    }
+
+    /// A front's own list against the one held here. What does not fit changes nothing: the whole is asked for.
+    fn learn_delta(&mut self, delta: &Delta) {
+        if !delta.to.is_newer(&self.listed.base()) || self.listed.apply(delta).is_err() {
+            return;
+        }
+        let (to, machines) = (delta.to, self.listed.machines().iter().map(|(m, b)| (*m, *b)).collect());
+        let (index, epoch, digest) = (to.index, to.epoch, to.digest);
+        self.ready = Some(Ready { index, epoch, digest, vouched: 1, machines });
+        self.asked = None;
+    }
+
+    /// What is held here, and whether this front's whole list is wanted.
+    fn list_state(&mut self, now: Micros, front: &str, told: &ListState) -> ListState {
+        let holds = self.listed.base();
+        let over = |(who, at): &(String, Micros)| {
+            who == front || now.saturating_sub(*at) > ASK_FOR * self.fleet.renew
+        };
+        let wants_whole = told.holds.is_newer(&holds) && self.asked.as_ref().is_none_or(over);
+        if wants_whole {
+            self.asked = Some((front.to_owned(), now));
         }
+        ListState { holds, wants_whole, delta: None }
     }
 
     /// How many fronts were heard, here or at another planner, to hold this list from their own source.
--- a/crates/yarrowspoke-fleet/src/settings.rs
+++ b/crates/yarrowspoke-fleet/src/settings.rs
@@ -54,6 +54,35 @@
     }
 }
 
+/// How lists of machines pass between fronts and planners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lists {
+    /// Whole, wherever the other side may not have it.
+    Whole,
+    /// As a delta against a base that the other side named; whole only where one asks for it.
+    Delta,
+}
+
+/// To which planners a front carries its spans.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spans {
+    /// To every planner.
+    All,
+    /// To its home planner; the others have them by anti-entropy, or from the front itself after a bound.
+    Home,
+}
+
+/// Control at a pace set by what changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Paced {
+    /// Time between two heartbeats at each planner, and between two spans, while nothing changes.
+    pub pace: Micros,
+    /// How lists pass.
+    pub lists: Lists,
+    /// Where spans go.
+    pub spans: Spans,
+}
+
 /// The section.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fleet {
@@ -85,6 +114,8 @@
     pub keep: Micros,
     /// Spans that a front keeps for planners that it can't reach, before older ones are joined.
     pub outbox: usize,
+    /// Control at a pace set by what changed; without it at every renewal, with whole lists.
+    pub paced: Option<Paced>,
 }
 
 impl Default for Fleet {
@@ -104,6 +135,7 @@
             keep_bytes: 256 * 1024 * 1024,
             keep: 7 * 86_400_000_000,
             outbox: 1_024,
+            paced: None,
         }
     }
 }
--- a/crates/yarrowspoke-fleet/src/wire.rs
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -4,6 +4,7 @@
 //! before anything of it is believed.
 
 use crate::agreed::{Permit, Word};
+use crate::delta::{Base, Delta};
 use crate::span::{Report, Stance};
 use crate::version::{Ages, News, Version};
 use crate::Micros;
@@ -15,6 +16,8 @@
 const MAGIC: [u8; 4] = *b"yspF";
 /// The schema spoken here.
 pub const SCHEMA: u16 = 1;
+/// The schema of heartbeats, and of their answers, that carry lists by snapshot and delta.
+pub const SCHEMA_PACED: u16 = 2;
 /// Most bytes of a body.
 pub const BODY_LIMIT: usize = 256 * 1024;
 /// Most reports of one heartbeat.
@@ -43,27 +46,93 @@
     Many(usize),
 }
 
-/// The bytes of a message.
-pub fn encode(message: &impl Serialize) -> Vec<u8> {
+fn framed(schema: u16, message: &impl Serialize) -> Vec<u8> {
     let mut out = MAGIC.to_vec();
-    out.extend_from_slice(&SCHEMA.to_le_bytes());
+    out.extend_from_slice(&schema.to_le_bytes());
     out.extend(postcard::to_stdvec(message).unwrap_or_default());
     out
 }
 
-/// A message from its bytes.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refused> {
+fn unframed(bytes: &[u8]) -> Result<(u16, &[u8]), Refused> {
     let (magic, rest) = bytes.split_first_chunk::<4>().ok_or(Refused::Alien)?;
     let (schema, rest) = rest.split_first_chunk::<2>().ok_or(Refused::Alien)?;
     if *magic != MAGIC {
         return Err(Refused::Alien);
     }
-    match u16::from_le_bytes(*schema) {
-        SCHEMA => postcard::from_bytes(rest).map_err(|e| Refused::Unreadable(e.to_string())),
-        other => Err(Refused::Schema(other)),
+    Ok((u16::from_le_bytes(*schema), rest))
+}
+
+fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refused> {
+    postcard::from_bytes(bytes).map_err(|e| Refused::Unreadable(e.to_string()))
+}
+
+/// The bytes of a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    framed(SCHEMA, message)
+}
+
+/// A message from its bytes.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refused> {
+    match unframed(bytes)? {
+        (SCHEMA, rest) => read(rest),
+        (other, _) => Err(Refused::Schema(other)),
+    }
+}
+
+/// A message that may carry a list by snapshot and delta; which schema it is spoken in follows from whether it does.
+pub trait Listing: Serialize + DeserializeOwned {
+    /// What it carries of lists, if it does.
+    fn list(&mut self) -> &mut Option<ListState>;
+}
+
+impl Listing for Heartbeat {
+    fn list(&mut self) -> &mut Option<ListState> {
+        &mut self.list
     }
 }
 
+impl Listing for Answer {
+    fn list(&mut self) -> &mut Option<ListState> {
+        &mut self.list
+    }
+}
+
+/// The bytes of a heartbeat or its answer: as ever where it carries nothing of lists by delta.
+pub fn encode_listing<T: Listing>(message: &mut T) -> Vec<u8> {
+    match message.list().take() {
+        None => encode(message),
+        Some(list) => {
+            let bytes = framed(SCHEMA_PACED, &(&*message, &list));
+            *message.list() = Some(list);
+            bytes
+        }
+    }
+}
+
+/// A heartbeat or its answer from its bytes, in either schema.
+pub fn decode_listing<T: Listing>(bytes: &[u8]) -> Result<T, Refused> {
+    match unframed(bytes)? {
+        (SCHEMA, rest) => read(rest),
+        (SCHEMA_PACED, rest) => {
+            let (mut message, list) = read::<(T, ListState)>(rest)?;
+            *message.list() = Some(list);
+            Ok(message)
+        }
+        (other, _) => Err(Refused::Schema(other)),
+    }
+}
+
+/// What a front or a planner says of lists where they pass by snapshot and delta.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ListState {
+    /// The list that it holds: a front's by its own discovery, a planner's the newest that it was told.
+    pub holds: Base,
+    /// The other's whole list is wanted: there is nothing here that a delta of it could be against.
+    pub wants_whole: bool,
+    /// What its own list changes against the one that the other named last.
+    pub delta: Option<Delta>,
+}
+
 /// A slot among those that may be out at once: one number among all fronts, one within its zone. No two fronts are voted
 /// into one slot by one planner, so no two have a majority for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -121,6 +190,9 @@
     pub permit: Option<(u64, Word)>,
     /// Its list, if this planner may not know it.
     pub ready: Option<Ready>,
+    /// Lists by snapshot and delta; of the second schema only.
+    #[serde(skip)]
+    pub list: Option<ListState>,
 }
 
 /// What a planner answers.
@@ -154,6 +226,9 @@
     pub permit: Option<Permit>,
     /// ...and the highest number of any permit that it knows of.
     pub granted: u64,
+    /// Lists by snapshot and delta, where the heartbeat had them so.
+    #[serde(skip)]
+    pub list: Option<ListState>,
 }
 
 /// What is held of one incarnation: the front, its incarnation, and closed ranges of numbers.
--- /dev/null
+++ b/crates/yarrowspoke-fleet/tests/paced.rs
@@ -0,0 +1,377 @@
+//! Fronts and planners with the form `paced`, in virtual time: what waits for the pace, what must not, and what passes by wire.
+
+mod common;
+
+use common::{fleet, news, ready, version, MS};
+use std::collections::BTreeMap;
+use yarrowspoke_fleet::book::Book;
+use yarrowspoke_fleet::front::FrontSide;
+use yarrowspoke_fleet::planner::Planner;
+use yarrowspoke_fleet::settings::{Fleet, Lists, Paced, Spans};
+use yarrowspoke_fleet::span::Stance;
+use yarrowspoke_fleet::version::Source;
+use yarrowspoke_fleet::wire::{decode_listing, encode_listing, Answer, Heartbeat, SCHEMA, SCHEMA_PACED};
+
+const PACE: u64 = 600 * MS;
+const STEP: u64 = 10 * MS;
+const MACHINES: u32 = 400;
+
+fn paced(fronts: usize) -> Fleet {
+    let form = Paced { pace: PACE, lists: Lists::Delta, spans: Spans::Home };
+    Fleet { lease: 2_000 * MS, paced: Some(form), ..fleet(fronts) }
+}
+
+/// What passed over the link of one front and one planner.
+#[derive(Clone, Debug, Default)]
+struct Passed {
+    at: Vec<u64>,
+    bytes: usize,
+    whole_up: usize,
+    whole_down: usize,
+    spans: usize,
+}
+
+struct Site {
+    fleet: Fleet,
+    now: u64,
+    fronts: Vec<FrontSide>,
+    planners: Vec<Option<Planner>>,
+    cut: Vec<(usize, usize)>,
+    passed: BTreeMap<(usize, usize), Passed>,
+    narrowed_at: BTreeMap<usize, u64>,
+    alone: u64,
+}
+
+impl Site {
+    fn new(fleet: Fleet) -> Self {
+        let side = |(n, m): (usize, &yarrowspoke_fleet::settings::Member)| {
+            FrontSide::new(fleet.clone(), &m.name, 100 + n as u64, version())
+        };
+        let fronts: Vec<FrontSide> = fleet.fronts().enumerate().map(side).collect();
+        let planner = |m: &yarrowspoke_fleet::settings::Member| {
+            Some(Planner::new(fleet.clone(), &m.name, 1, 0, Book::default()))
+        };
+        let planners = fleet.planners().map(planner).collect();
+        Self {
+            fleet,
+            now: 0,
+            fronts,
+            planners,
+            cut: vec![],
+            passed: BTreeMap::new(),
+            narrowed_at: BTreeMap::new(),
+            alone: 0,
+        }
+    }
+
+    fn list(&mut self, fronts: impl IntoIterator<Item = usize>, index: u64, but: &[u32]) {
+        let at = (self.now, 1_000_000 + self.now);
+        for f in fronts {
+            self.fronts[f].listed(at, (index, 7 * index), Source::Discovery, ready(MACHINES, but));
+        }
+    }
+
+    fn exchange(&mut self, f: usize, p: usize) {
+        let now = self.now;
+        let mut heartbeat = self.fronts[f].heartbeat(p, now);
+        let passed = self.passed.entry((f, p)).or_default();
+        passed.at.push(now);
+        passed.whole_up += usize::from(heartbeat.ready.is_some());
+        passed.spans += heartbeat.reports.len();
+        let bytes = encode_listing(&mut heartbeat);
+        passed.bytes += bytes.len();
+        let cut = self.cut.contains(&(f, p));
+        let answer = self.planners[p].as_mut().filter(|_| !cut).and_then(|planner| {
+            let heartbeat = decode_listing::<Heartbeat>(&bytes).unwrap();
+            Some(encode_listing(&mut planner.take(now, heartbeat).ok()?))
+        });
+        match answer {
+            Some(bytes) => {
+                passed.bytes += bytes.len();
+                let answer = decode_listing::<Answer>(&bytes).unwrap();
+                passed.whole_down += usize::from(answer.ready.is_some());
+                if self.fronts[f].answered(p, now, now, answer).narrowed {
+                    self.narrowed_at.insert(f, now);
+                }
+            }
+            None => self.fronts[f].failed(p, now),
+        }
+    }
+
+    /// Time goes on; heartbeats leave when they are due, spans close at ticks, planners pull from each other.
+    fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let now = self.now;
+            for f in 0..self.fronts.len() {
+                if now.is_multiple_of(self.fleet.renew) {
+                    self.fronts[f].recorder().attempt(1, 1);
+                    self.fronts[f].tick(now, 1_000_000 + now);
+                }
+                for p in 0..self.planners.len() {
+                    // As the program looks: in each part of a renewal, so that what is found then still comes within it.
+                    let looks = (now / STEP).is_multiple_of(5);
+                    if looks && self.fronts[f].due(p, now) <= now {
+                        self.exchange(f, p);
+                    }
+                }
+                self.alone += u64::from(self.fronts[f].stance(now) != Stance::Open);
+            }
+            if now.is_multiple_of(500 * MS) {
+                self.pull();
+            }
+        }
+    }
+
+    fn pull(&mut self) {
+        for p in 0..self.planners.len() {
+            for q in (0..self.planners.len()).filter(|q| *q != p) {
+                let Some(pull) = self.planners[p].as_ref().map(Planner::pull) else { continue };
+                let Some(pushed) = self.planners[q].as_ref().map(|o| o.push(self.now, &pull).unwrap()) else {
+                    continue;
+                };
+                if let Some(planner) = self.planners[p].as_mut() {
+                    planner.pushed(self.now, pushed);
+                }
+            }
+        }
+    }
+
+    fn sum(&self, of: impl Fn(&Passed) -> usize) -> usize {
+        self.passed.values().map(of).sum()
+    }
+
+    fn settled(fronts: usize) -> Self {
+        Self::settled_by(paced(fronts))
+    }
+
+    fn settled_by(fleet: Fleet) -> Self {
+        let mut site = Self::new(fleet);
+        let all = 0..site.fronts.len();
+        site.list(all, 1, &[]);
+        site.run(6_000 * MS);
+        site.passed.clear();
+        site
+    }
+}
+
+#[test]
+fn at_rest_heartbeats_come_at_the_pace_by_turns_and_no_lease_lapses() {
+    let mut site = Site::settled(4);
+    site.alone = 0;
+    site.run(12_000 * MS);
+    assert_eq!(site.alone, 0, "a lease lapsed while planners answered");
+    for ((f, p), passed) in &site.passed {
+        assert!((18..=22).contains(&passed.at.len()), "f{f} p{p}: {}", passed.at.len());
+        assert!(passed.at.windows(2).all(|w| w[1] - w[0] <= PACE + 50 * MS));
+        assert_eq!((passed.whole_up, passed.whole_down), (0, 0));
+    }
+    let mut of_one: Vec<u64> = (0..3).flat_map(|p| site.passed[&(0, p)].at.clone()).collect();
+    of_one.sort_unstable();
+    assert!(
+        of_one.windows(2).all(|w| w[1] - w[0] <= site.fleet.renew + 50 * MS),
+        "some planner in every renewal"
+    );
+    let mut plain = Site::settled_by(Fleet { paced: None, ..paced(4) });
+    plain.run(12_000 * MS);
+    let (slow, fast) = (site.sum(|p| p.bytes), plain.sum(|p| p.bytes));
+    assert!(2 * slow < fast, "{slow} bytes against {fast}");
+}
+
+#[test]
+fn a_change_is_told_to_every_planner_within_a_renewal() {
+    for at in [0, 70, 130, 210, 370, 550].map(|ms| ms * MS) {
+        let mut site = Site::settled(2);
+        site.run(at);
+        site.passed.clear();
+        let changed = site.now;
+        site.list([0], 2, &[7]);
+        site.run(250 * MS);
+        for p in 0..3 {
+            let first = site.passed[&(0, p)].at.iter().find(|t| **t >= changed).copied();
+            assert!(
+                first.is_some_and(|t| t - changed <= site.fleet.renew + 50 * MS),
+                "p{p}: {first:?} after {changed}"
+            );
+        }
+        assert_eq!(site.sum(|p| p.whole_up + p.whole_down), 0, "a drain is a delta");
+    }
+}
+
+#[test]
+fn a_drain_told_to_one_front_reaches_one_that_is_not_told_within_two_renewals() {
+    for at in [0, 70, 130, 210, 370, 550].map(|ms| ms * MS) {
+        let mut site = Site::settled(3);
+        site.run(at);
+        let changed = site.now;
+        site.list([0], 2, &[7]);
+        site.run(1_000 * MS);
+        for f in [1, 2] {
+            assert!(site.fronts[f].leaves_out(site.now, 7, 1) && !site.fronts[f].leaves_out(site.now, 8, 1));
+            let took = site.narrowed_at[&f] - changed;
+            assert!(took <= 2 * site.fleet.renew + 100 * MS, "f{f} after {} ms", took / MS);
+        }
+    }
+}
+
+#[test]
+fn a_planner_back_empty_asks_one_front_for_the_whole_list_and_the_others_for_nothing() {
+    let mut site = Site::settled(6);
+    site.planners[1] = None;
+    site.run(1_500 * MS);
+    site.passed.clear();
+    site.planners[1] = Some(Planner::new(site.fleet.clone(), "p1", 2, site.now, Book::default()));
+    site.run(4_000 * MS);
+    assert_eq!(
+        site.sum(|p| p.whole_up),
+        1,
+        "{:?}",
+        site.passed.iter().map(|p| (p.0, p.1.whole_up)).collect::<Vec<_>>()
+    );
+    site.passed.clear();
+    site.list(0..6, 2, &[9]);
+    site.run(1_000 * MS);
+    site.list([0], 3, &[9, 10]);
+    site.run(1_000 * MS);
+    assert_eq!(site.sum(|p| p.whole_up + p.whole_down), 0);
+    assert!((1..6).all(|f| site.fronts[f].leaves_out(site.now, 10, 1)));
+}
+
+#[test]
+fn all_planners_back_empty_have_the_list_again_and_a_straggler_gets_it_whole_once() {
+    let mut site = Site::settled(4);
+    site.list(0..3, 2, &[5]);
+    // The last one has heard nothing since its start, by any delta.
+    let old: Vec<String> = site.fleet.planners().map(|p| p.name.clone()).collect();
+    for (p, name) in old.iter().enumerate() {
+        site.planners[p] = Some(Planner::new(site.fleet.clone(), name, 2, site.now, Book::default()));
+    }
+    site.passed.clear();
+    site.run(3_000 * MS);
+    assert!(site.fronts[3].leaves_out(site.now, 5, 1));
+    let down: usize = (0..3).map(|p| site.passed.get(&(3, p)).map_or(0, |p| p.whole_down)).sum();
+    assert!(down <= 1, "{down} whole lists for one front");
+    assert!(site.sum(|p| p.whole_up) <= 6, "{}", site.sum(|p| p.whole_up));
+}
+
+#[test]
+fn spans_go_to_one_planner_and_all_have_them_also_where_it_dies() {
+    let mut site = Site::settled(6);
+    site.run(6_000 * MS);
+    let carried = |site: &Site, f: usize| -> Vec<usize> {
+        (0..3).filter(|p| site.passed.get(&(f, *p)).is_some_and(|p| p.spans > 0)).collect()
+    };
+    let homes: Vec<Vec<usize>> = (0..6).map(|f| carried(&site, f)).collect();
+    assert!(homes.iter().all(|h| h.len() == 1), "{homes:?}");
+    let spread: std::collections::BTreeSet<usize> = homes.iter().flatten().copied().collect();
+    assert!(spread.len() > 1, "one planner is everybody's home: {homes:?}");
+    let home = homes[0][0];
+    // It dies with what it alone had, and stays away.
+    site.planners[home] = None;
+    site.run(6_000 * MS);
+    for (p, planner) in site.planners.iter().enumerate().filter(|p| p.0 != home) {
+        let held = planner.as_ref().unwrap().book.held_to("f0", 100);
+        let closed = site.fronts[0].recorder().number();
+        assert!(
+            closed - held <= 6 && planner.as_ref().unwrap().book.gaps("f0", 100).len() <= 1,
+            "p{p}: {held} of {closed}"
+        );
+    }
+    // A front cut from its home alone reports to the next.
+    let mut site = Site::settled(6);
+    site.cut.push((0, home));
+    site.passed.clear();
+    site.run(3_000 * MS);
+    assert!(carried(&site, 0).iter().any(|p| *p != home));
+}
+
+#[test]
+fn spans_that_lie_at_a_home_nobody_reaches_are_sent_to_the_others() {
+    let mut site = Site::settled(1);
+    let home = (0..3).find(|p| {
+        site.run(1_500 * MS);
+        site.passed.get(&(0, *p)).is_some_and(|p| p.spans > 0)
+    });
+    let home = home.unwrap();
+    // It answers, and no planner pulls from it.
+    let before: Vec<u64> =
+        site.planners.iter().map(|p| p.as_ref().unwrap().book.held_to("f0", 100)).collect();
+    for _ in 0..600 {
+        let now = site.now + STEP;
+        site.now = now;
+        if now.is_multiple_of(site.fleet.renew) {
+            site.fronts[0].tick(now, now);
+        }
+        (0..3).for_each(|p| {
+            if site.fronts[0].due(p, now) <= now {
+                site.exchange(0, p);
+            }
+        });
+    }
+    for p in (0..3).filter(|p| *p != home) {
+        let held = site.planners[p].as_ref().unwrap().book.held_to("f0", 100);
+        assert!(held > before[p] + 2, "p{p}: {} and then {held}", before[p]);
+    }
+}
+
+#[test]
+fn a_planner_that_fails_or_a_start_is_met_at_the_renewal() {
+    let mut site = Site::new(paced(1));
+    site.run(1_000 * MS);
+    assert!((4..=6).contains(&site.passed[&(0, 0)].at.len()), "{:?}", site.passed[&(0, 0)].at);
+    let mut site = Site::settled(1);
+    site.cut.push((0, 1));
+    site.run(3_000 * MS);
+    // One of three: the next that failed would cost the lease.
+    assert!((0..3).all(|p| site.passed[&(0, p)].at.len() >= 11), "{:?}", site.passed);
+    assert_eq!(site.fronts[0].stance(site.now), Stance::Open);
+}
+
+#[test]
+fn without_the_form_every_byte_is_as_before_and_one_planner_serves_both() {
+    let plain = Fleet { paced: None, ..paced(2) };
+    let mut planner = Planner::new(paced(2), "p0", 1, 0, Book::default());
+    let mut old = FrontSide::new(plain, "f0", 100, version());
+    let mut new = FrontSide::new(paced(2), "f1", 101, version());
+    let schema = |bytes: &[u8]| u16::from_le_bytes([bytes[4], bytes[5]]);
+    for step in 1..=8u64 {
+        let now = step * 200 * MS;
+        if step == 3 {
+            old.listed((now, now), (2, 14), Source::Discovery, ready(MACHINES, &[7]));
+        }
+        if step == 1 {
+            old.listed((now, now), (1, 7), Source::Discovery, ready(MACHINES, &[]));
+            new.listed((now, now), (1, 7), Source::Discovery, ready(MACHINES, &[]));
+        }
+        for (front, spoken) in [(&mut old, SCHEMA), (&mut new, SCHEMA_PACED)] {
+            front.tick(now, now);
+            let mut heartbeat = front.heartbeat(0, now);
+            let bytes = encode_listing(&mut heartbeat);
+            assert_eq!(schema(&bytes), spoken);
+            if spoken == SCHEMA {
+                assert_eq!(bytes, yarrowspoke_fleet::wire::encode(&heartbeat));
+            }
+            let mut answer = planner.take(now, decode_listing(&bytes).unwrap()).unwrap();
+            let bytes = encode_listing(&mut answer);
+            assert_eq!(schema(&bytes), spoken, "it is answered in what it speaks");
+            front.answered(0, now, now, decode_listing(&bytes).unwrap());
+        }
+    }
+    assert!(new.leaves_out(1_600 * MS, 7, 1), "a drain that an old front told reaches a new one");
+}
+
+#[test]
+fn news_that_take_away_reach_a_front_that_was_not_told() {
+    let mut site = Site::settled(3);
+    let at = (site.now, site.now);
+    (0..3).for_each(|f| site.fronts[f].told(at, news(2, 0, 500_000)));
+    site.run(2_000 * MS);
+    let changed = site.now;
+    site.fronts[0].told((changed, changed), news(2, 2, 0));
+    site.run(1_000 * MS);
+    for f in [1, 2] {
+        assert_eq!(site.fronts[f].narrower_news(), Some(news(2, 2, 0)), "f{f}");
+        assert!(site.narrowed_at[&f] - changed <= 2 * site.fleet.renew + 100 * MS);
+    }
+}
--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -12,17 +12,17 @@
 use async_io::Timer;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke::interface::{Build, ListKind, MachineId, MachineState, Micros, News, Phase};
-use yarrowspoke_fleet::front::{Change, FrontSide};
+use yarrowspoke_fleet::front::{Change, FrontSide, TakenAway};
 use yarrowspoke_fleet::settings::Fleet;
 use yarrowspoke_fleet::span::Stance;
 use yarrowspoke_fleet::version::{self, digest, Source, Version};
-use yarrowspoke_fleet::wire::{decode, encode, Answer};
+use yarrowspoke_fleet::wire::{decode_listing, encode_listing, Answer};
 
 /// Least time between two times at which the front's own sources are asked again for being behind.
 const AGAIN_EVERY: Duration = Duration::from_secs(2);
@@ -73,6 +73,8 @@
     rows: RefCell<BTreeMap<MachineId, Row>>,
     /// What the module was last told of each machine.
     shown: RefCell<BTreeMap<MachineId, (MachineState, Build)>>,
+    /// By what was left out of that.
+    taken_away: Cell<Option<TakenAway>>,
     news: Cell<Option<News>>,
     shown_news: Cell<Option<version::News>>,
     again: Cell<Option<Instant>>,
@@ -102,6 +104,7 @@
             discovery,
             rows: RefCell::default(),
             shown: RefCell::default(),
+            taken_away: Cell::new(None),
             news: Cell::new(None),
             shown_news: Cell::new(None),
             again: Cell::new(None),
@@ -189,21 +192,42 @@
         for row in &rows {
             self.shown.borrow_mut().remove(&row.entry.machine);
         }
-        self.changed_rows()
+        if self.is_otherwise() {
+            return self.changed(self.rows.borrow().values());
+        }
+        let own = self.rows.borrow();
+        let told: BTreeSet<MachineId> = rows.iter().map(|r| r.entry.machine).collect();
+        self.changed(told.iter().filter_map(|m| own.get(m)))
+    }
+
+    /// Whether something else is left out than when it was last looked at.
+    fn is_otherwise(&self) -> bool {
+        let now = Some(self.side.borrow().taken_away(self.now()));
+        self.taken_away.replace(now) != now
     }
 
-    /// Rows that look otherwise than the module was last told.
+    /// Rows that look otherwise than the module was last told. Looked at in every renewal, so all of a long list only where
+    /// something else is left out than before.
     pub fn changed_rows(&self) -> Vec<Row> {
-        let (now, side) = (self.now(), self.side.borrow());
-        let (own, mut shown) = (self.rows.borrow(), self.shown.borrow_mut());
+        if self.is_otherwise() {
+            self.changed(self.rows.borrow().values())
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Those of some rows that look otherwise than the module was last told.
+    fn changed<'a>(&self, rows: impl Iterator<Item = &'a Row>) -> Vec<Row> {
+        let (now, side, mut shown) = (self.now(), self.side.borrow(), self.shown.borrow_mut());
         let mut out = Vec::new();
-        for (machine, row) in own.iter() {
-            let (mut row, build) = (row.clone(), row.entry.build);
-            if row.entry.state == MachineState::Ready && side.leaves_out(now, *machine, build) {
-                row.entry.state = MachineState::Draining;
+        for row in rows {
+            let (machine, build, mut state) = (row.entry.machine, row.entry.build, row.entry.state);
+            if state == MachineState::Ready && side.leaves_out(now, machine, build) {
+                state = MachineState::Draining;
             }
-            let looks = (row.entry.state, build);
-            if shown.insert(*machine, looks) != Some(looks) {
+            if shown.insert(machine, (state, build)) != Some((state, build)) {
+                let mut row = row.clone();
+                row.entry.state = state;
                 out.push(row);
             }
         }
@@ -312,11 +336,11 @@
         };
         let begun = Instant::now();
         let sent_at = member.now();
-        let body = encode(&member.side.borrow_mut().heartbeat(n, sent_at));
+        let body = encode_listing(&mut member.side.borrow_mut().heartbeat(n, sent_at));
         let exchanged = exchange(&mut line, address, ("POST", "/fleet/report"), &body);
         let answer = within((lease / 4).max(renew), exchanged).await;
         let heard = match answer {
-            Some(Ok(bytes)) => decode::<Answer>(&bytes).map_err(|e| e.to_string()),
+            Some(Ok(bytes)) => decode_listing::<Answer>(&bytes).map_err(|e| e.to_string()),
             Some(Err(LinkError::Status(status, why))) => Err(format!("refused with {status}: {why}")),
             Some(Err(e)) => {
                 member.side.borrow_mut().failed(n, sent_at);
@@ -346,6 +370,26 @@
                 }
             }
         }
-        Timer::at(begun + renew).await;
+        rest(&member, n, begun + renew).await;
+    }
+}
+
+/// Until the next heartbeat is due: at the renewal, or, where the section has a pace, whenever that is. What changes meanwhile
+/// is looked for in each part of a renewal, for which the pace leaves room.
+async fn rest(member: &Member, n: usize, renewal: Instant) {
+    if member.side.borrow().fleet().paced.is_none() {
+        Timer::at(renewal).await;
+        return;
+    }
+    loop {
+        let now = member.now();
+        let (due, renew) = {
+            let mut side = member.side.borrow_mut();
+            (side.due(n, now), side.fleet().renew)
+        };
+        if due <= now {
+            return;
+        }
+        Timer::after(Duration::from_micros((due - now).min(renew / 4))).await;
     }
 }
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -21,7 +21,7 @@
 use yarrowspoke_fleet::planner::Planner;
 use yarrowspoke_fleet::settings::{Fleet, Role};
 use yarrowspoke_fleet::span::Report;
-use yarrowspoke_fleet::wire::{decode, encode, Heartbeat, Pull, Pushed};
+use yarrowspoke_fleet::wire::{decode, decode_listing, encode, encode_listing, Heartbeat, Pull, Pushed};
 use yarrowspoke_store::reports::{Key, Reports};
 
 /// How often what came is handed to the disk, and steps are looked at.
@@ -206,16 +206,16 @@
     }
 
     fn report(&self, body: &[u8]) -> LinkAnswer {
-        let heartbeat = match decode::<Heartbeat>(body) {
+        let heartbeat = match decode_listing::<Heartbeat>(body) {
             Ok(heartbeat) => heartbeat,
             Err(e) => return self.refuse(e),
         };
         let (front, incarnation, reports) =
             (heartbeat.front.clone(), heartbeat.incarnation, heartbeat.reports.clone());
         match self.planner.borrow_mut().take(self.now(), heartbeat) {
-            Ok(answer) => {
+            Ok(mut answer) => {
                 reports.into_iter().for_each(|r| self.keep(&front, incarnation, r));
-                LinkAnswer::ok(encode(&answer))
+                LinkAnswer::ok(encode_listing(&mut answer))
             }
             Err(why) => {
                 log::warn!(front = front.as_str(), why:%; "fleet: a heartbeat is refused");
--- a/crates/yarrowspoke-operator/src/fleet.rs
+++ b/crates/yarrowspoke-operator/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::read::Form;
 use crate::Fault;
-use yarrowspoke_fleet::settings::{Alone, Fleet, Member, Most, Role};
+use yarrowspoke_fleet::settings::{Alone, Fleet, Lists, Member, Most, Paced, Role, Spans};
 
 /// The section, and what is right in it and yet worth a word, with its place.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,7 +15,7 @@
 
 const FIELDS: &str =
     "one of the fields: member, renew, lease, drift, behind, shut-after, back-after, list-within, \
-    most-out, most-out-by-zone, alone, keep, keep-bytes, outbox, beyond-loopback";
+    most-out, most-out-by-zone, alone, keep, keep-bytes, outbox, paced, beyond-loopback";
 
 /// Reads the section.
 pub fn fleet(section: &Form, faults: &mut Vec<Fault>) -> Option<FleetSection> {
@@ -61,6 +61,7 @@
                 let spans = field.whole("spans, 16 to 100000", faults, |n| (16..=100_000).contains(&n));
                 fleet.outbox = spans.map_or(fleet.outbox, |n| n as usize);
             }
+            "paced" => fleet.paced = paced(field, faults),
             "beyond-loopback" => {
                 if field.word("meant", faults).is_some_and(|w| w != "meant") {
                     faults.push(field.fault_of_value("meant"));
@@ -104,6 +105,24 @@
         let at = fields.iter().find(|f| f.name == "lease").unwrap_or(section);
         faults.push(at.fault(&wanted));
     }
+    if let Some(paced) = fleet.paced.filter(|_| faults.len() == before) {
+        let at = fields.iter().find(|f| f.name == "paced").unwrap_or(section);
+        let most = fleet.renew * planners.len() as u64;
+        if paced.pace < fleet.renew || paced.pace > most {
+            faults.push(at.fault(&format!(
+                "a pace from renew to renew for each planner, {:.3} to {:.3} s: in every renewal one of them is to hear a front",
+                fleet.renew as f64 / 1e6,
+                most as f64 / 1e6
+            )));
+        }
+        let least = 3.0 * paced.pace as f64 * (1.0 + fleet.drift);
+        if (fleet.lease as f64) < least {
+            let at = fields.iter().find(|f| f.name == "lease").unwrap_or(at);
+            faults.push(
+                at.fault(&format!("a lease of three paces and their drift at least, {:.3} s", least / 1e6)),
+            );
+        }
+    }
     if fleet.shut_after <= fleet.behind {
         let at = fields.iter().find(|f| f.name == "shut-after").unwrap_or(section);
         faults.push(at.fault("a time above behind's: a straggler is noted before it is shut out"));
@@ -111,6 +130,43 @@
     (faults.len() == before).then_some(FleetSection { fleet, warnings })
 }
 
+fn paced(form: &Form, faults: &mut Vec<Fault>) -> Option<Paced> {
+    let (mut pace, mut lists, mut spans) = (None, Lists::Delta, Spans::Home);
+    let fields = form.fields(faults);
+    for (n, field) in fields.iter().enumerate() {
+        if fields[..n].iter().any(|f| f.name == field.name) {
+            faults.push(field.fault("each field of paced once"));
+            continue;
+        }
+        match field.name.as_str() {
+            "pace" => {
+                let seconds = field.number("seconds, 0.02 to 60", faults, |s| (0.02..=60.0).contains(&s));
+                pace = seconds.map(|s| (s * 1e6) as u64);
+                if pace.is_none() {
+                    return None;
+                }
+            }
+            "lists" => match field.word("delta or whole", faults).as_deref() {
+                Some("delta") => lists = Lists::Delta,
+                Some("whole") => lists = Lists::Whole,
+                Some(_) => faults.push(field.fault_of_value("delta or whole")),
+                None => {}
+            },
+            "spans" => match field.word("home or all", faults).as_deref() {
+                Some("home") => spans = Spans::Home,
+                Some("all") => spans = Spans::All,
+                Some(_) => faults.push(field.fault_of_value("home or all")),
+                None => {}
+            },
+            _ => faults.push(field.fault("one of the fields: pace, lists, spans")),
+        }
+    }
+    if pace.is_none() {
+        faults.push(form.fault("the field pace in it"));
+    }
+    pace.map(|pace| Paced { pace, lists, spans })
+}
+
 fn most(field: &Form, faults: &mut Vec<Fault>) -> Option<Most> {
     let wanted = "a whole number, or a share from 0.0 to 1.0 with its decimal point";
     field.take(wanted, faults, |v| match v.as_u64() {
--- a/crates/yarrowspoke-operator/tests/fleet.rs
+++ b/crates/yarrowspoke-operator/tests/fleet.rs
@@ -88,3 +88,50 @@
         "{warnings:?}"
     );
 }
+
+const PACED: &str = "(alone narrow)\n  (paced (pace 0.5) (lists delta) (spans home))";
+
+#[test]
+fn the_form_paced_is_off_unless_present_and_read_where_it_is() {
+    use yarrowspoke_fleet::settings::{Lists, Paced, Spans};
+    let paced = |form: &str| {
+        let text = RIGHT.replace("(alone narrow)", form).replace("(lease 1.5)", "(lease 1.6)");
+        parse(&text).unwrap().fleet.unwrap().fleet.paced
+    };
+    assert_eq!(paced("(alone narrow)"), None);
+    let both = Paced { pace: 500_000, lists: Lists::Delta, spans: Spans::Home };
+    assert_eq!(paced(PACED), Some(both));
+    assert_eq!(paced("(paced (pace 0.5))"), Some(both), "whoever sets a pace wants the rest of it");
+    let neither = Paced { lists: Lists::Whole, spans: Spans::All, ..both };
+    assert_eq!(paced("(paced (pace 0.5) (lists whole) (spans all))"), Some(neither));
+}
+
+#[test]
+fn a_form_paced_that_would_not_hold_is_refused_with_line_column_and_what_was_expected() {
+    let right = RIGHT.replace("(alone narrow)", PACED).replace("(lease 1.5)", "(lease 1.6)");
+    assert!(parse(&right).is_ok());
+    for (from, to, at, expected) in [
+        ("(pace 0.5)", "(pace soon)", (7, 16), "seconds, 0.02 to 60"),
+        ("(pace 0.5)", "(pace 0.1)", (7, 3), "a pace from renew to renew for each planner, 0.200 to 0.600 s"),
+        ("(pace 0.5)", "(pace 0.7)", (7, 3), "a pace from renew to renew for each planner, 0.200 to 0.600 s"),
+        ("(pace 0.5)", "", (7, 3), "the field pace in it"),
+        ("(pace 0.5)", "(pace 0.5) (pace 0.5)", (7, 21), "each field of paced once"),
+        ("(lists delta)", "(lists some)", (7, 28), "delta or whole"),
+        ("(spans home)", "(spans away)", (7, 42), "home or all"),
+        ("(spans home)", "(span home)", (7, 35), "one of the fields: pace, lists, spans"),
+        ("(lease 1.6)", "(lease 1.4)", (3, 3), "three paces and their drift at least, 1.515 s"),
+        (
+            "(lists delta) (spans home))",
+            "(lists delta)) (paced (pace 0.5))",
+            (7, 36),
+            "each field but member once",
+        ),
+    ] {
+        assert!(right.contains(from), "{from}");
+        let text = right.replace(from, to);
+        let faults = parse(&text).err().unwrap_or_default();
+        let place =
+            |f: &yarrowspoke_operator::Fault| (f.line, f.column) == at && f.expected.contains(expected);
+        assert!(faults.iter().any(place), "{to}: {faults:?}");
+    }
+}
