--- a/crates/yarrowspoke-front/tests/fleet.rs
+++ b/crates/yarrowspoke-front/tests/fleet.rs
@@ -30,6 +30,7 @@
         program: PROGRAM.into(),
         mutants: None,
         dir: dir.clone(),
+        paced: false,
         seed: 11,
         trials: 2,
         at_once: 2,
--- a/crates/yarrowspoke-lab/src/fleet/relay.rs
+++ b/crates/yarrowspoke-lab/src/fleet/relay.rs
@@ -36,12 +36,24 @@
     pub overtake: f64,
 }
 
+/// What passed over a link that carries one message at a time, as both ends had to write it, heads counted in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Passed {
+    /// Messages towards the one called.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes_to: u64,
+    /// Bytes of the answers.
+    pub bytes_back: u64,
+}
+
 /// A directed link from one process to another.
 #[derive(Debug)]
 pub struct Link {
     /// Where the caller connects.
     pub address: SocketAddr,
     fault: Mutex<Fault>,
+    passed: Mutex<Passed>,
     draws: Mutex<Pcg64Mcg>,
 }
 
@@ -57,6 +69,7 @@
         let link = Arc::new(Self {
             address: listener.get_ref().local_addr()?,
             fault: Mutex::default(),
+            passed: Mutex::default(),
             draws: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         });
         let (held, spawner) = (Arc::clone(&link), Arc::clone(executor));
@@ -83,6 +96,18 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// What has passed over it, where it carries messages.
+    pub fn passed(&self) -> Passed {
+        *self.passed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, messages: u64, bytes_to: u64, bytes_back: u64) {
+        let mut passed = self.passed.lock().unwrap_or_else(PoisonError::into_inner);
+        passed.messages += messages;
+        passed.bytes_to += bytes_to;
+        passed.bytes_back += bytes_back;
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -146,6 +171,7 @@
         let mut rest = Vec::new();
         while let Some(message) = read_message(&mut caller, &mut rest).await? {
             self.open_way(true).await?;
+            self.count(1, message.bytes().len() as u64, 0);
             let fault = self.fault();
             if self.chance(fault.lose) {
                 continue;
@@ -162,7 +188,9 @@
             }
             let Some(answer) = Self::carry(target, &message).await? else { return Ok(()) };
             self.open_way(false).await?;
-            caller.write_all(&answer.bytes()).await?;
+            let bytes = answer.bytes();
+            self.count(0, 0, bytes.len() as u64);
+            caller.write_all(&bytes).await?;
         }
         Ok(())
     }
