--- a/crates/yarrowspoke-front/tests/paced.rs
+++ b/crates/yarrowspoke-front/tests/paced.rs
@@ -70,11 +70,7 @@
     (0..site.fronts.len())
         .map(|f| {
             let name = format!("f{f}");
-            let of = audit["incarnations"]
-                .as_array()
-                .into_iter()
-                .flatten()
-                .filter(|i| i["front"] == name.as_str());
+            let of = audit["lives"].as_array().into_iter().flatten().filter(|i| i["front"] == name.as_str());
             of.map(rows).max().unwrap_or(0)
         })
         .collect()
