--- a/examples/fleet.sexp
+++ b/examples/fleet.sexp
@@ -6,6 +6,7 @@
   (shut-after 30)        ; behind for longer: shut out, where the limits allow
   (most-out 1)
   (most-out-by-zone 1)
+  ; (paced (pace 0.6))   ; with many fronts or machines: heartbeats at a pace, lists by delta (docs/operators/fleet.md)
   (alone serve)          ; with all planners gone: by its own sources
   (member (name toy) (role front) (zone a))
   (member (name toy2) (role front) (zone a))
