--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -1,7 +1,7 @@
 //! A front's side: its record, its lease, what planners take away, and how it stands at any moment.
 
 use crate::agreed::{Holder, Word};
-use crate::delta::{Base, Listed};
+use crate::delta::{Base, Delta, Listed, Unfit};
 use crate::mutant;
 use crate::pace::{self, Beat};
 use crate::settings::{Alone, Fleet, Lists, Spans};
@@ -91,6 +91,8 @@
     heard_list: Option<Micros>,
     heard_news: Micros,
     ready: Listed,
+    /// The list that planners brought last, by name: what a planner had may never have been discovery's here.
+    relayed: Listed,
     /// Which planner is asked for its whole list, and since when.
     asking: Option<(usize, Micros)>,
     /// When the last span was closed.
@@ -117,6 +119,7 @@
             heard_list: None,
             heard_news: 0,
             ready: Listed::default(),
+            relayed: Listed::default(),
             asking: None,
             closed: 0,
             reconciled_list: None,
@@ -399,6 +402,10 @@
             let lags = |held: &Base| own.is_some_and(|own| own.is_newer(held));
             ListState {
                 holds: own.unwrap_or_default(),
+                against: match self.reconciled_list {
+                    Some(_) => self.relayed.base(),
+                    None => own.unwrap_or_default(),
+                },
                 wants_whole: self.asking.is_some_and(|a| a.0 == planner),
                 delta: held.filter(lags).and_then(|held| self.ready.since(&held, 1)),
             }
@@ -505,6 +512,10 @@
             if newer && !held && 2 * left < self.ready.machines().len() && ready.vouched < 2 {
                 self.refused_shrink += 1;
             } else if newer && !held {
+                if self.by_delta() {
+                    let name = (ready.epoch, ready.index, ready.digest);
+                    self.relayed.replace(name, ready.machines.iter().copied().collect());
+                }
                 self.reconciled_list = Some(ready);
                 change.narrowed = true;
             }
@@ -519,6 +530,12 @@
         change
     }
 
+    /// The machines behind a delta, from whichever list here it is against.
+    fn bridged(&self, delta: &Delta) -> Result<Vec<(u32, u16)>, Unfit> {
+        let relayed = self.reconciled_list.is_some() && self.relayed.base() == delta.base;
+        if relayed { &self.relayed } else { &self.ready }.with(delta)
+    }
+
     /// A planner's list from what its answer says of it, where it is newer and a delta fits; where none does, the whole is
     /// asked for, of one planner at a time.
     fn told_list(&mut self, planner: usize, now: Micros, list: ListState, came: bool) -> Option<Ready> {
@@ -529,7 +546,7 @@
             self.asking = self.asking.filter(|_| !came && lacks);
             return None;
         }
-        if let Some(Ok(machines)) = list.delta.as_ref().map(|delta| self.ready.with(delta)) {
+        if let Some(Ok(machines)) = list.delta.as_ref().map(|delta| self.bridged(delta)) {
             let delta = list.delta?;
             self.asking = None;
             let (index, epoch, digest) = (delta.to.index, delta.to.epoch, delta.to.digest);
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -324,7 +324,7 @@
         match (newer, &told, &mut answer.list) {
             (Some(ready), Some(told), Some(state)) => {
                 let vouched = self.vouched(ready);
-                state.delta = self.listed.since(&told.holds, vouched);
+                state.delta = self.listed.since(&told.against, vouched);
                 if told.wants_whole {
                     answer.ready = Some(Ready { vouched, ..ready.clone() });
                 }
@@ -443,7 +443,7 @@
         if wants_whole {
             self.asked = Some((front.to_owned(), now));
         }
-        ListState { holds, wants_whole, delta: None }
+        ListState { holds, against: holds, wants_whole, delta: None }
     }
 
     /// How many fronts were heard, here or at another planner, to hold this list from their own source.
--- a/crates/yarrowspoke-fleet/src/wire.rs
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -127,6 +127,8 @@
 pub struct ListState {
     /// The list that it holds: a front's by its own discovery, a planner's the newest that it was told.
     pub holds: Base,
+    /// The list that the other's changes are to be told against: a front's the newest that it has from a planner, if any.
+    pub against: Base,
     /// The other's whole list is wanted: there is nothing here that a delta of it could be against.
     pub wants_whole: bool,
     /// What its own list changes against the one that the other named last.
--- a/crates/yarrowspoke-fleet/tests/paced.rs
+++ b/crates/yarrowspoke-fleet/tests/paced.rs
@@ -425,3 +425,28 @@
         assert_eq!((held.index, &held.machines), (4, &meant));
     }
 }
+
+#[test]
+fn a_front_whose_own_list_no_planner_ever_had_gets_one_whole_and_then_deltas() {
+    let mut site = Site::settled(3);
+    site.cut.extend([(2, 0), (2, 1), (2, 2)]);
+    site.list(0..2, 3, &[9]);
+    // Discovery told this one an index that the others skipped, and then nothing more.
+    site.list([2], 2, &[8]);
+    site.run(500 * MS);
+    site.cut.clear();
+    site.run(2_000 * MS);
+    assert!(site.fronts[2].leaves_out(site.now, 9, 1));
+    let whole =
+        |site: &Site| -> usize { (0..3).map(|p| site.passed.get(&(2, p)).map_or(0, |p| p.whole_down)).sum() };
+    let first = whole(&site);
+    assert!(first >= 1);
+    for index in 4..8u32 {
+        let changed = site.now;
+        site.list(0..2, u64::from(index), &[9, 10 + index]);
+        site.run(800 * MS);
+        assert!(site.fronts[2].leaves_out(site.now, 10 + index, 1));
+        assert!(site.narrowed_at[&2] - changed <= 2 * site.fleet.renew + 100 * MS);
+    }
+    assert_eq!(whole(&site), first, "what planners brought is a base too");
+}
--- a/crates/yarrowspoke-front/tests/paced.rs
+++ b/crates/yarrowspoke-front/tests/paced.rs
@@ -2,6 +2,7 @@
 //! nothing is known later or less for it.
 
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use yarrowspoke_lab::fleet::audit::{play_paced, run, Trials};
 use yarrowspoke_lab::fleet::check::check;
@@ -15,6 +16,13 @@
 /// A straggler that reaches a planner has what it lacks within this, as the trials' checker has it too.
 const RECONCILED_WITHIN: u64 = 1_800_000;
 
+/// One test at a time: some dozens of processes each are enough for a small machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn dir(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("yarrowspoke-paced-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
@@ -99,6 +107,7 @@
 
 #[test]
 fn at_rest_fewer_messages_and_bytes_pass_between_fronts_and_planners() {
+    let _alone = alone();
     let (plain, paced) = (at_rest(""), at_rest(PACED));
     assert!(2 * paced.messages < plain.messages, "{paced:?} against {plain:?}");
     assert!(
@@ -110,6 +119,7 @@
 
 #[test]
 fn a_drain_reaches_a_front_cut_from_discovery_and_a_dead_planner_takes_no_record_along() {
+    let _alone = alone();
     let dir = dir("drain");
     let mut site = site(&dir, PACED, 4);
     until("a front known to every planner", || {
@@ -151,6 +161,7 @@
 
 #[test]
 fn the_audit_holds_under_faults_and_a_delta_on_another_base_is_found() {
+    let _alone = alone();
     let dir = dir("audit");
     let trials = Trials {
         program: PROGRAM.into(),
