--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -15,7 +15,7 @@
 /// of the front for a while before it counts it as the one that runs.
 const STEADY: u32 = 6;
 /// Renewals for which one planner is asked for its whole list before another is.
-const ASK_FOR: Micros = 5;
+const ASK_FOR: Micros = 2;
 /// Least time for which a span may lie at the home planner alone before it goes to the others too, and the same in paces.
 const HOME_FOR: (Micros, u64) = (2_000_000, 3);
 
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -19,7 +19,7 @@
 /// Most bytes of reports in one answer to another planner.
 const PUSH_LIMIT: u64 = 128 * 1024;
 /// Renewals for which one front is asked for its whole list before another is.
-const ASK_FOR: Micros = 5;
+const ASK_FOR: Micros = 2;
 /// Steps of the ladder kept for each front.
 const MARKS: usize = 256;
 
@@ -436,13 +436,15 @@
     /// What is held here, and whether this front's whole list is wanted.
     fn list_state(&mut self, now: Micros, front: &str, told: &ListState) -> ListState {
         let holds = self.listed.base();
+        let newer = told.holds.is_newer(&holds);
+        // Danger: one that is heard and hears nothing would be asked for ever, and nobody else.
         let over = |(who, at): &(String, Micros)| {
-            who == front || now.saturating_sub(*at) > ASK_FOR * self.fleet.renew
+            who != front && now.saturating_sub(*at) > ASK_FOR * self.fleet.renew
         };
-        let wants_whole = told.holds.is_newer(&holds) && self.asked.as_ref().is_none_or(over);
-        if wants_whole {
+        if newer && self.asked.as_ref().is_none_or(over) {
             self.asked = Some((front.to_owned(), now));
         }
+        let wants_whole = newer && self.asked.as_ref().is_some_and(|(who, _)| who == front);
         ListState { holds, against: holds, wants_whole, delta: None }
     }
 
--- a/crates/yarrowspoke-fleet/tests/paced.rs
+++ b/crates/yarrowspoke-fleet/tests/paced.rs
@@ -450,3 +450,23 @@
     }
     assert_eq!(whole(&site), first, "what planners brought is a base too");
 }
+
+#[test]
+fn a_front_that_hears_nothing_does_not_keep_others_from_being_asked() {
+    let mut planner = Planner::new(paced(2), "p0", 1, 0, Book::default());
+    let front = |n: usize| FrontSide::new(paced(2), &format!("f{n}"), 100, version());
+    let (mut deaf, mut other) = (front(0), front(1));
+    for side in [&mut deaf, &mut other] {
+        side.listed((1, 1), (1, 7), Source::Discovery, ready(MACHINES, &[]));
+    }
+    let mut asked = |side: &mut FrontSide, at: u64| {
+        let answer = planner.take(at, side.heartbeat(0, at)).unwrap();
+        answer.list.unwrap().wants_whole
+    };
+    assert!(asked(&mut deaf, 200 * MS));
+    assert!(!asked(&mut other, 300 * MS), "one at a time");
+    // It is heard again and again, and its answers are lost.
+    assert!(asked(&mut deaf, 400 * MS) && asked(&mut deaf, 600 * MS));
+    assert!(asked(&mut other, 700 * MS));
+    assert!(!asked(&mut deaf, 800 * MS));
+}
