The page on capacity is written from a run's object; shapes and bad words are tested

The page had a ranking written by hand. A row names whose budget it is held against: the operators' come before the program's own bounds, what is missed first, and an operators' budget without a figure is named as not measured. What a figure rests on that no one gave stands with the value at which its budget breaks, worked out from the slopes.

The fit named exact n log n a line (residual 2.2 %, under the 3 % that counts as close): a close shape now counts only while no richer one leaves less than a twentieth of it, and half a percent is always exact.

--- a/crates/yarrowspoke-lab/src/scale/at_size.rs
+++ b/crates/yarrowspoke-lab/src/scale/at_size.rs
@@ -2,7 +2,7 @@
 
 use super::fit::Fit;
 use super::report::{AtSize, Origin, Report, Slope};
-use super::target;
+use super::target::{self, Budget};
 use yarrowspoke_fleet::settings::Fleet;
 use yarrowspoke_front::net::list::LIST_LIMIT;
 
@@ -18,6 +18,9 @@
 const EXCHANGES_PER_S: f64 = 2.0;
 const HOUSEKEEPING_PER_S: f64 = 10.0;
 
+/// What carries the cost of many machines on a front.
+const SUBSET: &str = "missing: state for a subset only; requests go to a subset, yet each scans all endpoints (yarrowspoke/src/rules.rs)";
+
 /// Changes of the list a second in the busiest hour.
 pub fn changes_per_s() -> f64 {
     BUSY * CHANGES_EACH * (target::FAILED_A_DAY + target::RESTARTED_A_DAY) / 86_400.0
@@ -49,6 +52,16 @@
     seen.slopes.iter().find(|s| s.role == role && s.quantity == quantity && !s.points.is_empty())
 }
 
+/// How far it was measured, where a size is beyond that.
+fn beyond(slope: &Slope, size: f64) -> String {
+    let most = slope.points.iter().map(|p| p.0).fold(0.0, f64::max);
+    if size > most {
+        format!(", measured to {}", number(most))
+    } else {
+        String::new()
+    }
+}
+
 fn term(seen: &Report, (role, quantity): (&str, &str), size: f64, times: f64) -> Option<Term> {
     let slope = find(seen, role, quantity)?;
     let (shape, per_unit, fixed, residual) = (slope.shape, slope.per_unit, slope.fixed, slope.residual);
@@ -58,10 +71,11 @@
     let value = measured.map_or(fit.at(size), |p| p.1);
     let times_text = if times == 1.0 { String::new() } else { format!("{} x ", number(times)) };
     let text = format!(
-        "{times_text}({} x {} [{}] + {}: {} {})",
+        "{times_text}({} x {} [{}{}] + {}: {} {})",
         number(per_unit),
         number(fit.shape.measure(size)),
         slope.over,
+        beyond(slope, size),
         number(fixed),
         number(value),
         slope.unit
@@ -74,7 +88,7 @@
     seen: &mut Report,
     (role, quantity, unit): (&str, &str, &str),
     terms: Vec<Option<Term>>,
-    (scale, budget): (f64, Option<f64>),
+    (scale, budget): (f64, Option<(Budget, f64)>),
     mechanism: &str,
 ) {
     let Some(terms) = terms.into_iter().collect::<Option<Vec<Term>>>() else {
@@ -92,8 +106,9 @@
         quantity: quantity.to_owned(),
         unit: unit.to_owned(),
         value,
-        budget,
-        within: budget.map(|b| value <= b),
+        budget: budget.map(|b| b.1),
+        budget_of: budget.map(|b| b.0),
+        within: budget.map(|b| value <= b.1),
         mechanism: mechanism.to_owned(),
         origin,
         formula: format!("{} = {} {unit}", texts.join(" + "), number(value)),
@@ -105,15 +120,23 @@
     row.budget.filter(|b| *b > 0.0).map(|b| row.value / b)
 }
 
-/// Worst ratio first; what has no budget last, in the order in which it came.
+/// What is missed first, the operators' budgets before the program's own bounds and the worst ratio first; what has no
+/// budget last, in the order in which it came.
 pub fn rank(rows: &mut [AtSize]) {
-    rows.sort_by(|a, b| ratio(b).unwrap_or(-1.0).total_cmp(&ratio(a).unwrap_or(-1.0)));
+    let class = |row: &AtSize| match (row.within, row.budget_of) {
+        (None, _) => 4,
+        (Some(within), of) => 2 * i32::from(within) + i32::from(of == Some(Budget::Program)),
+    };
+    let worse = |a: &AtSize, b: &AtSize| ratio(b).unwrap_or(0.0).total_cmp(&ratio(a).unwrap_or(0.0));
+    rows.sort_by(|a, b| class(a).cmp(&class(b)).then_with(|| worse(a, b)));
 }
 
 /// Works the figures out that rest on the pure cores' slopes.
 pub fn work_out(seen: &mut Report) {
     front(seen);
     planner(seen);
+    set_aside(seen);
+    machines(seen);
     rank(&mut seen.at_size);
 }
 
@@ -138,7 +161,7 @@
             seen,
             ("front", &quantity, "bytes a second"),
             terms,
-            (1.0, Some(target::CONTROL_BYTES_PER_S)),
+            (1.0, Some((Budget::ControlBytes, target::CONTROL_BYTES_PER_S))),
             polling,
         );
     }
@@ -148,11 +171,11 @@
         seen,
         ("front", "control, bytes of a hot front, no change of the list", "bytes a second"),
         terms,
-        (1.0, Some(target::CONTROL_BYTES_PER_S)),
+        (1.0, Some((Budget::ControlBytes, target::CONTROL_BYTES_PER_S))),
         polling,
     );
 
-    let core = Some(CORE * target::CONTROL_CORE);
+    let core = Some((Budget::ControlCore, CORE * target::CONTROL_CORE));
     let shown = "member: looking through all rows at each renewal";
     let terms = vec![
         term(seen, of("control: spans, asks and answers"), fronts, 1.0),
@@ -172,8 +195,8 @@
         seen,
         ("front", "control, resident memory of the list", "MB"),
         terms,
-        (1.0, Some(target::FRONT_MB)),
-        "whole list held (yarrowspoke-front/src/member.rs)",
+        (1.0, Some((Budget::FrontMemory, target::FRONT_MB))),
+        "endpoint snapshot held whole (yarrowspoke-front/src/member.rs)",
     );
 
     let (request, timer) = ("decision module: a request with its end", "decision module: its timer");
@@ -184,21 +207,15 @@
             term(seen, of("decision module: a delta of one row"), machines, change / 1e3),
         ];
         let quantity = format!("decision module, processor time, {name}");
-        row(
-            seen,
-            ("front", &quantity, "ms a second"),
-            terms,
-            (1.0, Some(CORE)),
-            "missing: endpoint subset; every request looks at all machines (yarrowspoke/src/rules.rs)",
-        );
+        row(seen, ("front", &quantity, "ms a second"), terms, (1.0, Some((Budget::Program, CORE))), SUBSET);
     }
     let terms = vec![term(seen, of(request), machines, 1.0)];
     row(
         seen,
         ("front", "decision module, a request with its end", "us"),
         terms,
-        (1.0, Some(1e3 * target::ADDED_MS)),
-        "missing: endpoint subset",
+        (1.0, Some((Budget::Added, 1e3 * target::ADDED_MS))),
+        SUBSET,
     );
     let terms =
         vec![term(seen, of("decision module: resident memory, allocator's slack in it"), machines, 1.0)];
@@ -207,7 +224,7 @@
         ("front", "decision module, resident memory", "MB"),
         terms,
         (1.0, None),
-        "whole list held (yarrowspoke/src/books.rs)",
+        "endpoint snapshot held whole (yarrowspoke/src/books.rs)",
     );
     let terms = vec![term(
         seen,
@@ -233,14 +250,14 @@
     );
 
     let terms = vec![term(seen, ("discovery", "the whole list"), machines, 1.0)];
-    row(seen, ("front", "whole list that has to be read before it is ready", "bytes"), terms, (1.0, Some(LIST_LIMIT as f64)), "missing: subset or paged snapshot; one body of at most LIST_LIMIT (yarrowspoke-front/src/net/list.rs)");
+    row(seen, ("front", "whole list that has to be read before it is ready", "bytes"), terms, (1.0, Some((Budget::Program, LIST_LIMIT as f64))), "snapshot in one body of at most LIST_LIMIT, then deltas by watch (yarrowspoke-front/src/net/list.rs)");
     let terms = vec![term(seen, of("decoding the whole list"), machines, 1.0)];
     row(
         seen,
         ("front", "decoding the whole list", "ms"),
         terms,
         (1.0, None),
-        "JSON in one piece (yarrowspoke-front/src/net/list.rs)",
+        "rows kept as text and decoded one by one (yarrowspoke-front/src/net/list.rs)",
     );
     let terms = vec![term(seen, of("peak of memory in decoding the whole list"), machines, 1.0)];
     row(
@@ -248,7 +265,7 @@
         ("front", "peak of memory in decoding the whole list", "MB"),
         terms,
         (1.0, None),
-        "JSON in one piece (yarrowspoke-front/src/net/list.rs)",
+        "rows kept as text and decoded one by one (yarrowspoke-front/src/net/list.rs)",
     );
     let terms = vec![term(seen, ("discovery", "the whole list"), machines, fronts)];
     row(
@@ -256,7 +273,7 @@
         ("discovery", "all fronts back at once", "MB"),
         terms,
         (1e-6, None),
-        "missing: snapshot from a peer or planner",
+        "missing: snapshot from a peer or planner; every front reads the whole list (yarrowspoke-front/src/net/list.rs)",
     );
 
     let routes = target::ROUTES as f64;
@@ -271,7 +288,7 @@
             ("front", name, unit),
             terms,
             (1.0, None),
-            "index by constants (yarrowspoke-expr/src/index.rs)",
+            "inverted index by constants (yarrowspoke-expr/src/index.rs)",
         );
     }
 }
@@ -319,19 +336,25 @@
         }
         terms
     };
-    let carried = "one thread a planner, every front asks every planner (yarrowspoke-fleet/src/planner.rs)";
+    let carried = "single-threaded event loop; heartbeat of every front to every planner (yarrowspoke-fleet/src/planner.rs)";
     for (name, long) in [("a young record", false), ("a full record", true)] {
         let (quantity, terms) =
             (format!("processor time, busiest hour, {name}, no sockets"), busy(long, seen));
-        row(seen, ("planner", &quantity, "ms a second"), terms, (1.0, Some(CORE)), carried);
+        row(
+            seen,
+            ("planner", &quantity, "ms a second"),
+            terms,
+            (1.0, Some((Budget::Program, CORE))),
+            carried,
+        );
     }
     let terms = vec![term(seen, of("its record, as it counts it"), fronts, 1_440.0 / 1_048_576.0)];
     row(
         seen,
         ("planner", "a day's record", "MB"),
         terms,
-        (1.0, Some(mb)),
-        "missing: compaction; the oldest are given up for room (yarrowspoke-fleet/src/book.rs)",
+        (1.0, Some((Budget::Program, mb))),
+        "retention by size, oldest evicted first (yarrowspoke-fleet/src/book.rs); missing: compaction",
     );
     let terms = vec![term(seen, of("its record, resident, 20 machines a span"), spans, 1.0)];
     row(
@@ -339,7 +362,7 @@
         ("planner", "a full record, resident", "MB"),
         terms,
         (1.0, None),
-        "bounded by count of bytes (yarrowspoke-fleet/src/book.rs)",
+        "retention by size (yarrowspoke-fleet/src/book.rs)",
     );
     // Two years in which each front is taken out once a day.
     let orders = 730.0 * fronts;
@@ -361,17 +384,115 @@
     );
 }
 
+/// The machines set aside for control carry one planner each.
+fn set_aside(seen: &mut Report) {
+    let (fronts, planners) = (target::FRONTS as f64, target::PLANNERS as f64);
+    let (needed, aside) = (target::PLANNERS, target::SET_ASIDE as f64);
+    seen.at_size.push(AtSize {
+        role: "set aside".to_owned(),
+        quantity: "machines, one planner on each".to_owned(),
+        unit: "machines".to_owned(),
+        value: planners,
+        budget: Some(aside),
+        budget_of: Some(Budget::SetAside),
+        within: Some(planners <= aside),
+        mechanism: "replicated planners, majority quorum (yarrowspoke-fleet/src/planner.rs)".to_owned(),
+        origin: Origin::WorkedOut,
+        formula: format!("1 machine x {needed} planners, {} of which may be lost", (needed - 1) / 2),
+    });
+    let terms = vec![
+        term(
+            seen,
+            ("front", "control: bytes both ways, all planners, heads counted in"),
+            fronts,
+            fronts / planners,
+        ),
+        term(
+            seen,
+            ("front", "control: bytes for one change of the list, all planners"),
+            target::MACHINES as f64,
+            changes_per_s() * fronts / planners,
+        ),
+        term(
+            seen,
+            ("planner", "one exchange with another planner"),
+            fronts,
+            2.0 * EXCHANGES_PER_S * (planners - 1.0),
+        ),
+    ];
+    row(
+        seen,
+        ("set aside", "network of one of them, both ways, busiest hour", "MB a second"),
+        terms,
+        (1e-6, None),
+        "lease renewal by heartbeat; anti-entropy among planners (yarrowspoke-fleet/src/planner.rs)",
+    );
+}
+
+/// A machine is asked by those fronts that send to it.
+fn machines(seen: &mut Report) {
+    let (machines, fronts) = (target::MACHINES as f64, target::FRONTS as f64);
+    let terms = vec![term(seen, ("front", "machines that one front sends to"), machines, fronts / machines)];
+    row(
+        seen,
+        ("machines", "fronts that send to one, the mean", "fronts"),
+        terms,
+        (1.0, None),
+        "deterministic subsetting, a stretch of machines for each front and build (yarrowspoke/src/rules.rs)",
+    );
+}
+
+/// What only the whole run shows: readiness and changes in force, over all incidents.
+pub fn of_run(seen: &mut Report) {
+    let seconds = [
+        (
+            "front",
+            "restarted real processes ready, 9 in 10",
+            seen.ready_s_p90,
+            (Budget::Ready, target::READY_S),
+            "endpoint snapshot from discovery before the first request (yarrowspoke-front/src/net/list.rs)",
+        ),
+        (
+            "discovery",
+            "a change of the list in force at the last front, all incidents",
+            seen.change_in_force_s_max,
+            (Budget::InForce, target::IN_FORCE_S),
+            "watch with deltas (yarrowspoke-front/src/net/list.rs)",
+        ),
+    ];
+    for (role, quantity, value, (of, budget), mechanism) in seconds {
+        let Some(value) = value else { continue };
+        let fronts = seen.real_fronts + seen.hollow_fronts;
+        seen.at_size.push(AtSize {
+            role: role.to_owned(),
+            quantity: quantity.to_owned(),
+            unit: "s".to_owned(),
+            value,
+            budget: Some(budget),
+            budget_of: Some(of),
+            within: Some(value <= budget),
+            mechanism: mechanism.to_owned(),
+            origin: Origin::Measured,
+            formula: format!(
+                "the longest seen with at most {fronts} fronts before {} machines",
+                seen.machines
+            ),
+        });
+    }
+}
+
 /// What a size adds over its slope's fixed part.
 fn more(seen: &Report, quantity: &str, size: f64, times: f64) -> Option<Term> {
     let slope = find(seen, "planner", quantity)?;
     let (shape, per_unit) = (slope.shape, slope.per_unit);
     let added = per_unit * shape.measure(size);
     let text = format!(
-        "{} x ({} x {} [{}]: {} {})",
+        "{} x ({} x {} [{}{}]: {} {})",
         number(times),
         number(per_unit),
         number(shape.measure(size)),
         slope.over,
+        beyond(slope, size),
         number(added),
         slope.unit
     );
--- a/crates/yarrowspoke-lab/src/scale/cli.rs
+++ b/crates/yarrowspoke-lab/src/scale/cli.rs
@@ -1,5 +1,6 @@
 //! The words of `yarrowspoke-lab scale`, and what is refused before anything starts.
 
+use super::page;
 use super::play::{play, table, Part};
 use super::pure::probe;
 use super::report::Report;
@@ -57,6 +58,15 @@
     /// Write the JSON object here as well
     #[arg(long)]
     out: Option<PathBuf>,
+    /// Play nothing: write the tables of the page on capacity from a run's object
+    #[arg(long)]
+    page: bool,
+    /// That object
+    #[arg(long, default_value = "docs/measurements/scale.json", requires = "page")]
+    json_file: PathBuf,
+    /// That page
+    #[arg(long, default_value = "docs/CAPACITY.md", requires = "page")]
+    to: PathBuf,
 }
 
 /// A probe of memory, in a process of its own.
@@ -99,6 +109,11 @@
     tried.map_err(|e| format!("--{what} {}: cannot be written: {e}", dir.display()))
 }
 
+fn refused(why: &str) -> ExitCode {
+    eprintln!("yarrowspoke-lab: scale: {why}");
+    ExitCode::from(2)
+}
+
 impl Scale {
     fn read(&self) -> Result<(Options, Option<Part>), String> {
         let seed = self
@@ -150,15 +165,18 @@
 
     /// Plays, prints, and says by its status whether all checks held.
     pub fn run(&self) -> ExitCode {
+        if self.page {
+            return match page::write(&self.json_file, &self.to) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => refused(&why),
+            };
+        }
         match self.played() {
             Ok(report) => match report.held() {
                 true => ExitCode::SUCCESS,
                 false => ExitCode::FAILURE,
             },
-            Err(why) => {
-                eprintln!("yarrowspoke-lab: scale: {why}");
-                ExitCode::from(2)
-            }
+            Err(why) => refused(&why),
         }
     }
 
--- a/crates/yarrowspoke-lab/src/scale/fit.rs
+++ b/crates/yarrowspoke-lab/src/scale/fit.rs
@@ -4,6 +4,10 @@
 
 /// Largest residual at which a shape counts as right whatever a richer one leaves: counts are exact, times are not.
 const CLOSE: f64 = 0.03;
+/// What leaves no more than this is right, whatever a richer one leaves: digits of numbers come to so much.
+const EXACT: f64 = 0.005;
+/// A richer shape that leaves less than this part of what a close one leaves is no noise: it is the right one.
+const CLEAR: f64 = 0.05;
 /// A richer shape has to leave less than this part of what the simpler one leaves.
 const BETTER: f64 = 0.5;
 const SHAPES: [Shape; 4] = [Shape::Flat, Shape::Linear, Shape::NLogN, Shape::Quadratic];
@@ -55,10 +59,12 @@
     }
 }
 
-/// The simplest shape that does: one that is close, or that no richer one betters by much.
+/// The simplest shape that does: one that is exact, one that is close while no richer one is exact beside it, or one that
+/// no richer one betters by much.
 pub fn fit(points: &[(f64, f64)]) -> Fit {
     let fits = SHAPES.map(|shape| Fit::through(points, shape));
     let least = fits.iter().map(|f| f.residual).fold(f64::INFINITY, f64::min);
-    let does = |f: &&Fit| f.residual <= (least / BETTER).max(CLOSE);
+    let close = |f: &Fit| f.residual <= CLOSE && least >= CLEAR * f.residual;
+    let does = |f: &&Fit| f.residual <= EXACT || f.residual <= least / BETTER || close(f);
     *fits.iter().find(does).unwrap_or(&fits[0])
 }
--- a/crates/yarrowspoke-lab/src/scale/pure/module.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/module.rs
@@ -113,6 +113,9 @@
     }
 }
 
+/// An attempt on its way: when it ends, of which request, which attempt, at which machine, and how long it took.
+type Sent = (Micros, RequestId, u16, MachineId, Micros);
+
 /// A front with its host.
 pub struct Drive {
     front: Front,
@@ -121,7 +124,7 @@
     chance: u64,
     tenants: u64,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
-    out: BinaryHeap<Reverse<(Micros, RequestId, u16, MachineId, Micros)>>,
+    out: BinaryHeap<Reverse<Sent>>,
     attempts: BTreeMap<RequestId, u16>,
     did: Vec<Action>,
     /// What reading the clock twice costs.
--- a/crates/yarrowspoke-lab/src/scale/report.rs
+++ b/crates/yarrowspoke-lab/src/scale/report.rs
@@ -1,5 +1,6 @@
 //! What a scale run prints: one object, of this version.
 
+use super::target::Budget;
 use serde::{Deserialize, Serialize};
 
 /// Version of the object; a page is written from no other.
@@ -65,6 +66,9 @@
     pub value: f64,
     /// What there is for it, if anybody said.
     pub budget: Option<f64>,
+    /// Whose budget it is; nothing where there is none.
+    #[serde(default)]
+    pub budget_of: Option<Budget>,
     /// Whether that is enough; nothing where there is no budget.
     pub within: Option<bool>,
     /// What carries it, by its standard name and place in the code, or `missing`.
--- a/crates/yarrowspoke-lab/src/scale/target.rs
+++ b/crates/yarrowspoke-lab/src/scale/target.rs
@@ -1,5 +1,7 @@
 //! The size to come, and what there is for it, as the operators told it (docs/CAPACITY.md).
 
+use serde::{Deserialize, Serialize};
+
 /// Fronts.
 pub const FRONTS: usize = 620;
 /// Machines.
@@ -44,3 +46,52 @@
 pub const PROCESS_LIMIT: usize = 300;
 /// Resident memory that a run may have in all, MB.
 pub const MEMORY_LIMIT_MB: f64 = 12_000.0;
+
+/// What a figure is held against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Budget {
+    /// Milliseconds added to a request for 99 in 100.
+    Added,
+    /// A change of configuration is in force everywhere.
+    InForce,
+    /// A front's share of a core for control.
+    ControlCore,
+    /// A front's memory.
+    FrontMemory,
+    /// A front's bytes a second for control.
+    ControlBytes,
+    /// Machines set aside for control.
+    SetAside,
+    /// Nine in ten restarted processes are ready.
+    Ready,
+    /// A bound that the program keeps itself, or one core for what runs on one thread: nobody's budget, yet it stops there.
+    Program,
+}
+
+impl Budget {
+    /// Those that the operators gave.
+    pub const OPERATORS: [Self; 7] = [
+        Self::Added,
+        Self::InForce,
+        Self::ControlCore,
+        Self::FrontMemory,
+        Self::ControlBytes,
+        Self::SetAside,
+        Self::Ready,
+    ];
+
+    /// As the operators told it.
+    pub fn label(self) -> String {
+        match self {
+            Self::Added => format!("{ADDED_MS} ms added to a request, 99 in 100"),
+            Self::InForce => format!("a change in force everywhere within {IN_FORCE_S} s"),
+            Self::ControlCore => format!("control, {:.1} % of a core a front", 100.0 * CONTROL_CORE),
+            Self::FrontMemory => format!("control, {FRONT_MB} MB a front"),
+            Self::ControlBytes => format!("control, {CONTROL_BYTES_PER_S} bytes a second a front"),
+            Self::SetAside => format!("{SET_ASIDE} machines set aside"),
+            Self::Ready => format!("ready within {READY_S} s, 9 in 10 restarted"),
+            Self::Program => "the program's own bound".to_owned(),
+        }
+    }
+}
