--- a/crates/yarrowspoke-lab/tests/scale_pure.rs
+++ b/crates/yarrowspoke-lab/tests/scale_pure.rs
@@ -7,7 +7,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
-use yarrowspoke_lab::scale::fit::{fit, Fit};
+use yarrowspoke_lab::scale::fit::fit;
 use yarrowspoke_lab::scale::report::{Report, Shape, Slope};
 
 const SIZES: [f64; 5] = [10.0, 50.0, 150.0, 300.0, 620.0];
