--- a/crates/yarrowspoke-lab/src/scale/at_size.rs
+++ b/crates/yarrowspoke-lab/src/scale/at_size.rs
@@ -178,10 +178,10 @@
     let core = Some((Budget::ControlCore, CORE * target::CONTROL_CORE));
     let shown = "member: looking through all rows at each renewal";
     let terms = vec![
-        term(seen, of("control: spans, asks and answers"), fronts, 1.0),
+        term(seen, of("control: spans, heartbeats and answers"), fronts, 1.0),
         term(seen, of(shown), machines, renewals / 1e3),
         term(seen, of("member: a delta of one row"), machines, change / 1e3),
-        term(seen, of("control: asks and answers for one change of the list"), machines, change),
+        term(seen, of("control: heartbeats and answers for one change of the list"), machines, change),
     ];
     row(
         seen,
@@ -304,7 +304,7 @@
         find(seen, "planner", record).map_or(0.0, |s| (mb - s.fixed) / s.per_unit.max(f64::MIN_POSITIVE));
     let busy = |record_too: bool, seen: &Report| {
         let mut terms = vec![
-            term(seen, of("an ask with its answer, a short record"), fronts, asks / 1e3),
+            term(seen, of("a heartbeat with its answer, a short record"), fronts, asks / 1e3),
             term(
                 seen,
                 of("looking for steps that have changed, ten times a second"),
@@ -326,7 +326,7 @@
         ];
         if record_too {
             // What a long record adds to each ask, and to each exchange on both sides.
-            terms.push(more(seen, "an ask with its answer, 10 fronts", spans / fronts, asks / 1e3));
+            terms.push(more(seen, "a heartbeat with its answer, 10 fronts", spans / fronts, asks / 1e3));
             terms.push(more(
                 seen,
                 "saying what it has, to another planner",
--- a/crates/yarrowspoke-lab/src/scale/pure/links.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/links.rs
@@ -15,7 +15,7 @@
 use yarrowspoke_fleet::settings::{Fleet, Member, Role};
 use yarrowspoke_fleet::span::{Recorder, Stance};
 use yarrowspoke_fleet::version::{digest, List, News, Source, Version};
-use yarrowspoke_fleet::wire::{decode, encode, Answer, Ask, Pull, Pushed};
+use yarrowspoke_fleet::wire::{decode, encode, Answer, Heartbeat, Pull, Pushed};
 use yarrowspoke_front::input::Row;
 use yarrowspoke_front::net::http::Encoder;
 use yarrowspoke_front::net::list::{machine_id, Discovery};
@@ -146,7 +146,7 @@
         .0
     }
 
-    /// A renewal: every front closes a span and asks every planner.
+    /// A renewal: every front closes a span and sends every planner a heartbeat.
     pub fn step(&mut self) {
         self.now += self.renew;
         self.due += self.rate * self.renew as f64 / 1e6;
@@ -167,11 +167,11 @@
         counted.fronts_s += timed(|| self.fronts.iter_mut().for_each(|f| f.tick(now, wall))).0;
         for (p, planner) in self.planners.iter_mut().enumerate() {
             let (took, asks) = timed(|| -> Vec<Vec<u8>> {
-                self.fronts.iter_mut().map(|f| encode(&f.ask(p, now))).collect()
+                self.fronts.iter_mut().map(|f| encode(&f.heartbeat(p, now))).collect()
             });
             counted.fronts_s += took;
             let answer = |body: &Vec<u8>| {
-                let ask = decode::<Ask>(body).ok()?;
+                let ask = decode::<Heartbeat>(body).ok()?;
                 Some(encode(&planner.take(now, ask).ok()?))
             };
             let (took, answers) = timed(|| -> Vec<Option<Vec<u8>>> { asks.iter().map(answer).collect() });
@@ -189,7 +189,7 @@
                 counted.asked += came;
                 counted.answered += went;
                 counted.heads += came + went - (ask.len() + answer.len()) as u64;
-                if let Some(list) = decode::<Ask>(ask).ok().and_then(|a| a.ready) {
+                if let Some(list) = decode::<Heartbeat>(ask).ok().and_then(|a| a.ready) {
                     counted.lists += encode(&list).len() as u64;
                 }
             }
@@ -310,8 +310,12 @@
         bytes,
     );
     slope(seen, ("front", "control: heads of HTTP among them", "bytes a second", "fronts"), heads);
-    slope(seen, ("planner", "an ask with its answer, a short record", "us of processor", "fronts"), ask);
-    slope(seen, ("front", "control: spans, asks and answers", "ms of processor a second", "fronts"), front);
+    slope(seen, ("planner", "a heartbeat with its answer, a short record", "us of processor", "fronts"), ask);
+    slope(
+        seen,
+        ("front", "control: spans, heartbeats and answers", "ms of processor a second", "fronts"),
+        front,
+    );
     slope(seen, ("planner", "its record, as it counts it", "bytes a minute", "fronts"), book);
     slope(
         seen,
@@ -349,7 +353,7 @@
     );
     slope(
         seen,
-        ("front", "control: spans, asks and answers, 50 fronts", "ms of processor a second", over),
+        ("front", "control: spans, heartbeats and answers, 50 fronts", "ms of processor a second", over),
         front,
     );
 }
@@ -404,7 +408,12 @@
     );
     slope(
         seen,
-        ("front", "control: asks and answers for one change of the list", "ms of processor", "machines"),
+        (
+            "front",
+            "control: heartbeats and answers for one change of the list",
+            "ms of processor",
+            "machines",
+        ),
         front,
     );
     slope(
@@ -445,7 +454,7 @@
     }
     slope(
         seen,
-        ("planner", "an ask with its answer, 10 fronts", "us of processor", "spans kept of each front"),
+        ("planner", "a heartbeat with its answer, 10 fronts", "us of processor", "spans kept of each front"),
         ask,
     );
     slope(
