--- a/crates/yarrowspoke-lab/src/scale/cli.rs
+++ b/crates/yarrowspoke-lab/src/scale/cli.rs
@@ -1,5 +1,6 @@
 //! The words of `yarrowspoke-lab scale`, and what is refused before anything starts.
 
+use super::bounds::{refuse, Bounds, Limits};
 use super::page;
 use super::play::{play, table, Part};
 use super::pure::probe;
@@ -182,6 +183,11 @@
 
     fn played(&self) -> Result<Report, String> {
         let (options, only) = self.read()?;
+        if only != Some(Part::Pure) {
+            // The pure part starts no process but probes, and none of the program.
+            refuse(&options)?;
+        }
+        let held = Bounds::hold(&options.lab, Limits::of(&options)).map_err(|e| e.to_string())?;
         std::fs::create_dir_all(&options.dir).map_err(|e| format!("{}: {e}", options.dir.display()))?;
         let bar = match std::io::stderr().is_terminal() {
             true => ProgressBar::new_spinner(),
@@ -195,9 +201,13 @@
             bar.inc(1);
         };
         let played = play(&options, only, &told);
+        let peaks = held.peaks();
+        drop(held);
         bar.finish_and_clear();
         let _ = std::fs::remove_dir_all(&options.dir);
-        let report = played.map_err(|e| e.to_string())?;
+        let mut report = played.map_err(|e| e.to_string())?;
+        report.processes = report.processes.max(peaks.processes);
+        report.peak_memory_mb = report.peak_memory_mb.max(peaks.memory_mb);
         let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())? + "\n";
         if let Some(out) = &self.out {
             std::fs::write(out, &text).map_err(|e| format!("{}: {e}", out.display()))?;
--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod assumed;
 pub mod at_size;
+pub mod bounds;
 pub mod child;
 pub mod cli;
 pub mod clients;
@@ -24,3 +25,4 @@
 pub mod site;
 pub mod target;
 pub mod usage;
+pub mod witness;
--- a/crates/yarrowspoke-lab/tests/scale_pure.rs
+++ b/crates/yarrowspoke-lab/tests/scale_pure.rs
@@ -7,6 +7,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use yarrowspoke_lab::scale::fit::fit;
 use yarrowspoke_lab::scale::report::{Report, Shape, Slope};
 
@@ -90,7 +91,10 @@
 
 impl Own {
     fn new(name: &str) -> Self {
-        let dir = std::env::temp_dir().join(format!("yarrowspoke-scale-{name}-{}", std::process::id()));
+        // Tests share a process, and each refusal looks at what is left in its directory.
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("yarrowspoke-scale-{name}-{}-{n}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         Self(dir)
     }
@@ -157,6 +161,22 @@
     }
 }
 
+#[test]
+fn what_does_not_fit_the_machine_is_refused_with_its_figure() {
+    let lab = env!("CARGO_BIN_EXE_yarrowspoke-lab");
+    let large = ["--program", lab, "--fronts", "1240", "--machines", "19400"];
+    refused(&large, " MB of a run");
+    refused(&["--program", "/no/such/program"], "/no/such/program");
+    // A port that somebody holds, wherever in the range it lies.
+    let holder = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let held = holder.local_addr().unwrap().port();
+    for first in [held, held - 1] {
+        let first = first.to_string();
+        refused(&["--program", lab, "--only", "control", "--port", &first], "can't be listened on");
+    }
+    refused(&["--program", lab, "--port", "65535"], "port 65535");
+}
+
 #[test]
 fn a_directory_or_file_that_cannot_be_written_is_refused() {
     let own = Own::new("unwritable");
