--- a/crates/yarrowspoke-lab/src/scale/pure/links.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/links.rs
@@ -15,7 +15,7 @@
 use yarrowspoke_fleet::settings::{Fleet, Member, Role};
 use yarrowspoke_fleet::span::{Recorder, Stance};
 use yarrowspoke_fleet::version::{digest, List, News, Source, Version};
-use yarrowspoke_fleet::wire::{decode, encode, Answer, Ask, Pull, Pushed};
+use yarrowspoke_fleet::wire::{decode, encode, Answer, Heartbeat, Pull, Pushed};
 use yarrowspoke_front::input::Row;
 use yarrowspoke_front::net::http::Encoder;
 use yarrowspoke_front::net::list::{machine_id, Discovery};
@@ -167,11 +167,11 @@
         counted.fronts_s += timed(|| self.fronts.iter_mut().for_each(|f| f.tick(now, wall))).0;
         for (p, planner) in self.planners.iter_mut().enumerate() {
             let (took, asks) = timed(|| -> Vec<Vec<u8>> {
-                self.fronts.iter_mut().map(|f| encode(&f.ask(p, now))).collect()
+                self.fronts.iter_mut().map(|f| encode(&f.heartbeat(p, now))).collect()
             });
             counted.fronts_s += took;
             let answer = |body: &Vec<u8>| {
-                let ask = decode::<Ask>(body).ok()?;
+                let ask = decode::<Heartbeat>(body).ok()?;
                 Some(encode(&planner.take(now, ask).ok()?))
             };
             let (took, answers) = timed(|| -> Vec<Option<Vec<u8>>> { asks.iter().map(answer).collect() });
@@ -189,7 +189,7 @@
                 counted.asked += came;
                 counted.answered += went;
                 counted.heads += came + went - (ask.len() + answer.len()) as u64;
-                if let Some(list) = decode::<Ask>(ask).ok().and_then(|a| a.ready) {
+                if let Some(list) = decode::<Heartbeat>(ask).ok().and_then(|a| a.ready) {
                     counted.lists += encode(&list).len() as u64;
                 }
             }
