--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -9,6 +9,7 @@
 pub mod child;
 pub mod cli;
 pub mod clients;
+pub mod control;
 pub mod discovery;
 pub mod estate;
 pub mod fit;
