--- a/crates/yarrowspoke-lab/src/scale/control.rs
+++ b/crates/yarrowspoke-lab/src/scale/control.rs
@@ -5,10 +5,11 @@
 use super::discovery::{Caller, Status};
 use super::estate::Extent;
 use super::fit::fit;
+use super::page::figure;
 use super::report::{AtSize, Origin, Report, Slope};
 use super::run::Options;
 use super::site::{Role, Site, Spec};
-use super::target;
+use super::target::{self, Budget};
 use std::cell::Cell;
 use std::io;
 use std::path::PathBuf;
@@ -358,7 +359,7 @@
 fn at_size(
     seen: &mut Report,
     (role, quantity, unit): (&str, &str, &str),
-    (value, budget): (f64, Option<f64>),
+    (value, budget): (f64, Option<(Budget, f64)>),
     (origin, formula): (Origin, String),
     mechanism: &str,
 ) {
@@ -367,8 +368,9 @@
         quantity: quantity.into(),
         unit: unit.into(),
         value,
-        budget,
-        within: budget.map(|b| value <= b),
+        budget: budget.map(|b| b.1),
+        budget_of: budget.map(|b| b.0),
+        within: budget.map(|b| value <= b.1),
         mechanism: mechanism.into(),
         origin,
         formula,
@@ -393,11 +395,20 @@
         self.measured().map_or_else(|| fit(&all()).at(self.size), of)
     }
 
-    fn told(&self, what: &str) -> (Origin, String) {
+    fn told(&self, what: &str, of: fn(&Point) -> f64) -> (Origin, String) {
         let (size, over) = (self.size, self.over);
+        let all: Vec<_> = self.points.iter().map(|(s, p)| (*s, of(p))).collect();
+        let fit = fit(&all);
+        let line = format!(
+            "{} x {} [{over}] + {} = {}",
+            figure(fit.per_unit),
+            figure(fit.shape.measure(size)),
+            figure(fit.fixed),
+            figure(fit.at(size))
+        );
         match self.measured() {
-            Some(_) => (Origin::Measured, format!("{what}, at {size} {over}")),
-            None => (Origin::WorkedOut, format!("{what}, the slope put forward to {size} {over}")),
+            Some(p) => (Origin::Measured, format!("{what}: {line}, seen there {}", figure(of(p)))),
+            None => (Origin::WorkedOut, format!("{what}: {line}")),
         }
     }
 }
@@ -440,39 +451,42 @@
     at_size(
         seen,
         ("front", "control bytes, no change of the list", "B/s"),
-        (to.value(|p| p.bytes), Some(target::CONTROL_BYTES_PER_S)),
-        to.told("both ways with all planners"),
+        (to.value(|p| p.bytes), Some((Budget::ControlBytes, target::CONTROL_BYTES_PER_S))),
+        to.told("both ways with all planners", |p| p.bytes),
         heartbeat,
     );
     at_size(
         seen,
         ("front", "control cpu, hollow front, no change of the list", "core"),
-        (to.value(|p| p.front_core), Some(target::CONTROL_CORE)),
-        to.told("its own time"),
+        (to.value(|p| p.front_core), Some((Budget::ControlCore, target::CONTROL_CORE))),
+        to.told("its own time", |p| p.front_core),
         heartbeat,
     );
     at_size(
         seen,
         ("front", "until all act on a change of the list", "s"),
-        (to.value(|p| p.in_force_s), Some(target::IN_FORCE_S)),
-        to.told("the longest of the changes made"),
+        (to.value(|p| p.in_force_s), Some((Budget::InForce, target::IN_FORCE_S))),
+        to.told("the longest of the changes made", |p| p.in_force_s),
         "watch with deltas (yarrowspoke-front/src/net/list.rs)",
     );
     at_size(
         seen,
         ("planner", "cpu, no change of the list, a young record", "core"),
-        (to.value(|p| p.planner_core), Some(1.0)),
-        to.told("its own time"),
+        (to.value(|p| p.planner_core), Some((Budget::Program, 1.0))),
+        to.told("its own time", |p| p.planner_core),
         "one thread a planner (yarrowspoke-front/src/planner.rs)",
     );
     at_size(
         seen,
         ("planner", "memory growth, a young record", "MB/min"),
         (growth, None),
-        to.told(&format!(
-            "resident; {minutes:.0} minutes to {} MB if nothing were given up",
-            target::MEMORY_LIMIT_MB
-        )),
+        to.told(
+            &format!(
+                "resident; {minutes:.0} minutes to {} MB if nothing were given up",
+                target::MEMORY_LIMIT_MB
+            ),
+            |p| p.planner_growth,
+        ),
         "record bounded by keep-bytes (yarrowspoke-fleet/src/book.rs)",
     );
     Ok(common)
@@ -520,14 +534,14 @@
         seen,
         ("front", "control bytes for a change of the list", "B"),
         (to.value(|p| p.change_bytes), None),
-        to.told("both ways with all planners"),
+        to.told("both ways with all planners", |p| p.change_bytes),
         "all ready machines told to each planner on a change (yarrowspoke-fleet/src/front.rs)",
     );
     at_size(
         seen,
         ("front", "control cpu, hollow front, the whole list, no change of it", "core"),
-        (to.value(|p| p.front_core), Some(target::CONTROL_CORE)),
-        to.told("its own time"),
+        (to.value(|p| p.front_core), Some((Budget::ControlCore, target::CONTROL_CORE))),
+        to.told("its own time", |p| p.front_core),
         "all rows looked through at each renewal (yarrowspoke-front/src/member.rs)",
     );
     Ok(())
@@ -733,21 +747,21 @@
     at_size(
         seen,
         ("front", "added p99", "ms"),
-        (last.added_ms[1], Some(target::ADDED_MS)),
+        (last.added_ms[1], Some((Budget::Added, target::ADDED_MS))),
         told("from a client's last byte to the machine's last read, plus back"),
         subset,
     );
     at_size(
         seen,
         ("front", "memory", "MB"),
-        (last.peak_mb, Some(target::FRONT_MB)),
+        (last.peak_mb, Some((Budget::FrontMemory, target::FRONT_MB))),
         told("most resident"),
         subset,
     );
     at_size(
         seen,
         ("front", "ready", "s"),
-        (last.served_s, Some(target::READY_S)),
+        (last.served_s, Some((Budget::Ready, target::READY_S))),
         told("from its start to the first request served"),
         "whole list from discovery (yarrowspoke-front/src/net/list.rs)",
     );
--- a/crates/yarrowspoke-lab/src/scale/pure/module.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/module.rs
@@ -280,7 +280,7 @@
 
 /// Slopes over machines and over tenants.
 pub fn measure(options: &Options, seen: &mut Report, tick: &dyn Fn(&str)) -> io::Result<()> {
-    let span = if options.small { 2 * S } else { 5 * S };
+    let span = if options.quick { 2 * S } else { 5 * S };
     let mut of: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
     for machines in &options.sizes.machines {
         tick(&format!("module, {machines} machines"));
--- a/crates/yarrowspoke-lab/src/scale/pure/rules.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/rules.rs
@@ -27,7 +27,11 @@
 
 /// Slopes over rules; what is refused is said.
 pub fn measure(options: &Options, seen: &mut Report, tick: &dyn Fn(&str)) {
-    let requests = if options.small { 500 } else { 4_000 };
+    let requests = match (options.small, options.quick) {
+        (true, _) => 500,
+        (_, true) => 1_000,
+        _ => 4_000,
+    };
     let (mut load, mut each, mut worst, mut memory) = (vec![], vec![], vec![], vec![]);
     for rules in &options.sizes.routes {
         tick(&format!("rules, {rules} routes"));
