Scale run: each slope is drawn against its budget

`--plot DIR` draws an SVG for each slope with its points, the fitted line and, where anybody gave one, the budget in the slope's own unit.

--- a/crates/yarrowspoke-lab/src/scale/cli.rs
+++ b/crates/yarrowspoke-lab/src/scale/cli.rs
@@ -3,6 +3,7 @@
 use super::bounds::{refuse, Bounds, Limits};
 use super::page;
 use super::play::{play, table, Part};
+use super::plot;
 use super::pure::probe;
 use super::report::Report;
 use super::run::{Options, Sizes};
@@ -59,6 +60,9 @@
     /// Write the JSON object here as well
     #[arg(long)]
     out: Option<PathBuf>,
+    /// Draw each slope against its budget into this directory, as SVG
+    #[arg(long)]
+    plot: Option<PathBuf>,
     /// Play nothing: write the tables of the page on capacity from a run's object
     #[arg(long)]
     page: bool,
@@ -151,6 +155,9 @@
         };
         let base = self.dir.clone().unwrap_or_else(std::env::temp_dir);
         writable("dir", &base)?;
+        if let Some(plot) = &self.plot {
+            writable("plot", plot)?;
+        }
         if let Some(out) = &self.out {
             writable("out", out.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new(".")))?;
         }
@@ -212,6 +219,9 @@
         if let Some(out) = &self.out {
             std::fs::write(out, &text).map_err(|e| format!("{}: {e}", out.display()))?;
         }
+        if let Some(dir) = &self.plot {
+            plot::draw(&report, dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        }
         match self.json {
             true => print!("{text}"),
             false => print!("{}", table(&report)),
--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -18,6 +18,7 @@
 pub mod page;
 pub mod platform;
 pub mod play;
+pub mod plot;
 pub mod ports;
 pub mod proxy;
 pub mod pure;
--- a/crates/yarrowspoke-lab/tests/scale_page.rs
+++ b/crates/yarrowspoke-lab/tests/scale_page.rs
@@ -4,6 +4,7 @@
 use std::process::{Command, Output};
 use yarrowspoke_lab::scale::at_size::rank;
 use yarrowspoke_lab::scale::page::{figure, filled, read, NAMES};
+use yarrowspoke_lab::scale::plot;
 use yarrowspoke_lab::scale::report::{AtSize, Incident, Origin, Report, Shape, Slope, VERSION};
 use yarrowspoke_lab::scale::target::Budget;
 
@@ -245,3 +246,22 @@
     assert_eq!(page(&own.file("scale.json", &good), &to).status.code(), Some(0));
     assert_eq!(std::fs::read_to_string(&to).unwrap(), filled(&page_of, &made()).unwrap());
 }
+
+#[test]
+fn each_slope_is_drawn_against_its_budget() {
+    let own = Own::new("plot");
+    let seen = read(&docs("measurements/scale.json")).unwrap();
+    let files = plot::draw(&seen, &own.0).unwrap();
+    assert_eq!(files.len(), seen.slopes.len());
+    let mut names = files.clone();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), files.len(), "no picture is drawn over another");
+    for (slope, file) in seen.slopes.iter().zip(&files) {
+        let text = std::fs::read_to_string(file).unwrap();
+        assert_eq!(text.matches("<circle").count(), slope.points.len(), "{}", file.display());
+        let budget = if plot::budget(slope).is_some() { "orange: its budget" } else { "no budget" };
+        assert!(text.contains(budget), "{}: {budget}", file.display());
+    }
+    assert!(seen.slopes.iter().any(|s| plot::budget(s).is_some()));
+}
