--- a/crates/yarrowspoke-lab/src/scale/cli.rs
+++ b/crates/yarrowspoke-lab/src/scale/cli.rs
@@ -1,6 +1,9 @@
 //! The words of `yarrowspoke-lab scale`, and what is refused before anything starts.
 
+use super::bounds::{refuse, Bounds, Limits};
+use super::page;
 use super::play::{play, table, Part};
+use super::plot;
 use super::pure::probe;
 use super::report::Report;
 use super::run::{Options, Sizes};
@@ -57,6 +60,18 @@
     /// Write the JSON object here as well
     #[arg(long)]
     out: Option<PathBuf>,
+    /// Draw each slope against its budget into this directory, as SVG
+    #[arg(long)]
+    plot: Option<PathBuf>,
+    /// Play nothing: write the tables of the page on capacity from a run's object
+    #[arg(long)]
+    page: bool,
+    /// That object
+    #[arg(long, default_value = "docs/measurements/scale.json", requires = "page")]
+    json_file: PathBuf,
+    /// That page
+    #[arg(long, default_value = "docs/CAPACITY.md", requires = "page")]
+    to: PathBuf,
 }
 
 /// A probe of memory, in a process of its own.
@@ -99,6 +114,11 @@
     tried.map_err(|e| format!("--{what} {}: cannot be written: {e}", dir.display()))
 }
 
+fn refused(why: &str) -> ExitCode {
+    eprintln!("yarrowspoke-lab: scale: {why}");
+    ExitCode::from(2)
+}
+
 impl Scale {
     fn read(&self) -> Result<(Options, Option<Part>), String> {
         let seed = self
@@ -135,6 +155,9 @@
         };
         let base = self.dir.clone().unwrap_or_else(std::env::temp_dir);
         writable("dir", &base)?;
+        if let Some(plot) = &self.plot {
+            writable("plot", plot)?;
+        }
         if let Some(out) = &self.out {
             writable("out", out.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new(".")))?;
         }
@@ -150,20 +173,28 @@
 
     /// Plays, prints, and says by its status whether all checks held.
     pub fn run(&self) -> ExitCode {
+        if self.page {
+            return match page::write(&self.json_file, &self.to) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => refused(&why),
+            };
+        }
         match self.played() {
             Ok(report) => match report.held() {
                 true => ExitCode::SUCCESS,
                 false => ExitCode::FAILURE,
             },
-            Err(why) => {
-                eprintln!("yarrowspoke-lab: scale: {why}");
-                ExitCode::from(2)
-            }
+            Err(why) => refused(&why),
         }
     }
 
     fn played(&self) -> Result<Report, String> {
         let (options, only) = self.read()?;
+        if only != Some(Part::Pure) {
+            // The pure part starts no process but probes, and none of the program.
+            refuse(&options)?;
+        }
+        let held = Bounds::hold(&options.lab, Limits::of(&options)).map_err(|e| e.to_string())?;
         std::fs::create_dir_all(&options.dir).map_err(|e| format!("{}: {e}", options.dir.display()))?;
         let bar = match std::io::stderr().is_terminal() {
             true => ProgressBar::new_spinner(),
@@ -177,13 +208,20 @@
             bar.inc(1);
         };
         let played = play(&options, only, &told);
+        let peaks = held.peaks();
+        drop(held);
         bar.finish_and_clear();
         let _ = std::fs::remove_dir_all(&options.dir);
-        let report = played.map_err(|e| e.to_string())?;
+        let mut report = played.map_err(|e| e.to_string())?;
+        report.processes = report.processes.max(peaks.processes);
+        report.peak_memory_mb = report.peak_memory_mb.max(peaks.memory_mb);
         let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())? + "\n";
         if let Some(out) = &self.out {
             std::fs::write(out, &text).map_err(|e| format!("{}: {e}", out.display()))?;
         }
+        if let Some(dir) = &self.plot {
+            plot::draw(&report, dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        }
         match self.json {
             true => print!("{text}"),
             false => print!("{}", table(&report)),
--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -3,11 +3,28 @@
 //! A *hollow* front runs the program's own client side of control and forwards nothing; hundreds share one process. Bytes and
 //! calls are what the stand-ins counted, never what the program says of itself.
 
+pub mod assumed;
 pub mod at_size;
+pub mod bounds;
+pub mod child;
 pub mod cli;
+pub mod clients;
+pub mod control;
+pub mod discovery;
+pub mod estate;
 pub mod fit;
+pub mod hollow;
+pub mod machines;
+pub mod page;
+pub mod platform;
 pub mod play;
+pub mod plot;
+pub mod ports;
+pub mod proxy;
 pub mod pure;
 pub mod report;
 pub mod run;
+pub mod site;
 pub mod target;
+pub mod usage;
+pub mod witness;
--- a/crates/yarrowspoke-lab/src/scale/pure/links.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/links.rs
@@ -146,7 +146,7 @@
         .0
     }
 
-    /// A renewal: every front closes a span and asks every planner.
+    /// A renewal: every front closes a span and sends every planner a heartbeat.
     pub fn step(&mut self) {
         self.now += self.renew;
         self.due += self.rate * self.renew as f64 / 1e6;
@@ -310,8 +310,12 @@
         bytes,
     );
     slope(seen, ("front", "control: heads of HTTP among them", "bytes a second", "fronts"), heads);
-    slope(seen, ("planner", "an ask with its answer, a short record", "us of processor", "fronts"), ask);
-    slope(seen, ("front", "control: spans, asks and answers", "ms of processor a second", "fronts"), front);
+    slope(seen, ("planner", "a heartbeat with its answer, a short record", "us of processor", "fronts"), ask);
+    slope(
+        seen,
+        ("front", "control: spans, heartbeats and answers", "ms of processor a second", "fronts"),
+        front,
+    );
     slope(seen, ("planner", "its record, as it counts it", "bytes a minute", "fronts"), book);
     slope(
         seen,
@@ -349,7 +353,7 @@
     );
     slope(
         seen,
-        ("front", "control: spans, asks and answers, 50 fronts", "ms of processor a second", over),
+        ("front", "control: spans, heartbeats and answers, 50 fronts", "ms of processor a second", over),
         front,
     );
 }
@@ -404,7 +408,12 @@
     );
     slope(
         seen,
-        ("front", "control: asks and answers for one change of the list", "ms of processor", "machines"),
+        (
+            "front",
+            "control: heartbeats and answers for one change of the list",
+            "ms of processor",
+            "machines",
+        ),
         front,
     );
     slope(
@@ -445,7 +454,7 @@
     }
     slope(
         seen,
-        ("planner", "an ask with its answer, 10 fronts", "us of processor", "spans kept of each front"),
+        ("planner", "a heartbeat with its answer, 10 fronts", "us of processor", "spans kept of each front"),
         ask,
     );
     slope(
