--- a/crates/yarrowspoke-lab/src/scale/at_size.rs
+++ b/crates/yarrowspoke-lab/src/scale/at_size.rs
@@ -96,6 +96,11 @@
         return;
     };
     let value = scale * terms.iter().map(|t| t.value).sum::<f64>();
+    if value < 0.0 {
+        // Danger: a line through points that scatter leads below nothing, which would pass for within any budget.
+        seen.not_measured.push(format!("{role}: {quantity}: its slopes lead to {} {unit}", number(value)));
+        return;
+    }
     let texts: Vec<&str> = terms.iter().map(|t| t.text.as_str()).collect();
     let origin = match terms.len() == 1 && terms[0].measured {
         true => Origin::Measured,
--- a/crates/yarrowspoke-lab/src/scale/control.rs
+++ b/crates/yarrowspoke-lab/src/scale/control.rs
@@ -363,6 +363,11 @@
     (origin, formula): (Origin, String),
     mechanism: &str,
 ) {
+    if value < 0.0 {
+        // Danger: a line through points that scatter leads below nothing, which would pass for within any budget.
+        seen.not_measured.push(format!("{role}: {quantity}: its slope leads to {} {unit}", figure(value)));
+        return;
+    }
     seen.at_size.push(AtSize {
         role: role.into(),
         quantity: quantity.into(),
