--- a/crates/yarrowspoke-lab/src/fleet/process.rs
+++ b/crates/yarrowspoke-lab/src/fleet/process.rs
@@ -1,5 +1,6 @@
 //! Processes of the program: started, stopped, woken, killed and started again under their names.
 
+use crate::scale::bounds::spawn;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::File;
 use std::io;
@@ -49,13 +50,9 @@
             // Only its first start is new.
             self.args.retain(|a| a != "--found");
         }
-        let child = Command::new(&self.program)
-            .args(&self.args)
-            .envs(self.envs.iter().map(|(k, v)| (k, v)))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
+        let mut command = Command::new(&self.program);
+        command.args(&self.args).envs(self.envs.iter().map(|(k, v)| (k, v)));
+        let child = spawn(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log));
         self.child = Some(child.map_err(|e| {
             io::Error::new(
                 e.kind(),
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use yarrowspoke_expr::set::Order;
+use yarrowspoke_lab::scale::{bounds, target};
 use yarrowspoke_lab::{fleet, plot, rules, scale, store, verdicts};
 
 #[derive(Parser)]
@@ -184,6 +185,25 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         args: Vec<String>,
     },
+    /// Ends the children of a scale run that was killed: hears of them on standard input, and acts when that ends
+    #[command(hide = true)]
+    ScaleGuard,
+    /// Starts children within the bounds of a scale run and waits until standard input ends: a trial of the bounds
+    #[command(hide = true)]
+    ScaleRehearse {
+        /// Children
+        #[arg(long, default_value_t = 3)]
+        children: usize,
+        /// Milliseconds after which it has to end
+        #[arg(long, default_value_t = 60_000)]
+        within_ms: u64,
+        /// Processes that it may have
+        #[arg(long, default_value_t = target::PROCESS_LIMIT)]
+        processes: usize,
+        /// Memory that it may have
+        #[arg(long, default_value_t = target::MEMORY_LIMIT_MB)]
+        memory_mb: f64,
+    },
     /// A long run against the language: drawn sets and changed texts
     FuzzRules {
         /// The same seed draws the same sets and texts
@@ -294,6 +314,19 @@
             Err(e) => failed(&e),
         },
         Experiment::ScaleChild { program, args } => failed(&scale::child::become_program(&program, &args)),
+        Experiment::ScaleGuard => {
+            bounds::guard(std::io::stdin().lock());
+            ExitCode::SUCCESS
+        }
+        Experiment::ScaleRehearse { children, within_ms, processes, memory_mb } => {
+            let within = std::time::Duration::from_millis(within_ms);
+            let limits = bounds::Limits { within, processes, memory_mb };
+            let lab = std::env::current_exe();
+            match lab.and_then(|lab| bounds::rehearse(&lab, limits, children, std::io::stdin())) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => failed(&e),
+            }
+        }
         Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
             fuzz_rules(seed, (sets, texts), &corpus, json)
         }
--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 //! calls are what the stand-ins counted, never what the program says of itself.
 
 pub mod at_size;
+pub mod bounds;
 pub mod child;
 pub mod cli;
 pub mod clients;
@@ -23,3 +24,4 @@
 pub mod site;
 pub mod target;
 pub mod usage;
+pub mod witness;
