Scale run: a site of real and hollow processes behind counting proxies

The size to come can't be played with real processes alone. Hollow fronts run the program's own member, list watch and platform's listener, hundreds in a process; discovery, the platform and machines are stand-ins that count; a proxy stands between any two roles. Children are started by a word of the laboratory that asks the system to kill them with their parent, as a signal to the parent runs no destructor.

A process read and hashed its own program once for each member; it does so once now.

--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke::interface::{Build, ListKind, MachineId, MachineState, Micros, News, Phase};
 use yarrowspoke_fleet::front::{Change, FrontSide, TakenAway};
@@ -56,6 +57,12 @@
     (digest(&bytes), digest((first + &rest).as_bytes()), digest(settings.to_string().as_bytes()))
 }
 
+/// A digest of the program that runs; it is read once, however many members one process has.
+fn program() -> u64 {
+    static DIGEST: OnceLock<u64> = OnceLock::new();
+    *DIGEST.get_or_init(|| std::env::current_exe().and_then(std::fs::read).map_or(0, |b| digest(&b)))
+}
+
 fn phase(p: Phase) -> u8 {
     PHASES.iter().position(|q| *q == p).unwrap_or(0) as u8
 }
@@ -92,10 +99,9 @@
         discovery: Rc<Discovery>,
         most_back: Micros,
     ) -> Rc<Self> {
-        let exe = std::env::current_exe().and_then(std::fs::read).map_or(0, |b| digest(&b));
         let (config, operator, settings) = digests;
         let list = version::List { index: 0, source: Source::Held, epoch: 0, digest: 0 };
-        let version = Version { list, news: None, config, operator, settings, program: exe };
+        let version = Version { list, news: None, config, operator, settings, program: program() };
         let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_micros() as u64);
         let come_back = fleet.back_after.max(fleet.renew).min(most_back);
         Rc::new(Self {
--- a/crates/yarrowspoke-lab/src/main.rs
+++ b/crates/yarrowspoke-lab/src/main.rs
@@ -171,6 +171,22 @@
     /// Builds one structure and says what memory it takes
     #[command(hide = true)]
     ScaleProbe(scale::cli::Probe),
+    /// Hollow fronts of a scale run, in a process of their own
+    #[command(hide = true)]
+    ScaleHollow {
+        /// What it runs
+        #[arg(long)]
+        spec: PathBuf,
+    },
+    /// Another program, which ends with the one that started it
+    #[command(hide = true)]
+    ScaleChild {
+        /// The program
+        program: PathBuf,
+        /// Its arguments
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<String>,
+    },
     /// A long run against the language: drawn sets and changed texts
     FuzzRules {
         /// The same seed draws the same sets and texts
@@ -285,6 +301,11 @@
         }
         Experiment::Scale(scale) => scale.run(),
         Experiment::ScaleProbe(probe) => probe.run(),
+        Experiment::ScaleHollow { spec } => match scale::hollow::run(&spec) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => failed(&e),
+        },
+        Experiment::ScaleChild { program, args } => failed(&scale::child::become_program(&program, &args)),
         Experiment::FuzzRules { seed, sets, texts, corpus, json } => {
             fuzz_rules(seed, (sets, texts), &corpus, json)
         }
--- /dev/null
+++ b/crates/yarrowspoke-lab/src/scale/clients.rs
@@ -0,0 +1,103 @@
+//! Open-loop clients on kept connections: a request goes at its time on a connection that is free, or on a new one.
+
+use crate::fleet::http::read_message;
+use async_executor::{Executor, Task};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncWriteExt};
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How long a client waits in all.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// A request, as its client knows it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: String,
+    /// The front's number.
+    pub front: usize,
+    /// When its last byte was written; nothing if no connection was taken.
+    pub sent: Option<Instant>,
+    /// When the last byte of its answer came, and the status.
+    pub answered: Option<(Instant, u16)>,
+}
+
+/// All clients of some fronts.
+#[derive(Debug, Default)]
+pub struct Clients {
+    ended: Mutex<Vec<Request>>,
+}
+
+type Kept = Arc<Mutex<Vec<Async<TcpStream>>>>;
+
+impl Clients {
+    /// Requests that have ended so far.
+    pub fn ended(&self) -> Vec<Request> {
+        self.ended.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sends so many requests a second to a front until the task is dropped; the same seed draws the same times and tenants.
+    pub fn drive(
+        self: &Arc<Self>,
+        executor: &Arc<Executor<'static>>,
+        (front, address): (usize, SocketAddr),
+        rate: f64,
+        (seed, tenants): (u64, Arc<Vec<String>>),
+    ) -> io::Result<Task<()>> {
+        let gaps = Exp::new(rate).map_err(io::Error::other)?;
+        let (clients, spawner, kept) = (Arc::clone(self), Arc::clone(executor), Kept::default());
+        Ok(executor.spawn(async move {
+            let mut draws = Pcg64Mcg::seed_from_u64(seed ^ (front as u64) << 32);
+            let mut at = Instant::now();
+            for n in 0u64.. {
+                at += Duration::from_secs_f64(gaps.sample(&mut draws));
+                Timer::at(at).await;
+                // The larger a tenant, the earlier it stands, and the oftener it comes.
+                let tenant = (draws.gen::<f64>().powi(3) * tenants.len() as f64) as usize;
+                let tenant = tenants.get(tenant).cloned().unwrap_or_default();
+                let id = format!("{seed:x}-{front}-{n}");
+                let (clients, kept) = (Arc::clone(&clients), Arc::clone(&kept));
+                let call = async move { clients.call(address, &kept, id, front, &tenant).await };
+                spawner.spawn(call).detach();
+            }
+        }))
+    }
+
+    async fn call(&self, address: SocketAddr, kept: &Kept, id: String, front: usize, tenant: &str) {
+        let mut request = Request { id, front, sent: None, answered: None };
+        let text = format!(
+            "GET /article/7 HTTP/1.1\r\nHost: h\r\nX-Call-Id: {}\r\nX-Call-Class: article\r\nX-Caller: {tenant}\r\n\
+             X-Budget: 2.000\r\n\r\n",
+            request.id
+        );
+        let talk = async {
+            let free = kept.lock().unwrap_or_else(PoisonError::into_inner).pop();
+            let mut stream = match free {
+                Some(stream) => stream,
+                None => Async::<TcpStream>::connect(address).await?,
+            };
+            stream.get_ref().set_nodelay(true)?;
+            stream.write_all(text.as_bytes()).await?;
+            request.sent = Some(Instant::now());
+            if let Some(answer) = read_message(&mut stream, &mut Vec::new()).await? {
+                request.answered = Some((Instant::now(), answer.word(1).parse().unwrap_or(0)));
+                if !answer.field("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+                    kept.lock().unwrap_or_else(PoisonError::into_inner).push(stream);
+                }
+            }
+            io::Result::Ok(())
+        };
+        let over = async {
+            Timer::after(PATIENCE).await;
+            Ok(())
+        };
+        let _ = future::or(talk, over).await;
+        self.ended.lock().unwrap_or_else(PoisonError::into_inner).push(request);
+    }
+}
--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -4,10 +4,21 @@
 //! calls are what the stand-ins counted, never what the program says of itself.
 
 pub mod at_size;
+pub mod child;
 pub mod cli;
+pub mod clients;
+pub mod discovery;
+pub mod estate;
 pub mod fit;
+pub mod hollow;
+pub mod machines;
+pub mod platform;
 pub mod play;
+pub mod ports;
+pub mod proxy;
 pub mod pure;
 pub mod report;
 pub mod run;
+pub mod site;
 pub mod target;
+pub mod usage;
