Scale run: what control costs over fronts, machines and requests, and a real front alone

Slopes come from sites of hollow fronts: bytes and messages as proxies and discovery counted them, processor time as the processes' own. A point at which fewer than nine in ten heartbeats came as due shows the machine and not the program: it is left out and named. Real fronts are held against hollow ones in one fleet, and one alone is measured before lists of each length: ready, resident memory, and what it adds to a request.

Dropped: processor time of a real front's control under load, which can't be told from forwarding; it is said so.

--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -7,6 +7,7 @@
 pub mod child;
 pub mod cli;
 pub mod clients;
+pub mod control;
 pub mod discovery;
 pub mod estate;
 pub mod fit;
--- a/crates/yarrowspoke-lab/src/scale/site.rs
+++ b/crates/yarrowspoke-lab/src/scale/site.rs
@@ -1,7 +1,7 @@
 //! An installation that runs: planners and fronts of the built program, hollow fronts in processes of their own, and stand-ins
 //! round them, with a counting proxy between any two roles.
 
-use super::clients::Clients;
+use super::clients::{self, Clients};
 use super::discovery::{Caller, Discovery};
 use super::estate::{Estate, Extent, REGIONS, ZONES};
 use super::hollow;
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -450,6 +451,14 @@
         ask(self.fronts[front].listen, "/up", PATIENCE).map(|a| a.0) == Some(200)
     }
 
+    /// Whether a real front serves a request by a machine's answer, as a client sees it.
+    pub fn serves(&self, front: usize) -> bool {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let id = format!("look-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let tenant = self.estate.tenants.first().map_or("", |t| t.name.as_str());
+        async_io::block_on(clients::once(self.fronts[front].listen, &id, tenant)) == Some(200)
+    }
+
     /// Whether a planner answers.
     pub fn answers(&self, planner: usize) -> bool {
         ask(self.planners[planner].listen, "/up", PATIENCE).map(|a| a.0) == Some(200)
