Scale run: what crosses a closed connection goes once more; refusals of a site are tested

The protocol has a client send once more what a front has not read because it closed the connection. A site that needs more descriptors than are allowed, finds a port taken or a directory that can't be written ends before anything runs, in one line.

--- a/crates/yarrowspoke-lab/src/scale/clients.rs
+++ b/crates/yarrowspoke-lab/src/scale/clients.rs
@@ -22,6 +22,8 @@
     pub id: String,
     /// The front's number.
     pub front: usize,
+    /// It went on a connection kept from an earlier one; the front had closed that meanwhile where it went again on a new one.
+    pub kept: bool,
     /// When its last byte was written; nothing if no connection was taken.
     pub sent: Option<Instant>,
     /// When the last byte of its answer came, and the status.
@@ -50,6 +52,20 @@
     future::or(talk, over).await
 }
 
+/// Sends a request and reads its answer; whether the connection stays, or nothing if it ended without one.
+async fn exchange(
+    stream: &mut Async<TcpStream>,
+    text: &str,
+    request: &mut Request,
+) -> io::Result<Option<bool>> {
+    stream.get_ref().set_nodelay(true)?;
+    stream.write_all(text.as_bytes()).await?;
+    request.sent = Some(Instant::now());
+    let Some(answer) = read_message(stream, &mut Vec::new()).await? else { return Ok(None) };
+    request.answered = Some((Instant::now(), answer.word(1).parse().unwrap_or(0)));
+    Ok(Some(!answer.field("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))))
+}
+
 /// All clients of some fronts.
 #[derive(Debug, Default)]
 pub struct Clients {
@@ -92,22 +108,30 @@
     }
 
     async fn call(&self, address: SocketAddr, kept: &Kept, id: String, front: usize, tenant: &str) {
-        let mut request = Request { id, front, sent: None, answered: None };
+        let mut request = Request { id, front, kept: false, sent: None, answered: None };
         let text = wording(&request.id, tenant);
         let talk = async {
             let free = kept.lock().unwrap_or_else(PoisonError::into_inner).pop();
-            let mut stream = match free {
-                Some(stream) => stream,
-                None => Async::<TcpStream>::connect(address).await?,
-            };
-            stream.get_ref().set_nodelay(true)?;
-            stream.write_all(text.as_bytes()).await?;
-            request.sent = Some(Instant::now());
-            if let Some(answer) = read_message(&mut stream, &mut Vec::new()).await? {
-                request.answered = Some((Instant::now(), answer.word(1).parse().unwrap_or(0)));
-                if !answer.field("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
-                    kept.lock().unwrap_or_else(PoisonError::into_inner).push(stream);
+            request.kept = free.is_some();
+            // Between requests a front may close a connection: what crosses that goes once more, on a new one.
+            let mut answered = None;
+            if let Some(mut stream) = free {
+                answered = exchange(&mut stream, &text, &mut request)
+                    .await
+                    .unwrap_or(None)
+                    .map(|keep| (stream, keep));
+            }
+            let (stream, keep) = match answered {
+                Some(done) => done,
+                None => {
+                    request.kept = false;
+                    let mut stream = Async::<TcpStream>::connect(address).await?;
+                    let keep = exchange(&mut stream, &text, &mut request).await?;
+                    (stream, keep.unwrap_or(false))
                 }
+            };
+            if keep {
+                kept.lock().unwrap_or_else(PoisonError::into_inner).push(stream);
             }
             io::Result::Ok(())
         };
--- a/crates/yarrowspoke-lab/tests/scale_small.rs
+++ b/crates/yarrowspoke-lab/tests/scale_small.rs
@@ -10,6 +10,7 @@
 use yarrowspoke_lab::scale::report::{Report, Shape, Slope};
 use yarrowspoke_lab::scale::run::{Options, Sizes};
 use yarrowspoke_lab::scale::site::{Plant, Site, Spec};
+use yarrowspoke_lab::scale::usage;
 
 /// How long anything may take that is waited for; what takes longer has failed.
 const WITHIN: Duration = Duration::from_secs(60);
@@ -158,6 +159,27 @@
     assert!(ids.iter().all(|id| !runs(*id)), "none is left running");
 }
 
+#[test]
+fn a_site_that_does_not_fit_or_finds_its_ports_taken_is_refused_in_one_line() {
+    let dir = Dir::new("refused");
+    let refused = |spec: Spec| match Site::start(spec) {
+        Ok(_) => panic!("it was started"),
+        Err(e) => e.to_string(),
+    };
+    let many = usage::descriptors();
+    let why = refused(Spec { hollow: many, ..spec(&dir.0.join("many")) });
+    assert!(why.contains(&format!("{many} are allowed")) && !why.contains('\n'), "{why}");
+    assert!(!dir.0.join("many").exists(), "refused before anything was laid out");
+    let held = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = held.local_addr().unwrap();
+    let why = refused(Spec { port: Some(taken.port()), ..spec(&dir.0.join("taken")) });
+    assert!(why.starts_with(&format!("{taken}: ")) && !why.contains('\n'), "{why}");
+    let file = dir.0.join("file");
+    std::fs::write(&file, "").unwrap();
+    let why = refused(spec(&file.join("below")));
+    assert!(why.contains(&file.display().to_string()) && !why.contains('\n'), "{why}");
+}
+
 #[test]
 fn planted_faults_show_in_what_is_counted() {
     let dir = Dir::new("planted");
