--- a/crates/yarrowspoke-lab/src/scale/mod.rs
+++ b/crates/yarrowspoke-lab/src/scale/mod.rs
@@ -3,6 +3,7 @@
 //! A *hollow* front runs the program's own client side of control and forwards nothing; hundreds share one process. Bytes and
 //! calls are what the stand-ins counted, never what the program says of itself.
 
+pub mod alone;
 pub mod at_size;
 pub mod child;
 pub mod cli;
