--- a/crates/yarrowspoke-fleet/src/delta.rs
+++ b/crates/yarrowspoke-fleet/src/delta.rs
@@ -126,10 +126,7 @@
 
     /// What has changed since a base, if that is one of its own lately; `None` where only the whole will do.
     pub fn since(&self, base: &Base, vouched: u32) -> Option<Delta> {
-        let from = match mutant::is("delta-on-any-base") {
-            true => self.steps.len().checked_sub(1)?,
-            false => self.steps.iter().position(|s| s.0 == *base)?,
-        };
+        let from = self.steps.iter().position(|s| s.0 == *base)?;
         let touched: BTreeSet<u32> = self.steps.iter().skip(from).flat_map(|s| s.1.iter().copied()).collect();
         if 2 * touched.len() > self.machines.len().max(16) {
             return None;
--- a/crates/yarrowspoke-fleet/src/front.rs
+++ b/crates/yarrowspoke-fleet/src/front.rs
@@ -532,7 +532,8 @@
 
     /// The machines behind a delta, from whichever list here it is against.
     fn bridged(&self, delta: &Delta) -> Result<Vec<(u32, u16)>, Unfit> {
-        let relayed = self.reconciled_list.is_some() && self.relayed.base() == delta.base;
+        let broken = mutant::is("delta-on-any-base");
+        let relayed = self.reconciled_list.is_some() && self.relayed.base() == delta.base && !broken;
         if relayed { &self.relayed } else { &self.ready }.with(delta)
     }
 
--- a/crates/yarrowspoke-fleet/tests/paced.rs
+++ b/crates/yarrowspoke-fleet/tests/paced.rs
@@ -392,7 +392,7 @@
         run.status.success()
     };
     for (planted, test) in [
-        ("delta-on-any-base", "a_base_that_the_receiver_has_not_is_refused"),
+        ("delta-on-any-base", "a_front_whose_own_list_no_planner_ever_had_gets_one_whole_and_then_deltas"),
         ("change-waits-for-pace", "a_change_is_told_to_every_planner_within_a_renewal"),
         ("spans-to-nobody", "spans_go_to_one_planner_and_all_have_them_also_where_it_dies"),
         ("spans-to-nobody", "spans_that_lie_at_a_home_nobody_reaches_are_sent_to_the_others"),
@@ -445,7 +445,8 @@
         let changed = site.now;
         site.list(0..2, u64::from(index), &[9, 10 + index]);
         site.run(800 * MS);
-        assert!(site.fronts[2].leaves_out(site.now, 10 + index, 1));
+        let left_out = |m: u32| site.fronts[2].leaves_out(site.now, m, 1);
+        assert!(left_out(10 + index) && left_out(9) && !left_out(8) && (index == 4 || !left_out(9 + index)));
         assert!(site.narrowed_at[&2] - changed <= 2 * site.fleet.renew + 100 * MS);
     }
     assert_eq!(whole(&site), first, "what planners brought is a base too");
