--- a/crates/yarrowspoke-operator/src/fleet.rs
+++ b/crates/yarrowspoke-operator/src/fleet.rs
@@ -141,10 +141,7 @@
         match field.name.as_str() {
             "pace" => {
                 let seconds = field.number("seconds, 0.02 to 60", faults, |s| (0.02..=60.0).contains(&s));
-                pace = seconds.map(|s| (s * 1e6) as u64);
-                if pace.is_none() {
-                    return None;
-                }
+                pace = Some((seconds? * 1e6) as u64);
             }
             "lists" => match field.word("delta or whole", faults).as_deref() {
                 Some("delta") => lists = Lists::Delta,
