--- a/crates/yarrowspoke-lab/src/fleet/process.rs
+++ b/crates/yarrowspoke-lab/src/fleet/process.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Tells it to end in good order, with what it has taken done.
+    pub fn end(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Tells it to read its files again.
     pub fn reload(&self) {
         self.signal(Signal::HUP);
--- a/crates/yarrowspoke-lab/src/scale/bounds.rs
+++ b/crates/yarrowspoke-lab/src/scale/bounds.rs
@@ -168,7 +168,8 @@
         ));
     }
     for program in [&options.program, &options.lab] {
-        if !program.is_file() {
+        // A run of the pure cores alone needs none.
+        if !program.as_os_str().is_empty() && !program.is_file() {
             return Err(format!("{}: no such program", program.display()));
         }
     }
--- a/crates/yarrowspoke-lab/src/scale/clients.rs
+++ b/crates/yarrowspoke-lab/src/scale/clients.rs
@@ -24,6 +24,9 @@
     pub front: usize,
     /// It went on a connection kept from an earlier one; the front had closed that meanwhile where it went again on a new one.
     pub kept: bool,
+    /// When a kept connection ended without an answer, after which it went once more. Danger: one that a machine saw before was
+    /// taken, and is lost whatever came of the second.
+    pub crossed: Option<Instant>,
     /// When its last byte was written; nothing if no connection was taken.
     pub sent: Option<Instant>,
     /// When the last byte of its answer came, and the status.
@@ -108,7 +111,7 @@
     }
 
     async fn call(&self, address: SocketAddr, kept: &Kept, id: String, front: usize, tenant: &str) {
-        let mut request = Request { id, front, kept: false, sent: None, answered: None };
+        let mut request = Request { id, front, kept: false, crossed: None, sent: None, answered: None };
         let text = wording(&request.id, tenant);
         let talk = async {
             let free = kept.lock().unwrap_or_else(PoisonError::into_inner).pop();
@@ -124,6 +127,7 @@
             let (stream, keep) = match answered {
                 Some(done) => done,
                 None => {
+                    request.crossed = request.kept.then(Instant::now);
                     request.kept = false;
                     let mut stream = Async::<TcpStream>::connect(address).await?;
                     let keep = exchange(&mut stream, &text, &mut request).await?;
--- a/crates/yarrowspoke-lab/src/scale/machines.rs
+++ b/crates/yarrowspoke-lab/src/scale/machines.rs
@@ -116,7 +116,8 @@
             let went = Instant::now();
             stream.write_all(&bytes).await?;
             if let Some(passed) = self.passed.lock().unwrap_or_else(PoisonError::into_inner).as_mut() {
-                passed.insert(asked.field("x-call-id").unwrap_or("").to_owned(), (came, went));
+                // The first time counts: a request may come again.
+                passed.entry(asked.field("x-call-id").unwrap_or("").to_owned()).or_insert((came, went));
             }
         }
         Ok(())
--- a/crates/yarrowspoke-lab/src/scale/play.rs
+++ b/crates/yarrowspoke-lab/src/scale/play.rs
@@ -2,7 +2,7 @@
 
 use super::report::{Report, VERSION};
 use super::run::{Options, Sizes};
-use super::{at_size, control, pure};
+use super::{at_size, control, incidents, planted, pure};
 use std::fmt::Write;
 use std::io;
 
@@ -70,7 +70,17 @@
         }
     }
     if only.is_none_or(|p| p == Part::Incidents) {
-        seen.not_measured.push("incidents: this part is not joined yet".to_owned());
+        if let Err(e) = incidents::play(options, &mut seen, tick) {
+            seen.failures.push(format!("incidents: {e}"));
+        }
+        match planted::all(options, tick) {
+            Ok(found) => {
+                seen.planted += found.planted;
+                seen.planted_caught += found.caught;
+                seen.failures.extend(found.failures);
+            }
+            Err(e) => seen.failures.push(format!("planted: {e}")),
+        }
     }
     at_size::of_run(&mut seen);
     if seen.at_size.iter().all(|r| r.role != "control") {
--- a/crates/yarrowspoke-lab/src/scale/witness.rs
+++ b/crates/yarrowspoke-lab/src/scale/witness.rs
@@ -7,6 +7,10 @@
     pub id: String,
     /// The front that it was sent to.
     pub front: usize,
+    /// It went on a connection kept from an earlier one.
+    pub kept: bool,
+    /// When such a connection ended without an answer, after which it was sent once more.
+    pub crossed: Option<f64>,
     /// When its last byte was written; nothing if no connection was taken.
     pub sent: Option<f64>,
     /// When its answer was there, and the status.
@@ -16,6 +20,11 @@
 }
 
 impl Request {
+    /// Never taken: the front had closed the kept connection that it went on, which a client finds out and goes on another.
+    pub fn is_untaken(&self) -> bool {
+        self.kept && self.answered.is_none() && self.reached.is_none()
+    }
+
     /// Answered as a machine answers.
     pub fn is_served(&self) -> bool {
         self.answered.is_some_and(|a| a.1 == 200)
@@ -48,7 +57,11 @@
 /// Requests that a machine was asked, so that a front had taken them, and whose client got nothing. One whose connection a
 /// front never took, or that no machine saw, was not taken.
 pub fn lost(requests: &[Request]) -> Vec<String> {
-    let is_lost = |r: &&Request| r.reached.is_some() && r.answered.is_none();
+    let is_lost = |r: &&Request| {
+        // What came of a second sending is no excuse for the first.
+        let first = r.reached.zip(r.crossed).is_some_and(|(reached, crossed)| reached < crossed);
+        first || r.reached.is_some() && r.answered.is_none()
+    };
     let line = |r: &Request| {
         format!("lost: {} at f{}, taken at {:.2} s, not answered", r.id, r.front, r.reached.unwrap_or(0.0))
     };
@@ -81,7 +94,7 @@
     for front in fronts {
         let mut sent: Vec<(f64, bool)> = requests
             .iter()
-            .filter(|r| r.front == *front)
+            .filter(|r| r.front == *front && !r.is_untaken())
             .filter_map(|r| Some((r.sent?, r.is_served())))
             .filter(|s| (from..until).contains(&s.0))
             .collect();
@@ -105,13 +118,23 @@
     told("silent", out)
 }
 
-/// How many of the requests sent in this time were served, and how many were sent.
+/// How many of the requests sent in this time were served, and how many were sent; those never taken are left out.
 pub fn served(requests: &[Request], fronts: &[usize], (from, until): (f64, f64)) -> (usize, usize) {
     let of = |r: &&Request| fronts.contains(&r.front) && r.sent.is_some_and(|s| (from..until).contains(&s));
-    let sent: Vec<&Request> = requests.iter().filter(of).collect();
+    let sent: Vec<&Request> = requests.iter().filter(of).filter(|r| !r.is_untaken()).collect();
     (sent.iter().filter(|r| r.is_served()).count(), sent.len())
 }
 
+/// How many requests were refused within so many seconds of a front's saying that it is ready again.
+pub fn refused_once_ready(requests: &[Request], downs: &[Down], within: f64) -> usize {
+    let refused = |r: &&Request| r.answered.is_some_and(|a| a.1 != 200);
+    let early = |r: &&Request| {
+        let sent = r.sent.unwrap_or(f64::NAN);
+        downs.iter().any(|d| d.front == r.front && (d.until..d.until + within).contains(&sent))
+    };
+    requests.iter().filter(refused).filter(early).count()
+}
+
 /// The time within which nine in ten were there, by nearest rank; nothing if more than one in ten never were, or there are none.
 pub fn p90(times: &[Option<f64>]) -> Option<f64> {
     let mut all: Vec<f64> = times.iter().map(|t| t.unwrap_or(f64::INFINITY)).collect();
--- a/crates/yarrowspoke-lab/tests/scale_bounds.rs
+++ b/crates/yarrowspoke-lab/tests/scale_bounds.rs
@@ -286,3 +286,111 @@
     mine.kill().unwrap();
     mine.wait().unwrap();
 }
+
+fn scale(args: &[&str]) -> (Option<i32>, String) {
+    let done = Command::new(LAB).arg("scale").args(args).stdin(Stdio::null()).output().unwrap();
+    assert!(done.stdout.is_empty());
+    (done.status.code(), String::from_utf8(done.stderr).unwrap())
+}
+
+#[test]
+fn bad_input_is_one_clear_line_and_status_2() {
+    let dir = Dir::new("input");
+    let file = dir.0.join("file");
+    std::fs::write(&file, b"kept").unwrap();
+    let below = file.join("below").display().to_string();
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = taken.local_addr().unwrap().port().min(u16::MAX - PORTS).to_string();
+    let own = dir.0.display().to_string();
+    let cases: [(&[&str], &str); 9] = [
+        (&["--fronts", "0"], "--fronts"),
+        (&["--machines", "40,0"], "--machines"),
+        (&["--routes", "0"], "--routes"),
+        (&["--tenants", "0"], "--tenants"),
+        (&["--machines", "100000000"], "--machines"),
+        (&["--seed", "seven"], "\"seven\""),
+        (&["--port", "99999"], "\"99999\""),
+        (&["--dir", &below], "below"),
+        (&["--dir", &own, "--program", LAB, "--port", &port], "can't be listened on"),
+    ];
+    for (args, named) in cases {
+        let (status, said) = scale(args);
+        assert_eq!((status, said.lines().count()), (Some(2), 1), "{args:?}: {said}");
+        assert!(said.contains(named), "{args:?}: {said}");
+    }
+    assert_eq!(std::fs::read(&file).unwrap(), b"kept");
+}
+
+/// The ids of processes that descend from this one.
+fn descendants(of: u32) -> Vec<u32> {
+    let pids = std::fs::read_dir("/proc").unwrap().flatten();
+    let pids: Vec<u32> = pids.filter_map(|e| e.file_name().to_str()?.parse().ok()).collect();
+    let parent = |pid: u32| -> Option<u32> {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse().ok()
+    };
+    let table: Vec<(u32, u32)> = pids.into_iter().filter_map(|p| Some((p, parent(p)?))).collect();
+    let (mut found, mut next) = (vec![], vec![of]);
+    while let Some(parent) = next.pop() {
+        let children: Vec<u32> = table.iter().filter(|t| t.1 == parent).map(|t| t.0).collect();
+        next.extend(&children);
+        found.extend(children);
+    }
+    found
+}
+
+fn lives(pid: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    stat.rsplit_once(") ").is_some_and(|(_, state)| !state.starts_with('Z') && !state.starts_with('X'))
+}
+
+/// The program beside the laboratory's. A run of this package alone does not build it, so it is built here where it is missing.
+fn program() -> PathBuf {
+    let program = Path::new(LAB).with_file_name("yarrowspoke");
+    if !program.exists() {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-p", "yarrowspoke-front", "--bin", "yarrowspoke"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        assert!(build.status().unwrap().success());
+    }
+    program
+}
+
+#[test]
+fn a_signal_ends_a_run_with_planners_and_fronts_and_nothing_is_left() {
+    use rustix::process::Signal;
+    let program = program();
+    for (sent, status) in [(Signal::TERM, Some(143)), (Signal::KILL, None)] {
+        let dir = Dir::new(&format!("run-{status:?}"));
+        let mut lab = Command::new(LAB)
+            .args(["scale", "--small", "--only", "incidents", "--json", "--dir"])
+            .arg(&dir.0)
+            .arg("--program")
+            .arg(&program)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        // Three planners, two fronts, a process of hollow ones and the guard.
+        let begun = Instant::now();
+        let mut children = descendants(lab.id());
+        while children.len() < 7 {
+            assert!(begun.elapsed() < PATIENCE && lab.try_wait().unwrap().is_none(), "{children:?}");
+            std::thread::sleep(Duration::from_millis(10));
+            children = descendants(lab.id());
+        }
+        signal(&lab, sent);
+        let ended = lab.wait().unwrap();
+        let mut said = String::new();
+        std::io::Read::read_to_string(&mut lab.stderr.take().unwrap(), &mut said).unwrap();
+        assert_eq!(ended.code(), status, "{said}");
+        let begun = Instant::now();
+        while children.iter().any(|c| lives(*c)) {
+            assert!(begun.elapsed() < PATIENCE, "left running: {children:?}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
--- a/crates/yarrowspoke-lab/tests/scale_witness.rs
+++ b/crates/yarrowspoke-lab/tests/scale_witness.rs
@@ -6,6 +6,8 @@
     Request {
         id: id.into(),
         front,
+        kept: false,
+        crossed: None,
         sent: Some(sent),
         answered: status.map(|s| (sent + 0.1, s)),
         reached: reached.then_some(sent + 0.02),
@@ -80,6 +82,35 @@
     assert_eq!(served(&seen, &[0, 1], (10.0, 11.0)), (5, 10));
 }
 
+#[test]
+fn one_on_a_kept_connection_that_had_gone_was_never_taken_and_one_that_a_machine_saw_was() {
+    let kept = |reached| Request { kept: true, ..request("k", 0, 1.0, None, reached) };
+    let all = [kept(false), request("new", 0, 1.1, None, false), request("good", 0, 1.2, Some(200), true)];
+    assert_eq!(served(&all, &[0], (0.0, 2.0)), (1, 2));
+    assert_eq!(lost(&all), [""; 0]);
+    assert_eq!(lost(&[kept(true)]).len(), 1);
+    assert_eq!(served(&[kept(true)], &[0], (0.0, 2.0)), (0, 1));
+    // Sent once more: lost if a machine had it before, and else not.
+    let again = |crossed| Request { crossed: Some(crossed), ..request("again", 0, 1.0, Some(200), true) };
+    assert_eq!(lost(&[again(1.01)]), [""; 0]);
+    assert_eq!(lost(&[again(1.05)]).len(), 1);
+    let gone: Vec<Request> =
+        (0..40).map(|n| Request { sent: Some(f64::from(n) * 0.1), ..kept(false) }).collect();
+    assert_eq!(silent(&gone, &[0], (0.0, 9.0), (2.0, 10), &[]), [""; 0]);
+}
+
+#[test]
+fn refusals_just_after_a_front_was_ready_are_counted() {
+    let downs = [Down { front: 1, from: 1.0, until: 5.0 }];
+    let mut all = asked(1, 4.0, 10, Some(503));
+    assert_eq!(refused_once_ready(&all, &downs, 2.0), 0);
+    all.extend(asked(1, 5.5, 3, Some(503)));
+    all.extend(asked(1, 7.5, 3, Some(503)));
+    all.extend(asked(0, 5.5, 3, Some(503)));
+    all.extend(asked(1, 6.0, 3, Some(200)));
+    assert_eq!(refused_once_ready(&all, &downs, 2.0), 3);
+}
+
 #[test]
 fn nine_in_ten_are_by_nearest_rank_and_who_never_came_counts() {
     let all = |came: usize, never: usize| -> Vec<Option<f64>> {
