--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -497,14 +497,7 @@
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.land(id, attempt, Ending::Cancelled, Vec::new()),
             Action::Probe { machine } => self.probe(machine),
-            Action::Watch(on) => {
-                // The call before was not answered for as long as the module waits: the list can't be had for now, and who
-                // waits for it to be ready has waited long enough.
-                if on && self.watch.is_some() {
-                    self.hub.ready.set(true);
-                }
-                self.watch(on);
-            }
+            Action::Watch(on) => self.watch(on),
             Action::Fetch => self.fetch(),
             Action::Timer { name, after } => {
                 self.due(now + after, Due::Module(name));
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -32,13 +32,10 @@
 const PAUSE_WITHIN: Duration = Duration::from_millis(150);
 /// Spoilt answers in a row after which a call has failed.
 const SPOILT_LIMIT: u32 = 4;
-/// How long opening a watch may take. Danger: discovery answers its callers in turn, and who gives up after less goes to the end
-/// of the queue again and again; where all fronts come back at once, none of them has the list for tens of seconds. The module
-/// has it opened anew before that, 4 to 5 s after it asked and heard nothing.
-const OPEN_WITHIN: Duration = Duration::from_secs(5);
-/// How long it may take with answers that come spoilt. Danger: opened anew, the count of spoilt ones begins from the start; so
-/// a call that goes on for longer never fails, and a new process that waits for the call is never ready.
-const SPOILT_WITHIN: Duration = Duration::from_secs(3);
+/// How long opening a watch may take, with all answers that come spoilt. Danger: the module has it opened anew 4 s after
+/// it asked and heard nothing, which begins the count of spoilt ones from the start; so a call that goes on for longer
+/// never fails, and a new process that waits for the call is never ready.
+const OPENED_WITHIN: Duration = Duration::from_secs(3);
 /// Longest wait that discovery grants.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
@@ -246,7 +243,7 @@
 
     /// Asks once for the whole list.
     pub async fn fetch(self: Rc<Self>, to: Sender<Input>) {
-        let answer = self.call(&mut None, "/discovery/hosts", (ANSWER_WITHIN, Duration::MAX)).await;
+        let answer = self.call(&mut None, "/discovery/hosts", ANSWER_WITHIN).await;
         let input = match answer {
             Ok(list) => Input::List(ListKind::Full, list.index, list.rows),
             Err(e) => failed(&e),
@@ -261,15 +258,18 @@
         loop {
             let (from, whole) = (self.index.get(), self.astray.get());
             let (hold, limit) = match opens || whole {
-                true => (Duration::ZERO, OPEN_WITHIN),
+                true => (Duration::ZERO, ANSWER_WITHIN),
                 false => (self.hold, self.hold + SILENT_WITHIN),
             };
             let target = match whole {
                 true => "/discovery/hosts".to_owned(),
                 false => format!("/discovery/hosts?from={from}&hold_ms={}", hold.as_millis()),
             };
-            let again = if hold.is_zero() { SPOILT_WITHIN } else { Duration::MAX };
-            let answer = self.call(&mut line, &target, (limit, again)).await;
+            let asked = self.call(&mut line, &target, limit);
+            let answer = match hold.is_zero() {
+                true => within(OPENED_WITHIN, asked).await.unwrap_or(Err(ListError::Late)),
+                false => asked.await,
+            };
             let list = match answer {
                 Ok(list) => list,
                 Err(ListError::Late) if !opens => {
@@ -298,20 +298,19 @@
         }
     }
 
-    /// One call, made again where its answer comes spoilt within `again` of its beginning. Danger: a watch that stops at noise goes without
+    /// One call, made again where its answer comes spoilt. Danger: a watch that stops at noise goes without
     /// the list for seconds, and what is told meanwhile counts as told; so it is asked again at once, from the
     /// version held.
     async fn call(
         &self,
         line: &mut Option<Async<TcpStream>>,
         target: &str,
-        (limit, again): (Duration, Duration),
+        limit: Duration,
     ) -> Result<Listing, ListError> {
-        let (mut spoilt, begun) = (0, Instant::now());
+        let mut spoilt = 0;
         loop {
-            let left = if spoilt == 0 { limit } else { limit.min(again.saturating_sub(begun.elapsed())) };
-            match self.call_once(line, target, left, PAUSE_WITHIN * (1 << spoilt)).await {
-                Err(e) if e.is_spoilt() && spoilt < SPOILT_LIMIT && begun.elapsed() < again => {
+            match self.call_once(line, target, limit, PAUSE_WITHIN * (1 << spoilt)).await {
+                Err(e) if e.is_spoilt() && spoilt < SPOILT_LIMIT => {
                     spoilt += 1;
                     log::warn!("discovery: {e}; asked again");
                 }
