A hole that no front can fill does not hold up the spans behind it

Once all planners had been killed and were back, fronts' control traffic rose and stayed high, and spans missing at the planners grew without end. Cause, shown in virtual time: spans that a majority had acknowledged and the front had dropped were not yet on disk when the planners died. `acked` then stood at the hole for the rest of the front's incarnation, each heartbeat carried the same 64 oldest reports behind it, and nothing newer came.

A front keeps its newest spans without a hole and sends the oldest of them behind what the planner acknowledged. So a heartbeat that echoes this incarnation of the planner shows that the front keeps nothing between that and the first report in it: the planner acknowledges past it. The hole stays a gap in status and audit, is not told to other planners as held, and is filled where one of them has it. No change on the wire.

Dropped: taking any heartbeat that begins beyond the hole for a proof.

--- a/crates/yarrowspoke-fleet/src/book.rs
+++ b/crates/yarrowspoke-fleet/src/book.rs
@@ -28,6 +28,8 @@
     head: u64,
     /// Reports up to this number were given up for room or age.
     pruned: u64,
+    /// Numbers up to this one are held here, or the front keeps them no longer.
+    settled: u64,
     /// In which order incarnations were first heard of here.
     order: u64,
     bytes: u64,
@@ -153,6 +155,23 @@
         first_gap.map_or(known.head, |g| g - 1)
     }
 
+    /// The front keeps nothing before this number that is not acknowledged here. A gap before it stays a gap.
+    ///
+    /// Danger: said of more than is so, the front would not send to this planner what lies between, and once others have
+    /// skipped the same, or had it and lost it, would drop it.
+    pub fn kept_from(&mut self, front: &str, incarnation: u64, number: u64) {
+        let known = self.incarnation(front, incarnation);
+        known.settled = known.settled.max(number.saturating_sub(1));
+    }
+
+    /// What is acknowledged to the front: all numbers up to this one are held, or can't come from it any more.
+    pub fn acked(&self, front: &str, incarnation: u64) -> u64 {
+        let Some(known) = self.incarnations.get(&(front.to_owned(), incarnation)) else { return 0 };
+        let gaps = self.gaps_of(front, incarnation, known);
+        let open = gaps.iter().find(|g| g.1 > known.settled);
+        open.map_or(known.head, |g| known.settled.max(g.0 - 1))
+    }
+
     fn gaps_of(&self, front: &str, incarnation: u64, known: &Incarnation) -> Vec<(u64, u64)> {
         let (mut next, mut out) = (known.pruned + 1, Vec::new());
         for report in self.view(front, incarnation) {
--- a/crates/yarrowspoke-fleet/src/planner.rs
+++ b/crates/yarrowspoke-fleet/src/planner.rs
@@ -278,9 +278,20 @@
         }
         // All or nothing: of a heartbeat with a report that can't be, nothing is believed.
         heartbeat.reports.iter().try_for_each(Book::check)?;
+        let oldest = heartbeat.reports.iter().map(|r| r.first).min();
         for report in std::mem::take(&mut heartbeat.reports) {
             self.book.insert(&heartbeat.front, heartbeat.incarnation, report)?;
         }
+        // What a majority acknowledged and lost before it was on disk is nowhere: waiting for it would have the front send the
+        // same oldest reports for ever, and nothing newer. A front keeps the newest without a hole and sends the oldest of
+        // them behind what this planner acknowledged last, so that between the two it keeps nothing.
+        // Danger: only if it speaks of an acknowledgement by this incarnation, which its echo shows: it takes both from one
+        // answer. What an earlier incarnation acknowledged may be lost here and still be kept there. A late or repeated
+        // heartbeat does no harm: acknowledgements of one incarnation only rise, and what a front has dropped stays dropped.
+        // So no front forgets a span for this that a majority has not: it has none left of those that are passed over.
+        if let Some(oldest) = oldest.filter(|_| heartbeat.echo.0 == self.incarnation) {
+            self.book.kept_from(&heartbeat.front, heartbeat.incarnation, oldest);
+        }
         self.book.head(&heartbeat.front, heartbeat.incarnation, heartbeat.head);
         self.learn_list(heartbeat.ready.take());
         let mut told = heartbeat.list.take();
@@ -288,7 +299,7 @@
             self.learn_delta(&delta);
         }
         let (front, number) = (heartbeat.front.clone(), heartbeat.number);
-        let acked = self.book.held_to(&front, heartbeat.incarnation);
+        let acked = self.book.acked(&front, heartbeat.incarnation);
         let mut answer = Answer {
             planner: self.name.clone(),
             incarnation: self.incarnation,
--- a/crates/yarrowspoke-fleet/src/wire.rs
+++ b/crates/yarrowspoke-fleet/src/wire.rs
@@ -208,7 +208,7 @@
     pub number: u64,
     /// Its clock, to be echoed by the next heartbeat.
     pub now: Micros,
-    /// It has all reports up to this one.
+    /// It has all reports up to this one, but for those that the front itself keeps no longer.
     pub acked: u64,
     /// The lease granted, from when the heartbeat was sent; 0 = none.
     pub lease: Micros,
--- a/crates/yarrowspoke-fleet/tests/paced.rs
+++ b/crates/yarrowspoke-fleet/tests/paced.rs
@@ -321,6 +321,52 @@
     }
 }
 
+/// A planner that is back with what of its book was on disk.
+fn back(site: &Site, planner: usize, book: &Book) -> Option<Planner> {
+    let mut read = Book::default();
+    for (front, incarnation, report) in book.lacking(&[], u64::MAX) {
+        assert!(read.insert(&front, incarnation, report).unwrap());
+    }
+    Some(Planner::new(site.fleet.clone(), &format!("p{planner}"), 2, site.now, read))
+}
+
+#[test]
+fn planners_that_lost_what_they_acknowledged_are_sent_what_comes_after_it_once() {
+    let mut site = Site::settled(4);
+    site.run(6_000 * MS);
+    let flushed: Vec<Book> = site.planners.iter().map(|p| p.as_ref().unwrap().book.clone()).collect();
+    site.run(6_000 * MS);
+    site.passed.clear();
+    site.run(20_000 * MS);
+    let (spans, bytes) = (site.sum(|p| p.spans), site.sum(|p| p.bytes));
+    for (p, book) in flushed.iter().enumerate() {
+        site.planners[p] = back(&site, p, book);
+    }
+    // As many spans as one heartbeat holds, and again: nothing of it may heap up.
+    site.run(80_000 * MS);
+    site.passed.clear();
+    site.run(20_000 * MS);
+    let after = (site.sum(|p| p.spans), site.sum(|p| p.bytes));
+    assert!(
+        after.0 <= spans + spans / 5 && after.1 <= bytes + bytes / 5,
+        "{} spans and {} bytes in as long a time, {spans} and {bytes} before",
+        after.0,
+        after.1
+    );
+    for f in 0..4 {
+        let (name, closed) = (format!("f{f}"), site.fronts[f].recorder().number());
+        for planner in site.planners.iter().flatten() {
+            let view = planner.book.view(&name, 100 + f as u64);
+            let newest = view.last().unwrap().last;
+            assert!(closed - newest <= 6, "{name}: {newest} of {closed}");
+            let gaps = planner.book.gaps(&name, 100 + f as u64);
+            let lost = flushed.iter().map(|b| b.held_to(&name, 100 + f as u64)).max().unwrap();
+            assert_eq!(gaps[0].0, lost + 1, "{name}: what was lost is shown: {gaps:?}");
+            assert!(gaps[1..].iter().all(|g| g.1 == closed || g.0 > closed - 6), "{name}: {gaps:?}");
+        }
+    }
+}
+
 #[test]
 fn a_planner_that_fails_or_a_start_is_met_at_the_renewal() {
     let mut site = Site::new(paced(1));
