--- a/crates/yarrowspoke/tests/scale.rs
+++ b/crates/yarrowspoke/tests/scale.rs
@@ -243,3 +243,54 @@
         "{crowded} refused while answers take half as long again as the aim"
     );
 }
+
+/// Discovery as one service that answers calls in turn: each takes its time also where its caller was told meanwhile that it
+/// waited too long, and who would wait for several such spans is turned away at once.
+struct Queue {
+    free_at: Micros,
+}
+
+impl Queue {
+    const COST: Micros = 255 * MS;
+    const PATIENCE: Micros = 2 * S;
+
+    /// When the caller hears, and whether it has the list then.
+    fn call(&mut self, now: Micros) -> (Micros, bool) {
+        let ready = self.free_at.max(now) + Self::COST;
+        if ready > now + 3 * Self::PATIENCE {
+            return (now, false);
+        }
+        self.free_at = ready;
+        (ready.min(now + Self::PATIENCE), ready <= now + Self::PATIENCE)
+    }
+}
+
+#[test]
+fn fronts_that_come_back_together_all_have_the_list_within_the_time_given_for_asking() {
+    // Danger: discovery could answer them all in eight seconds; asked again too soon by all, it only answers those who have
+    // left already, and no front has the list any more.
+    let within = settings().ask_within;
+    let mut rigs: Vec<Rig> =
+        (0..30).map(|me| Rig::new(Settings { ask_list: true, ..among(me, 30) }, 2)).collect();
+    let (mut queue, back) = (Queue { free_at: 0 }, 108 * S);
+    let mut due: Vec<Option<(Micros, bool)>> = vec![None; rigs.len()];
+    let mut had: Vec<Option<Micros>> = vec![None; rigs.len()];
+    for now in (100 * S..back + within).step_by(10 * MS as usize) {
+        for (n, rig) in rigs.iter_mut().enumerate() {
+            rig.now = now;
+            if let Some((_, told)) = due[n].take_if(|d| d.0 <= now) {
+                let entries = [entry(0, 1, 0), entry(1, 1, 0)];
+                let kind = if told { ListKind::Full } else { ListKind::Failed };
+                rig.list(kind, &entries[..if told { 2 } else { 0 }]);
+                had[n] = had[n].or(told.then_some(now));
+            } else {
+                rig.tick();
+            }
+            if rig.did.contains(&Action::Watch(true)) {
+                due[n] = Some(if now < back { (now, false) } else { queue.call(now) });
+            }
+        }
+    }
+    let without = had.iter().filter(|at| at.is_none()).count();
+    assert_eq!(without, 0, "{without} of 30 fronts have no list");
+}
