Scale run with the form paced, and a table of before and after

The number of heartbeats at a planner is a slope of its own; at a pace the figures that rest on it take that. A changed file in an incident keeps the run's fields.

The page has a table of every row that the plain and the paced run both have; without a file of the plain run, or where the two differ in more than the mechanism, it says not measured. That a run is the quick one is said by the page from the object, no longer by hand.

--- a/crates/yarrowspoke-lab/src/scale/at_size.rs
+++ b/crates/yarrowspoke-lab/src/scale/at_size.rs
@@ -21,6 +21,10 @@
 /// What carries the cost of many machines on a front.
 const SUBSET: &str = "missing: state for a subset only; requests go to a subset, yet each scans all endpoints (yarrowspoke/src/rules.rs)";
 
+/// What carries control with the form `paced`.
+pub(super) const PACED: &str =
+    "heartbeats at a pace, snapshot and delta (yarrowspoke-fleet/src/pace.rs, delta.rs)";
+
 /// Changes of the list a second in the busiest hour.
 pub fn changes_per_s() -> f64 {
     BUSY * CHANGES_EACH * (target::FAILED_A_DAY + target::RESTARTED_A_DAY) / 86_400.0
@@ -151,7 +155,10 @@
     let of = |quantity| ("front", quantity);
     let steady = "control: bytes both ways, all planners, heads counted in";
     let a_change = "control: bytes for one change of the list, all planners";
-    let polling = "lease renewal by heartbeat, whole list on change (yarrowspoke-fleet/src/front.rs)";
+    let polling = match seen.paced {
+        true => PACED,
+        false => "lease renewal by heartbeat, whole list on change (yarrowspoke-fleet/src/front.rs)",
+    };
     for (name, times) in [
         ("ordinary, no change of the list", 0.0),
         ("busiest hour", 1.0),
@@ -301,7 +308,11 @@
 fn planner(seen: &mut Report) {
     let (machines, fronts) = (target::MACHINES as f64, target::FRONTS as f64);
     let settings = Fleet::default();
-    let (asks, others) = (fronts * 1e6 / settings.renew as f64, target::PLANNERS as f64 - 1.0);
+    // At a pace fewer come than renewals: as many as were seen.
+    let each = Some("control: heartbeats to one planner").filter(|_| seen.paced);
+    let each = each.and_then(|q| term(seen, ("front", q), fronts, 1.0));
+    let each = each.map_or(1e6 / settings.renew as f64, |t| t.value);
+    let (asks, others) = (fronts * each, target::PLANNERS as f64 - 1.0);
     let of = |quantity| ("planner", quantity);
     let record = "its record as it counts it, 20 machines a span";
     let mb = settings.keep_bytes as f64 / 1_048_576.0;
--- a/crates/yarrowspoke-lab/src/scale/cli.rs
+++ b/crates/yarrowspoke-lab/src/scale/cli.rs
@@ -27,6 +27,9 @@
     /// The smallest run, that of CI
     #[arg(long)]
     small: bool,
+    /// With the form paced in the section fleet, and a lease that is long enough for it
+    #[arg(long)]
+    paced: bool,
     /// Only one part: pure, control or incidents
     #[arg(long)]
     only: Option<String>,
@@ -69,6 +72,9 @@
     /// That object
     #[arg(long, default_value = "docs/measurements/scale.json", requires = "page")]
     json_file: PathBuf,
+    /// The object of a run without the form paced, for before and after; scale-plain.json beside the other if none
+    #[arg(long, requires = "page")]
+    plain_file: Option<PathBuf>,
     /// That page
     #[arg(long, default_value = "docs/CAPACITY.md", requires = "page")]
     to: PathBuf,
@@ -168,13 +174,16 @@
         let lab = std::env::current_exe().map_err(|e| e.to_string())?;
         let dir = base.join(format!("yarrowspoke-lab-scale-{}", std::process::id()));
         let (quick, small) = (self.quick || self.small, self.small);
-        Ok((Options { program, lab, dir, seed, quick, small, sizes: of, port }, only))
+        let paced = self.paced;
+        Ok((Options { program, lab, dir, seed, quick, small, paced, sizes: of, port }, only))
     }
 
     /// Plays, prints, and says by its status whether all checks held.
     pub fn run(&self) -> ExitCode {
         if self.page {
-            return match page::write(&self.json_file, &self.to) {
+            let beside = || self.json_file.with_file_name("scale-plain.json");
+            let plain = self.plain_file.clone().unwrap_or_else(beside);
+            return match page::write(&self.json_file, &plain, &self.to) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(why) => refused(&why),
             };
--- a/crates/yarrowspoke-lab/src/scale/control.rs
+++ b/crates/yarrowspoke-lab/src/scale/control.rs
@@ -3,6 +3,7 @@
 //! Bytes and messages are what proxies and discovery counted; processor time is the processes' own.
 
 use super::alone;
+use super::at_size::PACED;
 use super::discovery::{Caller, Status};
 use super::estate::Extent;
 use super::fit::fit;
@@ -437,9 +438,9 @@
     }
 }
 
-/// Slopes of control, and real fronts' own figures, with a section `fleet` as it is by default.
+/// Slopes of control, and real fronts' own figures, with the fields of the section `fleet` that the run is asked for.
 pub fn measure(options: &Options, seen: &mut Report, tick: &dyn Fn(&str)) -> io::Result<()> {
-    measure_with(options, "", seen, tick)
+    measure_with(options, options.fleet(), seen, tick)
 }
 
 /// The same with these fields in the section.
@@ -478,8 +479,10 @@
         return Ok(common);
     }
     let to = Forward { points: &points, size: target::FRONTS as f64, over: &over };
-    let heartbeat =
-        "lease renewal by heartbeat, each front at each planner (yarrowspoke-front/src/member.rs)";
+    let heartbeat = match seen.paced {
+        true => PACED,
+        false => "lease renewal by heartbeat, each front at each planner (yarrowspoke-front/src/member.rs)",
+    };
     let growth = to.value(|p| p.planner_growth);
     let minutes = target::MEMORY_LIMIT_MB / growth.max(f64::MIN_POSITIVE);
     at_size(
@@ -564,12 +567,16 @@
         return Ok(());
     }
     let to = Forward { points: &points, size: target::MACHINES as f64, over: &over };
+    let told = match seen.paced {
+        true => PACED,
+        false => "all ready machines told to each planner on a change (yarrowspoke-fleet/src/front.rs)",
+    };
     at_size(
         seen,
         ("front", "control bytes for a change of the list", "B"),
         (to.value(|p| p.change_bytes), None),
         to.told("both ways with all planners", |p| p.change_bytes),
-        "all ready machines told to each planner on a change (yarrowspoke-fleet/src/front.rs)",
+        told,
     );
     at_size(
         seen,
--- a/crates/yarrowspoke-lab/src/scale/incidents.rs
+++ b/crates/yarrowspoke-lab/src/scale/incidents.rs
@@ -255,7 +255,7 @@
             real_rate: 20.0,
             hot_rate: None,
             record: true,
-            fleet: String::new(),
+            fleet: options.fleet().to_owned(),
             plant: None,
         })?;
         site.machines.trace();
@@ -400,7 +400,9 @@
             let members = text.find("  (member").unwrap_or(0);
             let fresh = path.with_extension("fresh");
             let outbox = 1_024 + self.changes;
-            std::fs::write(&fresh, format!("(fleet\n  (outbox {outbox})\n{}", &text[members..]))?;
+            // Danger: a file without the fields of the run would be another change than that of one value.
+            let fields = &self.site.spec.fleet;
+            std::fs::write(&fresh, format!("(fleet\n  {fields}\n  (outbox {outbox})\n{}", &text[members..]))?;
             std::fs::rename(&fresh, &path)?;
             // Addresses have no part in it, so it is the same for all.
             digest = yarrowspoke_front::member::digests(&PathBuf::new(), Some(&path)).1;
--- a/crates/yarrowspoke-lab/src/scale/page.rs
+++ b/crates/yarrowspoke-lab/src/scale/page.rs
@@ -8,8 +8,9 @@
 use std::path::Path;
 
 /// The tables that a page has, each between its markers.
-pub const NAMES: [&str; 11] = [
+pub const NAMES: [&str; 12] = [
     "budgets",
+    "mechanism",
     "front",
     "planner",
     "discovery",
@@ -44,8 +45,8 @@
     serde_json::from_value(value).map_err(|e| format!("no object of a run: {e}"))
 }
 
-/// The page with its tables as this run has them; why not, in one line.
-pub fn filled(page: &str, seen: &Report) -> Result<String, String> {
+/// The page with its tables as this run has them, and one without the form `paced` if there is one; why not, in one line.
+pub fn filled(page: &str, seen: &Report, plain: Option<&Report>) -> Result<String, String> {
     if let Some(row) = seen.at_size.iter().find(|r| ROLES.iter().all(|(role, _)| r.role != *role)) {
         return Err(format!("role: found {:?}, which no table has", row.role));
     }
@@ -62,17 +63,24 @@
         if from > to {
             return Err(format!("marker {end:?}: found before its beginning"));
         }
-        let table = table(name, seen, &rows);
+        let table = match name {
+            "mechanism" => mechanism(seen, plain, &rows),
+            _ => table(name, seen, &rows),
+        };
         page.replace_range(from..to, &format!("\n\n{}\n\n", table.trim_end()));
     }
     Ok(page)
 }
 
-/// Writes a page anew from a file; the page stays as it was if anything is refused.
-pub fn write(json: &Path, page: &Path) -> Result<(), String> {
+/// Writes a page anew from a file, and the one of a run without the form `paced` if it is there; the page stays as it was
+/// if anything is refused.
+pub fn write(json: &Path, plain: &Path, page: &Path) -> Result<(), String> {
     let text = |path: &Path| std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
-    let seen = read(&text(json)?).map_err(|why| format!("{}: {why}", json.display()))?;
-    let new = filled(&text(page)?, &seen).map_err(|why| format!("{}: {why}", page.display()))?;
+    let object = |path: &Path| read(&text(path)?).map_err(|why| format!("{}: {why}", path.display()));
+    let seen = object(json)?;
+    let before = if plain.exists() { Some(object(plain)?) } else { None };
+    let new =
+        filled(&text(page)?, &seen, before.as_ref()).map_err(|why| format!("{}: {why}", page.display()))?;
     // Danger: a page cut off half way. It is written beside and put in place in one step.
     let beside = page.with_extension(format!("{}.new", std::process::id()));
     let put = std::fs::write(&beside, new).and_then(|()| std::fs::rename(&beside, page));
@@ -84,7 +92,7 @@
 
 fn table(name: &str, seen: &Report, rows: &[AtSize]) -> String {
     match name {
-        "budgets" => budgets(rows),
+        "budgets" => trial(seen) + &budgets(rows),
         "assumptions" => assumptions(seen),
         "slopes" => slopes(seen),
         "incidents" => incidents(seen),
@@ -156,6 +164,57 @@
     ratio(row).map_or_else(|| "-".to_owned(), figure)
 }
 
+/// What a short run's figures are worth.
+fn trial(seen: &Report) -> String {
+    if !seen.quick {
+        return String::new();
+    }
+    let alone =
+        if seen.real_fronts + seen.hollow_fronts == 0 { ", without processes of the program" } else { "" };
+    format!(
+        "**A trial**: the quick run{alone}. Its counts and bytes stand, its times may be too long and shapes of times \
+         named too steep.\n\n"
+    )
+}
+
+/// Before and after: every row that both runs have.
+fn mechanism(seen: &Report, plain: Option<&Report>, rows: &[AtSize]) -> String {
+    let not = |why: &str| format!("Before and after: not measured, {why}.");
+    if !seen.paced {
+        return not("as this run is without the form `paced`");
+    }
+    let Some(plain) = plain else { return not("as there is no file of a run without the form `paced`") };
+    // Danger: two runs that differ in more than the mechanism would be told as its effect.
+    if plain.paced {
+        return not("as the run before has the form `paced` as well");
+    }
+    if (plain.seed, plain.quick) != (seen.seed, seen.quick) {
+        return not("as the two runs differ in their seed or in being quick");
+    }
+    let mut text = format!(
+        "Seed {} both; the run after has a lease of 3.5 s, as the default of 2 s is refused beside a pace of 1 s.\n\n",
+        seen.seed
+    );
+    text += &head(&["role", "what", "before", "after", "after / before", "mechanism after"]);
+    for row in rows {
+        let same = |r: &&AtSize| (&r.role, &r.quantity, &r.unit) == (&row.role, &row.quantity, &row.unit);
+        let Some(before) = plain.at_size.iter().find(same) else { continue };
+        let ratio = if before.value > 0.0 { figure(row.value / before.value) } else { "-".to_owned() };
+        line(
+            &mut text,
+            &[
+                row.role.clone(),
+                row.quantity.clone(),
+                with_unit(before.value, &before.unit),
+                with_unit(row.value, &row.unit),
+                ratio,
+                row.mechanism.clone(),
+            ],
+        );
+    }
+    text
+}
+
 fn budgets(rows: &[AtSize]) -> String {
     let of = |program: bool| {
         let mut rows: Vec<&AtSize> = rows
--- a/crates/yarrowspoke-lab/src/scale/play.rs
+++ b/crates/yarrowspoke-lab/src/scale/play.rs
@@ -50,6 +50,7 @@
         version: VERSION,
         seed: options.seed,
         quick: options.quick,
+        paced: options.paced,
         processes: 2,
         machines: most(&options.sizes.machines),
         services: most(&options.sizes.services),
--- a/crates/yarrowspoke-lab/src/scale/pure/links.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/links.rs
@@ -12,10 +12,12 @@
 use yarrowspoke_fleet::book::Book;
 use yarrowspoke_fleet::front::FrontSide;
 use yarrowspoke_fleet::planner::Planner;
-use yarrowspoke_fleet::settings::{Fleet, Member, Role};
+use yarrowspoke_fleet::settings::{Fleet, Lists, Member, Paced, Role, Spans};
 use yarrowspoke_fleet::span::{Recorder, Stance};
 use yarrowspoke_fleet::version::{digest, List, News, Source, Version};
-use yarrowspoke_fleet::wire::{decode, encode, Answer, Heartbeat, Pull, Pushed};
+use yarrowspoke_fleet::wire::{
+    decode, decode_listing, encode, encode_listing, Answer, Heartbeat, Pull, Pushed,
+};
 use yarrowspoke_front::input::Row;
 use yarrowspoke_front::net::http::Encoder;
 use yarrowspoke_front::net::list::{machine_id, Discovery};
@@ -29,6 +31,10 @@
 const WARM: u64 = 15;
 /// Machines that a front sends to within some seconds, where the module was not asked.
 const NEAR: usize = 40;
+/// With the form `paced`, a front asks so often in a renewal whether a heartbeat is due, as the running one does.
+const ASKED: u64 = 4;
+/// Time between two exchanges of a planner with each other one.
+const EXCHANGED_EVERY: u64 = 500_000;
 
 /// The members: fronts in zones in turn, and planners.
 pub fn fleet(fronts: usize, planners: usize) -> Fleet {
@@ -43,6 +49,12 @@
     Fleet { members: (0..planners).map(planner).chain((0..fronts).map(front)).collect(), ..Fleet::default() }
 }
 
+/// The same with the form `paced`, as [`Options::fleet`] writes it in the section.
+pub fn paced(fleet: Fleet) -> Fleet {
+    let form = Paced { pace: 1_000_000, lists: Lists::Delta, spans: Spans::Home };
+    Fleet { lease: 3_500_000, paced: Some(form), ..fleet }
+}
+
 fn version() -> Version {
     let list = List { index: 0, source: Source::Held, epoch: 0, digest: 0 };
     let news = Some(News { build: 7, stage: 3, phase: 1, cap: 1_000_000 });
@@ -69,6 +81,12 @@
     pub asks: u64,
     /// Bytes of lists in asks.
     pub lists: u64,
+    /// Exchanges among planners; none without the form `paced`, where every planner has every span from its front.
+    pub exchanges: u64,
+    /// Their bytes, both ways.
+    pub exchanged: u64,
+    /// Seconds of processor time of them, both sides.
+    pub exchanges_s: f64,
 }
 
 /// A fleet in virtual time.
@@ -80,6 +98,7 @@
     machines: Vec<u32>,
     now: u64,
     renew: u64,
+    paced: bool,
     index: u64,
     rate: f64,
     near: usize,
@@ -90,14 +109,16 @@
 }
 
 impl World {
-    /// So many fronts and planners, each front with so many attempts a second to the machines near it.
+    /// So many fronts and planners, each front with so many attempts a second to the machines near it; with the form
+    /// `paced` or without.
     pub fn new(
         (fronts, planners): (usize, usize),
         machines: usize,
         (rate, near): (f64, usize),
-        seed: u64,
+        (seed, at_pace): (u64, bool),
     ) -> Self {
         let fleet = fleet(fronts, planners);
+        let fleet = if at_pace { paced(fleet) } else { fleet };
         let names: Vec<String> = fleet.members.iter().map(|m| m.name.clone()).collect();
         let (planner_names, front_names) = names.split_at(planners);
         let side = |n: &String| FrontSide::new(fleet.clone(), n, WALL, version());
@@ -111,6 +132,7 @@
             machines,
             now: DAY,
             renew: fleet.renew,
+            paced: at_pace,
             index: 40,
             rate,
             near,
@@ -146,10 +168,28 @@
         .0
     }
 
-    /// A renewal: every front closes a span and sends every planner a heartbeat.
+    /// A renewal: every front closes a span and sends every planner a heartbeat, or with the form `paced` those due.
     pub fn step(&mut self) {
-        self.now += self.renew;
-        self.due += self.rate * self.renew as f64 / 1e6;
+        let parts = if self.paced { ASKED } else { 1 };
+        for part in 1..=parts {
+            self.now += self.renew / parts;
+            self.attempts(self.renew / parts);
+            let (now, wall) = (self.now, WALL + self.now);
+            if part == parts {
+                self.counted.fronts_s += timed(|| self.fronts.iter_mut().for_each(|f| f.tick(now, wall))).0;
+            }
+            (0..self.planners.len()).for_each(|p| self.heartbeats(p));
+            // Danger: where planners don't hear of spans from each other, fronts carry them to every one after a bound.
+            if self.paced && now % EXCHANGED_EVERY == 0 {
+                self.exchange();
+            }
+        }
+        self.counted.steps += 1;
+    }
+
+    /// What fronts sent to machines in this time.
+    fn attempts(&mut self, time: u64) {
+        self.due += self.rate * time as f64 / 1e6;
         let attempts = self.due as usize;
         self.due -= attempts as f64;
         for n in 0..self.fronts.len() {
@@ -162,40 +202,67 @@
             }
             self.fronts[n].confirmed(self.now);
         }
-        let (now, wall) = (self.now, WALL + self.now);
-        let counted = &mut self.counted;
-        counted.fronts_s += timed(|| self.fronts.iter_mut().for_each(|f| f.tick(now, wall))).0;
-        for (p, planner) in self.planners.iter_mut().enumerate() {
-            let (took, asks) = timed(|| -> Vec<Vec<u8>> {
-                self.fronts.iter_mut().map(|f| encode(&f.heartbeat(p, now))).collect()
-            });
-            counted.fronts_s += took;
-            let answer = |body: &Vec<u8>| {
-                let ask = decode::<Heartbeat>(body).ok()?;
-                Some(encode(&planner.take(now, ask).ok()?))
-            };
-            let (took, answers) = timed(|| -> Vec<Option<Vec<u8>>> { asks.iter().map(answer).collect() });
-            counted.planners_s += took;
-            let from = spent();
-            for (front, answer) in self.fronts.iter_mut().zip(&answers) {
-                if let Some(answer) = answer.as_ref().and_then(|a| decode::<Answer>(a).ok()) {
-                    front.answered(p, now, now, answer);
+    }
+
+    /// Heartbeats to one planner, and its answers.
+    fn heartbeats(&mut self, p: usize) {
+        let (now, at_pace) = (self.now, self.paced);
+        let (counted, planner) = (&mut self.counted, &mut self.planners[p]);
+        let (took, asks) = timed(|| -> Vec<(usize, Vec<u8>)> {
+            let fronts = self.fronts.iter_mut().enumerate();
+            fronts
+                .filter_map(|(n, front)| {
+                    let due = !at_pace || front.due(p, now) <= now;
+                    due.then(|| (n, encode_listing(&mut front.heartbeat(p, now))))
+                })
+                .collect()
+        });
+        counted.fronts_s += took;
+        let answer = |(_, body): &(usize, Vec<u8>)| {
+            let ask = decode_listing::<Heartbeat>(body).ok()?;
+            Some(encode_listing(&mut planner.take(now, ask).ok()?))
+        };
+        let (took, answers) = timed(|| -> Vec<Option<Vec<u8>>> { asks.iter().map(answer).collect() });
+        counted.planners_s += took;
+        let from = spent();
+        for ((n, _), answer) in asks.iter().zip(&answers) {
+            match answer.as_ref().and_then(|a| decode_listing::<Answer>(a).ok()) {
+                Some(answer) => {
+                    self.fronts[*n].answered(p, now, now, answer);
                 }
+                None => self.fronts[*n].failed(p, now),
             }
-            counted.fronts_s += spent() - from;
-            for (ask, answer) in asks.iter().zip(&answers) {
-                let answer = answer.as_deref().unwrap_or_default();
-                let (came, went) = (on_link(ask, true), on_link(answer, false));
-                counted.asked += came;
-                counted.answered += went;
-                counted.heads += came + went - (ask.len() + answer.len()) as u64;
-                if let Some(list) = decode::<Heartbeat>(ask).ok().and_then(|a| a.ready) {
-                    counted.lists += encode(&list).len() as u64;
-                }
+        }
+        counted.fronts_s += spent() - from;
+        for ((_, ask), answer) in asks.iter().zip(&answers) {
+            let answer = answer.as_deref().unwrap_or_default();
+            let (came, went) = (on_link(ask, true), on_link(answer, false));
+            counted.asked += came;
+            counted.answered += went;
+            counted.heads += came + went - (ask.len() + answer.len()) as u64;
+            if let Some(list) = decode_listing::<Heartbeat>(ask).ok().and_then(|a| a.ready) {
+                counted.lists += encode(&list).len() as u64;
+            }
+        }
+        counted.asks += asks.len() as u64;
+    }
+
+    /// Every planner gets from every other one what it lacks.
+    fn exchange(&mut self) {
+        let now = self.now;
+        for p in 0..self.planners.len() {
+            for other in (0..self.planners.len()).filter(|o| *o != p) {
+                let (took, bytes) = timed(|| -> Option<usize> {
+                    let pull = encode(&self.planners[p].pull());
+                    let pushed = encode(&self.planners[other].push(now, &decode(&pull).ok()?).ok()?);
+                    self.planners[p].pushed(now, decode::<Pushed>(&pushed).ok()?);
+                    Some(pull.len() + pushed.len())
+                });
+                self.counted.exchanges += 1;
+                self.counted.exchanged += bytes.unwrap_or(0) as u64;
+                self.counted.exchanges_s += took;
             }
-            counted.asks += asks.len() as u64;
         }
-        counted.steps += 1;
     }
 
     /// Seconds of virtual time counted.
@@ -266,12 +333,13 @@
 }
 
 fn over_fronts(options: &Options, seen: &mut Report, tick: &dyn Fn(&str), load: (f64, usize)) {
-    let steps = if options.small || options.quick { 10 } else { 25 };
-    let mut of: [Vec<(f64, f64)>; 8] = Default::default();
+    // Several paces, where there is one.
+    let steps = if options.small || options.quick { 10 } else { 25 } * if options.paced { 2 } else { 1 };
+    let mut of: [Vec<(f64, f64)>; 9] = Default::default();
     for fronts in &options.sizes.fronts {
         tick(&format!("control, {fronts} fronts"));
         let size = *fronts as f64;
-        let mut world = World::new((*fronts, target::PLANNERS), 600, load, options.seed);
+        let mut world = World::new((*fronts, target::PLANNERS), 600, load, (options.seed, options.paced));
         (0..steps).for_each(|_| world.step());
         let (c, each) = (world.counted, size * world.seconds());
         let held = world.planners[0].book.bytes() as f64;
@@ -291,6 +359,11 @@
                 planner.pushed(now, pushed);
             }
         });
+        // Where planners have spans from each other, exchanges carry them: as they were, not one that lacks nothing.
+        let (exchange_us, exchange_bytes) = match c.exchanges {
+            0 => (pull + 1e6 * (gave + took), (encode(&asked).len() + pushed.len()) as f64),
+            n => (1e6 * c.exchanges_s / n as f64, c.exchanged as f64 / n as f64),
+        };
         let values = [
             (c.asked + c.answered) as f64 / each,
             c.heads as f64 / each,
@@ -298,18 +371,20 @@
             1e3 * c.fronts_s / each,
             held * minute,
             moved,
-            pull + 1e6 * (gave + took),
-            (encode(&asked).len() + pushed.len()) as f64,
+            exchange_us,
+            exchange_bytes,
+            c.asks as f64 / each / target::PLANNERS as f64,
         ];
         of.iter_mut().zip(values).for_each(|(points, v)| points.push((size, v)));
     }
-    let [bytes, heads, ask, front, book, moved, pull, between] = of;
+    let [bytes, heads, ask, front, book, moved, pull, between, heartbeats] = of;
     slope(
         seen,
         ("front", "control: bytes both ways, all planners, heads counted in", "bytes a second", "fronts"),
         bytes,
     );
     slope(seen, ("front", "control: heads of HTTP among them", "bytes a second", "fronts"), heads);
+    slope(seen, ("front", "control: heartbeats to one planner", "a second", "fronts"), heartbeats);
     slope(seen, ("planner", "a heartbeat with its answer, a short record", "us of processor", "fronts"), ask);
     slope(
         seen,
@@ -339,7 +414,7 @@
     let (mut bytes, mut front) = (vec![], vec![]);
     for rate in &options.sizes.rates {
         tick(&format!("control, {rate} requests/s a front"));
-        let mut world = World::new((50, target::PLANNERS), 600, (*rate, near), options.seed);
+        let mut world = World::new((50, target::PLANNERS), 600, (*rate, near), (options.seed, options.paced));
         (0..25).for_each(|_| world.step());
         let (c, each) = (world.counted, 50.0 * world.seconds());
         bytes.push((*rate, (c.asked + c.answered) as f64 / each));
@@ -364,11 +439,16 @@
     for machines in &options.sizes.machines {
         tick(&format!("control, a list of {machines} that changes"));
         let size = *machines as f64;
-        let mut world = World::new((FRONTS, target::PLANNERS), *machines, load, options.seed);
-        (0..5).for_each(|_| world.step());
+        let mut world =
+            World::new((FRONTS, target::PLANNERS), *machines, load, (options.seed, options.paced));
+        // Several paces, where there is one: a change brings heartbeats forward that were due later anyhow.
+        let steps = if options.paced { 15 } else { 5 };
+        (0..WARM).filter(|_| options.paced).for_each(|_| world.step());
+        world.counted = Counted::default();
+        (0..steps).for_each(|_| world.step());
         let before = std::mem::take(&mut world.counted);
         world.change();
-        (0..5).for_each(|_| world.step());
+        (0..steps).for_each(|_| world.step());
         let after = world.counted;
         let more = |a: f64, b: f64| (a - b).max(0.0) / FRONTS as f64;
         let bytes = |c: Counted| (c.asked + c.answered) as f64;
@@ -436,7 +516,7 @@
     let (mut ask, mut exchange, mut memory, mut counted) = (vec![], vec![], vec![], vec![]);
     for spans in spans {
         tick(&format!("a planner with {spans} spans of each front"));
-        let mut world = World::new((FRONTS, 1), 600, (1.0, NEAR), options.seed);
+        let mut world = World::new((FRONTS, 1), 600, (1.0, NEAR), (options.seed, options.paced));
         (0..*spans).for_each(|_| world.step());
         world.counted = Counted::default();
         (0..10).for_each(|_| world.step());
--- a/crates/yarrowspoke-lab/src/scale/report.rs
+++ b/crates/yarrowspoke-lab/src/scale/report.rs
@@ -107,6 +107,9 @@
     pub seed: u64,
     /// The short run.
     pub quick: bool,
+    /// With the form `paced` in the fleet's section.
+    #[serde(default)]
+    pub paced: bool,
     /// Most processes at once, this one counted in.
     pub processes: usize,
     /// Most resident memory of all of them together.
--- a/crates/yarrowspoke-lab/src/scale/run.rs
+++ b/crates/yarrowspoke-lab/src/scale/run.rs
@@ -34,8 +34,20 @@
     pub quick: bool,
     /// The smallest run, that of CI.
     pub small: bool,
+    /// With the form `paced` in the fleet's section.
+    pub paced: bool,
     /// What is played.
     pub sizes: Sizes,
     /// The first port that is listened on; the system's choice if none.
     pub port: Option<u16>,
 }
+
+impl Options {
+    /// Fields of the fleet's section. A lease of 2 s, the default, is refused beside a pace of 1 s.
+    pub fn fleet(&self) -> &'static str {
+        match self.paced {
+            true => "(lease 3.5) (paced (pace 1.0) (lists delta) (spans home))",
+            false => "",
+        }
+    }
+}
--- a/crates/yarrowspoke-lab/tests/scale_bounds.rs
+++ b/crates/yarrowspoke-lab/tests/scale_bounds.rs
@@ -37,6 +37,7 @@
         seed: 1,
         quick: true,
         small: true,
+        paced: false,
         sizes: Sizes {
             fronts: vec![10, 50],
             machines: vec![40, 600],
--- a/crates/yarrowspoke-lab/tests/scale_page.rs
+++ b/crates/yarrowspoke-lab/tests/scale_page.rs
@@ -13,6 +13,10 @@
     std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
 }
 
+fn has(name: &str) -> bool {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(name).exists()
+}
+
 fn blank() -> String {
     let tables = NAMES.map(|n| format!("## {n}\n\n<!-- scale:begin {n} -->\n<!-- scale:end {n} -->\n"));
     format!("# Page\n\n{}\nAfter it.\n", tables.join("\n"))
@@ -105,7 +109,9 @@
 fn page_and_file_agree() {
     let seen = read(&docs("measurements/scale.json")).unwrap();
     let page = docs("CAPACITY.md");
-    let new = filled(&page, &seen).unwrap();
+    let plain = has("measurements/scale-plain.json").then(|| docs("measurements/scale-plain.json"));
+    let plain = plain.map(|text| read(&text).unwrap());
+    let new = filled(&page, &seen, plain.as_ref()).unwrap();
     for (n, (is, should)) in page.lines().zip(new.lines()).enumerate() {
         assert_eq!(is, should, "docs/CAPACITY.md, line {}: run `yarrowspoke-lab scale --page`", n + 1);
     }
@@ -114,17 +120,82 @@
 
 #[test]
 fn a_page_with_a_changed_figure_or_an_older_file_does_not_agree() {
-    let page = filled(&blank(), &made()).unwrap();
-    assert_eq!(filled(&page, &made()).unwrap(), page, "writing it once more changes nothing");
+    let page = filled(&blank(), &made(), None).unwrap();
+    assert_eq!(filled(&page, &made(), None).unwrap(), page, "writing it once more changes nothing");
     let changed = page.replacen("20 bytes", "2 bytes", 1);
     assert_ne!(changed, page);
-    assert_eq!(filled(&changed, &made()).unwrap(), page, "what was changed by hand is written over");
-    assert_ne!(filled(&page, &Report { seed: 8, ..made() }).unwrap(), page);
+    assert_eq!(filled(&changed, &made(), None).unwrap(), page, "what was changed by hand is written over");
+    assert_ne!(filled(&page, &Report { seed: 8, ..made() }, None).unwrap(), page);
+}
+
+/// What the table of before and after says.
+fn mechanism(seen: &Report, plain: Option<&Report>) -> String {
+    let page = filled(&blank(), seen, plain).unwrap();
+    let at = |what: &str| page.find(what).unwrap_or_else(|| panic!("{what}: not in {page}"));
+    page[at("scale:begin mechanism")..at("scale:end mechanism")].to_owned()
+}
+
+#[test]
+fn before_and_after_are_held_against_each_other_where_both_were_run() {
+    let (plain, mut paced) = (made(), Report { paced: true, ..made() });
+    paced.at_size.retain(|r| r.quantity != "no budget");
+    paced.at_size.push(row("front", "after alone", 1.0, None));
+    paced.at_size.iter_mut().filter(|r| r.quantity == "over").for_each(|r| r.value = 5.0);
+    let table = mechanism(&paced, Some(&plain));
+    let told = "| front | over | 20 bytes | 5 bytes | 0.25 | missing: nothing |";
+    assert!(table.contains(told) && table.contains("Seed 7 both"), "{table}");
+    assert!(table.contains("lease of 3.5 s"), "what else differs is told: {table}");
+    // A head, its rule, and the four rows that both have.
+    assert_eq!(table.lines().filter(|l| l.starts_with('|')).count(), 6, "{table}");
+    assert!(!table.contains("no budget") && !table.contains("after alone"), "{table}");
+    let other_unit = |r: AtSize| AtSize { unit: "MB".to_owned(), ..r };
+    let units = Report { at_size: plain.at_size.clone().into_iter().map(other_unit).collect(), ..made() };
+    assert_eq!(mechanism(&paced, Some(&units)).lines().filter(|l| l.starts_with('|')).count(), 2);
+    let nothing = Report { at_size: vec![row("front", "over", 0.0, None)], ..made() };
+    assert!(mechanism(&paced, Some(&nothing)).contains("| 0 bytes | 5 bytes | - |"), "no ratio to nothing");
+    let (seed, quick) = (Report { seed: 8, ..made() }, Report { quick: true, ..made() });
+    for (seen, plain) in [
+        (&paced, None),
+        (&plain, None),
+        (&plain, Some(&plain)),
+        (&paced, Some(&paced)),
+        (&paced, Some(&seed)),
+        (&paced, Some(&quick)),
+    ] {
+        let table = mechanism(seen, plain);
+        assert!(table.contains("not measured") && !table.contains('|'), "{table}");
+    }
+}
+
+#[test]
+fn the_file_before_is_taken_if_it_is_there_and_refused_if_it_is_none() {
+    let own = Own::new("before");
+    let paced = Report { paced: true, ..made() };
+    let json = own.file("scale.json", &serde_json::to_string(&paced).unwrap());
+    let to = own.file("page.md", &blank());
+    assert_eq!(page(&json, &to).status.code(), Some(0), "a file that is not there is no fault");
+    let without = std::fs::read_to_string(&to).unwrap();
+    assert_eq!(without, filled(&blank(), &paced, None).unwrap());
+    own.file("scale-plain.json", "{}");
+    let done = page(&json, &to);
+    let said = String::from_utf8_lossy(&done.stderr).into_owned();
+    assert_eq!((done.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains("scale-plain.json"), "{said}");
+    assert_eq!(std::fs::read_to_string(&to).unwrap(), without);
+    own.file("scale-plain.json", &serde_json::to_string(&made()).unwrap());
+    assert_eq!(page(&json, &to).status.code(), Some(0));
+    assert_eq!(std::fs::read_to_string(&to).unwrap(), filled(&blank(), &paced, Some(&made())).unwrap());
+}
+
+#[test]
+fn a_quick_run_says_so_by_itself() {
+    let of = |quick| filled(&blank(), &Report { quick, ..made() }, None).unwrap();
+    assert!(of(true).contains("**A trial**: the quick run") && !of(false).contains("trial"));
 }
 
 #[test]
 fn what_stands_around_the_tables_stays() {
-    let page = filled(&blank(), &made()).unwrap();
+    let page = filled(&blank(), &made(), None).unwrap();
     assert!(page.starts_with("# Page\n\n## budgets\n") && page.ends_with("\nAfter it.\n"), "{page}");
     for name in NAMES {
         assert_eq!(page.matches(&format!("<!-- scale:begin {name} -->")).count(), 1, "{name}");
@@ -134,7 +205,7 @@
 
 #[test]
 fn budgets_stand_worst_first_and_one_without_a_figure_is_named() {
-    let page = filled(&blank(), &made()).unwrap();
+    let page = filled(&blank(), &made(), None).unwrap();
     let at = |what: &str| page.find(what).unwrap_or_else(|| panic!("{what}: not in {page}"));
     let budgets = &page[at("scale:begin budgets")..at("scale:end budgets")];
     let within = |what: &str| budgets.find(what).unwrap_or_else(|| panic!("{what}: not in {budgets}"));
@@ -159,7 +230,7 @@
 
 #[test]
 fn broken_incidents_and_what_grows_faster_than_linear_are_told() {
-    let page = filled(&blank(), &made()).unwrap();
+    let page = filled(&blank(), &made(), None).unwrap();
     let told =
         "| a zone is gone | a request is lost | **no**: 3 were | 4.2 s | not seen | front, memory: 31 MB |";
     assert!(page.contains(told), "{page}");
@@ -244,7 +315,7 @@
     assert!(!own.0.join("none.md").exists());
     // The same with nothing wrong, so that it was what was wrong that was refused.
     assert_eq!(page(&own.file("scale.json", &good), &to).status.code(), Some(0));
-    assert_eq!(std::fs::read_to_string(&to).unwrap(), filled(&page_of, &made()).unwrap());
+    assert_eq!(std::fs::read_to_string(&to).unwrap(), filled(&page_of, &made(), None).unwrap());
 }
 
 #[test]
--- a/crates/yarrowspoke-lab/tests/scale_small.rs
+++ b/crates/yarrowspoke-lab/tests/scale_small.rs
@@ -219,6 +219,7 @@
         seed: 12,
         quick: false,
         small: true,
+        paced: false,
         sizes,
         port: None,
     };
