--- a/crates/yarrowspoke-verdict/tests/rates.rs
+++ b/crates/yarrowspoke-verdict/tests/rates.rs
@@ -188,7 +188,7 @@
     let (all, turned) = (look(&all), look(&turned));
     // No difference of what is no number is taken for none; of two alike, infinite ones too, it is.
     let apart = |(a, b): (&f64, &f64)| if a == b { 0.0 } else { (a - b).abs() };
-    all.iter().zip(&turned).map(apart).find(|d| !(*d < 1e-9)).unwrap_or(0.0)
+    all.iter().zip(&turned).map(apart).find(|d| d.is_nan() || *d >= 1e-9).unwrap_or(0.0)
 }
 
 #[test]
