--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -195,6 +195,17 @@
             self.open.len(),
             self.flights.len(),
         );
+        let calls = self.outside.discovery.take_counts();
+        log::info!(
+            "list: version {}, last confirmed {:?} ago; calls to discovery: {} opened, {} renewed, failed {:?}, \
+             slowest opening {:?}",
+            self.outside.discovery.index(),
+            self.outside.discovery.heard().map(|at| at.elapsed()),
+            calls.opened,
+            calls.renewed,
+            calls.failed,
+            calls.slowest_open,
+        );
         if let Some((events, counts)) = self.watched.as_ref().map(Watch::counts) {
             log::info!("watch: of {events} events otherwise under the settings watched: {counts:?}");
         }
@@ -587,6 +598,9 @@
             self.follow.push_back(Follow::Outcome { id, attempt, machine, ending, took: 0, load });
             return;
         }
+        let version = self.outside.discovery.index();
+        let age_ms = self.outside.discovery.heard().map(|at| at.elapsed().as_millis() as u64);
+        log::debug!(id, attempt, machine, build, version, age_ms:?; "attempt sent");
         open.out += 1;
         let wait = exchange.deadline - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -8,7 +8,8 @@
 use futures_lite::AsyncWriteExt;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -82,6 +83,18 @@
 }
 
 impl ListError {
+    /// The kind of failure, as metrics count it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Io(_) => "connection",
+            Self::Late => "timeout",
+            Self::Ended => "closed",
+            Self::Status(503) => "overloaded",
+            Self::Status(_) => "status",
+            Self::Http(_) | Self::Part | Self::Unread(_) | Self::Json(_) => "spoilt",
+        }
+    }
+
     /// The answer came and cannot be used; a call that failed before is not spoilt but refused.
     fn is_spoilt(&self) -> bool {
         matches!(self, Self::Http(_) | Self::Part | Self::Unread(_) | Self::Json(_))
@@ -201,6 +214,32 @@
     }
 }
 
+/// What calls to discovery came to since they were last reported.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Calls that opened a watch or fetched the list, and were answered.
+    pub opened: u64,
+    /// Answers on a standing watch, with or without changes.
+    pub renewed: u64,
+    /// Calls that failed, by kind of failure.
+    pub failed: BTreeMap<&'static str, u64>,
+    /// The longest time that an opening call took to its answer or failure.
+    pub slowest_open: Duration,
+}
+
+impl CallCounts {
+    fn note(&mut self, opens: bool, took: Duration, failure: Option<&ListError>) {
+        match failure {
+            Some(error) => *self.failed.entry(error.kind()).or_default() += 1,
+            None if opens => self.opened += 1,
+            None => self.renewed += 1,
+        }
+        if opens {
+            self.slowest_open = self.slowest_open.max(took);
+        }
+    }
+}
+
 /// Discovery as this front asks it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -210,6 +249,7 @@
     /// The version held is not one of discovery's: only the whole list tells what has changed.
     astray: Cell<bool>,
     heard: Cell<Option<Instant>>,
+    counts: RefCell<CallCounts>,
 }
 
 impl Discovery {
@@ -228,9 +268,20 @@
             index: Cell::new(index),
             astray: Cell::new(false),
             heard: Cell::new(None),
+            counts: RefCell::default(),
         })
     }
 
+    /// The version held.
+    pub fn index(&self) -> u64 {
+        self.index.get()
+    }
+
+    /// What calls came to since this was last asked.
+    pub fn take_counts(&self) -> CallCounts {
+        self.counts.take()
+    }
+
     /// When it last answered with what can be used.
     pub fn heard(&self) -> Option<Instant> {
         self.heard.get()
@@ -243,7 +294,9 @@
 
     /// Asks once for the whole list.
     pub async fn fetch(self: Rc<Self>, to: Sender<Input>) {
+        let begun = Instant::now();
         let answer = self.call(&mut None, "/discovery/hosts", ANSWER_WITHIN).await;
+        self.note_call(true, begun, answer.as_ref().err());
         let input = match answer {
             Ok(list) => Input::List(ListKind::Full, list.index, list.rows),
             Err(e) => failed(&e),
@@ -265,11 +318,13 @@
                 true => "/discovery/hosts".to_owned(),
                 false => format!("/discovery/hosts?from={from}&hold_ms={}", hold.as_millis()),
             };
+            let begun = Instant::now();
             let asked = self.call(&mut line, &target, limit);
             let answer = match hold.is_zero() {
                 true => within(OPENED_WITHIN, asked).await.unwrap_or(Err(ListError::Late)),
                 false => asked.await,
             };
+            self.note_call(hold.is_zero(), begun, answer.as_ref().err());
             let list = match answer {
                 Ok(list) => list,
                 Err(ListError::Late) if !opens => {
@@ -298,6 +353,23 @@
         }
     }
 
+    /// Counts a call and writes down how it ended, and at which version it left this front.
+    fn note_call(&self, opens: bool, begun: Instant, failure: Option<&ListError>) {
+        let took = begun.elapsed();
+        let millis = took.as_millis() as u64;
+        let held = self.index.get();
+        self.counts.borrow_mut().note(opens, took, failure);
+        match failure {
+            Some(error) => {
+                let ending = error.kind();
+                let age = self.heard.get().map(|at| at.elapsed().as_millis() as u64);
+                log::warn!(opens, ending, took_ms = millis, held, age_ms:? = age; "discovery: call failed");
+            }
+            None if opens => log::info!(held, took_ms = millis; "discovery: watch opened"),
+            None => {}
+        }
+    }
+
     /// One call, made again where its answer comes spoilt. Danger: a watch that stops at noise goes without
     /// the list for seconds, and what is told meanwhile counts as told; so it is asked again at once, from the
     /// version held.
