A machine is sent to only while somebody vouches for it; calls to discovery spread over the fleet

Cause: nothing bounded the age of the list behind a send (rules.rs may_send looked at the state alone), and each front called discovery again 1 to 2 s after a failure (follow_list, on_list): with calls given up after 2 s, discovery works only for callers that have left, and stays so.

New module membership, pure: leases on the list (6 s from discovery's last word, as the platform counts) and on single machines; a schedule on which the fleet calls once in 0.8 of the time for asking, each front at its number's place, half as often from the third failure; fronts ask each other (256 bytes at most), which names no machine that a front's own list has not; where all say that they cannot reach discovery the list stays in use, until one says otherwise. A machine that answers proves itself for 2.5 s, if it was vouched for when asked. Watches wait 4 s at most and confirm the list also where nothing changed. A planner's narrowing no longer counts as discovery's answer (it ended all further calls); after a move the list holds 4 s; a process that stood still reads an answer that is there before it calls it late.

--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -186,6 +186,8 @@
     })?;
     // Whether the platform calls it pushed or asked for, on sockets the list comes to those only who watch it.
     settings.module.ask_list = true;
+    // A watch answers at the end of each wait, also where nothing changed.
+    settings.module.list_heartbeats = true;
     let module = &settings.module;
     if module.classes.is_empty() {
         return Err(ConfigError::field(&field("Classes"), "at least one class is needed"));
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -198,13 +198,14 @@
         let calls = self.outside.discovery.take_counts();
         log::info!(
             "list: version {}, last confirmed {:?} ago; calls to discovery: {} opened, {} renewed, failed {:?}, \
-             slowest opening {:?}",
+             slowest opening {:?}; since the start {:?}",
             self.outside.discovery.index(),
             self.outside.discovery.heard().map(|at| at.elapsed()),
             calls.opened,
             calls.renewed,
             calls.failed,
             calls.slowest_open,
+            self.front.membership_counts(),
         );
         if let Some((events, counts)) = self.watched.as_ref().map(Watch::counts) {
             log::info!("watch: of {events} events otherwise under the settings watched: {counts:?}");
@@ -278,6 +279,7 @@
             }
             Input::Ended(id, attempt, Err(ending)) => self.land(id, attempt, ending, Vec::new()),
             Input::List(kind, index, rows) => self.list(kind, index, rows),
+            Input::ListConfirmed => self.tell(Event::List { kind: ListKind::Delta, entries: &[] }),
             Input::News(news) => self.told(news),
             Input::Fleet => self.fleet(),
             Input::AskAgain => self.ask_again(),
@@ -365,7 +367,7 @@
         let Some(member) = self.hub.member.clone() else { return };
         let rows = member.changed_rows();
         if !rows.is_empty() {
-            self.put_list(ListKind::Delta, &rows);
+            self.put_list(ListKind::Narrowed, &rows);
         }
         if let Some(news) = member.changed_news() {
             self.put_news(news);
@@ -547,6 +549,7 @@
             peers.moved(to.peers, to.peers_all);
         }
         if self.outside.discovery.moved(to.discovery) {
+            self.tell(Event::List { kind: ListKind::Moved, entries: &[] });
             if self.watch.is_some() {
                 self.watch(true);
             }
@@ -600,7 +603,8 @@
         }
         let version = self.outside.discovery.index();
         let age_ms = self.outside.discovery.heard().map(|at| at.elapsed().as_millis() as u64);
-        log::debug!(id, attempt, machine, build, version, age_ms:?; "attempt sent");
+        let basis = self.front.list_basis(now, machine);
+        log::debug!(id, attempt, machine, build, version, age_ms:?, basis:?; "attempt sent");
         open.out += 1;
         let wait = exchange.deadline - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -20,9 +20,11 @@
 /// Most bytes of a list: some 30,000 machines at about 130 bytes each. Danger: a front whose list is over the limit never
 /// has one, and is never ready where lists are pushed.
 pub const LIST_LIMIT: usize = 4 * 1024 * 1024;
-/// What a watch that has fallen silent misses counts as told so long after, or...
-const SILENCE_TOLD: Duration = Duration::from_secs(6);
-/// ...so long after its wait is over, if that is later. A call that need not wait takes no longer either.
+/// Longest wait of a watch. What a watch that has fallen silent misses counts as told 6 s after that, and the decision
+/// module lets go of a list that was not confirmed for as long: a wait, an answer that does not come and the opening of
+/// another watch have to fit into it.
+const LONGEST_HOLD: Duration = Duration::from_secs(4);
+/// A call that need not wait takes no longer.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 /// How long after its wait an answer may take. Danger: what is missed counts as told when the time above is over,
 /// so half of it has to do for opening the watch anew and for the answer on it.
@@ -37,8 +39,6 @@
 /// it asked and heard nothing, which begins the count of spoilt ones from the start; so a call that goes on for longer
 /// never fails, and a new process that waits for the call is never ready.
 const OPENED_WITHIN: Duration = Duration::from_secs(3);
-/// Longest wait that discovery grants.
-const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
 /// An answer of discovery.
 #[derive(Clone, Debug, Default)]
@@ -250,6 +250,8 @@
     astray: Cell<bool>,
     heard: Cell<Option<Instant>>,
     counts: RefCell<CallCounts>,
+    /// The last call was answered on the connection of the call before.
+    went_on: Cell<bool>,
 }
 
 impl Discovery {
@@ -258,7 +260,7 @@
     pub fn new(address: SocketAddr, names: Names, index: u64, told_within: Micros) -> Rc<Self> {
         // A call that waits must end, and the next begin, well before the list counts as told unasked.
         let hold = match told_within {
-            0 => SILENCE_TOLD - ANSWER_WITHIN,
+            0 => LONGEST_HOLD,
             within => super::span(within / 2).min(LONGEST_HOLD),
         };
         Rc::new(Self {
@@ -269,6 +271,7 @@
             astray: Cell::new(false),
             heard: Cell::new(None),
             counts: RefCell::default(),
+            went_on: Cell::new(false),
         })
     }
 
@@ -333,6 +336,10 @@
                     continue;
                 }
                 Err(e) => {
+                    // A watch that discovery itself ends has told all there was until then.
+                    if matches!(e, ListError::Status(_)) && !opens && self.went_on.get() {
+                        let _ = to.send(Input::ListConfirmed).await;
+                    }
                     let _ = to.send(failed(&e)).await;
                     return;
                 }
@@ -341,6 +348,8 @@
             let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
             if opens || list.whole || !list.rows.is_empty() {
                 let _ = to.send(Input::List(kind, index, list.rows)).await;
+            } else {
+                let _ = to.send(Input::ListConfirmed).await;
             }
             // Danger: taken on before the lines are handed over, a version whose watch is ended in between is never
             // asked for again, and its changes are lost.
@@ -406,6 +415,7 @@
         pause: Duration,
     ) -> Result<Listing, ListError> {
         let asked = async {
+            self.went_on.set(line.is_some());
             if let Some(kept) = line.take() {
                 // A kept connection may have been closed meanwhile; asking again is harmless.
                 match self.ask(kept, target, pause).await {
@@ -413,6 +423,7 @@
                     other => return other,
                 }
             }
+            self.went_on.set(false);
             let connecting = Async::<TcpStream>::connect(self.address.get());
             let stream = within(CONNECT_WITHIN, connecting).await.ok_or(ListError::Late)??;
             self.ask(stream, target, pause).await
--- a/crates/yarrowspoke-front/tests/crossings.rs
+++ b/crates/yarrowspoke-front/tests/crossings.rs
@@ -166,7 +166,7 @@
     let asked = watch.message().unwrap();
     assert!(asked.start().starts_with("GET /discovery/hosts HTTP"), "{asked:?}");
     watch.answer(&listing(2, true, &[up(1, &machines[1])]));
-    assert!(watch.message().unwrap().start().contains("from=2&hold_ms=5000"));
+    assert!(watch.message().unwrap().start().contains("from=2&hold_ms=4000"));
     let mut client = program.client();
     client.write(&get(&fresh(), "5.0"));
     assert!(machines[1].connection().message().is_some());
--- a/crates/yarrowspoke-lab/src/scale/pure/module.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/module.rs
@@ -37,6 +37,7 @@
         fronts: target::FRONTS as u32,
         zone: 1,
         ask_list: false,
+        list_heartbeats: false,
         over_share_worth: 0.1,
         report_fields: vec![],
         report_source: ReportSource::None,
--- a/crates/yarrowspoke-lab/src/scenario.rs
+++ b/crates/yarrowspoke-lab/src/scenario.rs
@@ -145,6 +145,7 @@
             fronts: self.fronts,
             zone: (me % u32::from(self.zones)) as u16,
             ask_list: false,
+            list_heartbeats: false,
             over_share_worth: 0.1,
             report_fields: vec![LoadField::MeanMs],
             report_source: ReportSource::Answers,
--- a/crates/yarrowspoke-settings/src/lib.rs
+++ b/crates/yarrowspoke-settings/src/lib.rs
@@ -191,6 +191,7 @@
         fronts: env.peers_total,
         zone: env.zone,
         ask_list: env.membership_mode == "ask",
+        list_heartbeats: false,
         over_share_worth: env.over_share_worth,
         report_fields: env.report.fields.iter().map(|f| field(f)).collect(),
         report_source: match env.report.source.as_str() {
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -209,6 +209,19 @@
     pub work: f64,
     /// Requests of this front that the machine then held, this one included.
     pub queue: f64,
+    /// Somebody vouched for the machine when it was sent.
+    pub vouched: bool,
+}
+
+/// On what terms an attempt is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SendTerms {
+    /// Somebody vouches for the machine.
+    pub vouched: bool,
+    /// How long the attempt counts as exposure.
+    pub window: Micros,
+    /// How long its work counts as sent to the machine.
+    pub fall: Micros,
 }
 
 /// One outcome as evidence.
@@ -400,8 +413,6 @@
     pub vote_ok: Option<Micros>,
     /// Its answer is to come.
     pub vote_waits: bool,
-    /// When to ask for the list.
-    pub ask_at: Micros,
     /// Events that named something unknown.
     pub ignored: u64,
 }
@@ -458,9 +469,9 @@
         self.withdrawn.retain(|b| stay.contains(b));
     }
 
-    /// Orders the ready machines of each build on a ring by a hash of their ids, and keeps the `most` from
-    /// `part` of the way round.
-    pub fn reach_anew(&mut self, most: usize, part: f64) {
+    /// The ready machines of each build that a front sends to: on a ring by a hash of their ids, the `most` from `part` of
+    /// the way round.
+    pub fn reach_from(&self, most: usize, part: f64) -> BTreeMap<Build, Vec<MachineId>> {
         let mut rings: BTreeMap<Build, Vec<MachineId>> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.e.state == MachineState::Ready) {
             rings.entry(m.e.build).or_default().push(m.e.machine);
@@ -471,7 +482,12 @@
             ring.rotate_left(from);
             ring.truncate(most);
         }
-        self.reach = rings;
+        rings
+    }
+
+    /// Works out anew which machines this front sends to.
+    pub fn reach_anew(&mut self, most: usize, part: f64) {
+        self.reach = self.reach_from(most, part);
     }
 
     /// The machines within reach.
@@ -503,16 +519,16 @@
         self.samples.range(..build).filter(kept).map(|s| s.1)
     }
 
-    /// Books an attempt at machine `to`; exposure is kept for `window`, work sent for `fall`.
+    /// Books an attempt at machine `to`.
     pub fn note_send(
         &mut self,
         now: Micros,
         id: RequestId,
         r: &mut Request,
         to: MachineId,
-        window: Micros,
-        fall: Micros,
+        terms: &SendTerms,
     ) {
+        let &SendTerms { vouched, window, fall } = terms;
         let Some(m) = self.machines.get_mut(&to) else { return };
         if m.inflight == 0 {
             m.quiet_from = now;
@@ -525,7 +541,7 @@
         self.exposed.entry((build, r.class)).or_default().add(now, 1.0, window);
         let attempt = r.attempts.len() as u16;
         r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
-        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
+        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue, vouched };
         self.outs.insert((id, attempt), o);
     }
 
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -122,6 +122,9 @@
     pub zone: u16,
     /// The list must be asked for.
     pub ask_list: bool,
+    /// The host confirms a standing subscription every few seconds by a delta, also where nothing changed. Without this a
+    /// subscription stands until it is said to have ended.
+    pub list_heartbeats: bool,
     /// Worth of over-share requests as a part of their class's.
     pub over_share_worth: f64,
     /// Fields of a load report.
@@ -269,6 +272,10 @@
     Delta,
     /// The whole list as last held before a start.
     Cached,
+    /// Lines that the host has changed itself; no word of discovery's.
+    Narrowed,
+    /// No lines: discovery is at another address from now on, and the host has opened the subscription there.
+    Moved,
 }
 
 /// How an attempt ended.
--- a/crates/yarrowspoke/src/lib.rs
+++ b/crates/yarrowspoke/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod books;
 pub mod interface;
+pub mod membership;
 pub mod rules;
 
 pub use rules::Front;
--- /dev/null
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -0,0 +1,234 @@
+//! Membership: the list of machines that may be sent to, how old it may be, and how it is renewed.
+//!
+//! Every list has a source and a time. Discovery vouches for it for a bounded span ([`lease`]). When discovery does not
+//! renew it, it is asked again on a schedule that bounds the load of the whole fleet on it ([`schedule`]), and other fronts
+//! are asked what they know ([`peers`]). A machine without a valid lease is sent nothing.
+//!
+//! Everything here is a span of the host's monotonic clock; nothing compares wall clocks.
+
+pub mod lease;
+pub mod message;
+pub mod peers;
+pub mod schedule;
+
+use crate::interface::{Action, Entry, ListKind, MachineId, Micros, Settings};
+use lease::{Basis, Leases, ListTrust, Source};
+use message::{fingerprint, Message, Standing, Vouched, MOST_VOUCHED};
+use peers::{Heard, PeerAsks};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use schedule::AskSchedule;
+use std::collections::BTreeMap;
+
+/// Keeps this module's random numbers apart from those of routing.
+const RANDOM_STREAM: u64 = 0x6d65_6d62_6572_7368;
+/// A list that discovery has not renewed by this long before its lease ends is worth asking other fronts about.
+const ASK_PEERS_AHEAD: Micros = 1_000_000;
+/// Other fronts are asked again once what they vouched for ends within this span.
+const RENEW_VOUCHED_AHEAD: Micros = 2_000_000;
+
+/// What membership did since the start; it only grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Calls to discovery.
+    pub discovery_calls: u64,
+    /// Calls that failed, and subscriptions that ended.
+    pub discovery_failures: u64,
+    /// Questions to other fronts.
+    pub peer_questions: u64,
+    /// Answers of fronts that could vouch for machines.
+    pub peer_vouched: u64,
+    /// Answers of fronts that cannot reach discovery.
+    pub peer_cut_off: u64,
+    /// Answers of fronts that know nothing of discovery yet.
+    pub peer_untried: u64,
+}
+
+/// What a front knows of the list's age, and its efforts to renew it.
+#[derive(Clone)]
+pub struct Membership {
+    leases: Leases,
+    schedule: AskSchedule,
+    peers: Option<PeerAsks>,
+    /// There is no other front, whose calls could keep discovery busy or who could know better.
+    alone: bool,
+    random: Pcg64Mcg,
+    /// The list is asked for at all; otherwise it comes unasked.
+    asks: bool,
+    told: Source,
+    counts: Counts,
+}
+
+impl Membership {
+    /// Membership of a front that has just started.
+    pub fn new(seed: u64, settings: &Settings, now: Micros) -> Self {
+        let talks = settings.ask_list && settings.peers && settings.fronts > 1;
+        Self {
+            leases: Leases::new(ListTrust::of(settings)),
+            schedule: AskSchedule::new(settings, talks, now),
+            alone: settings.fronts <= 1,
+            peers: talks.then(|| PeerAsks::new(settings.me, settings.fronts, now)),
+            random: Pcg64Mcg::seed_from_u64(seed ^ RANDOM_STREAM),
+            asks: settings.ask_list,
+            told: Source::Cache,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Whether a machine that is listed as ready may be sent something now.
+    pub fn may_use(&self, now: Micros, machine: MachineId) -> bool {
+        self.leases.basis(now, machine).is_some()
+    }
+
+    /// What a send to this machine would stand on.
+    pub fn basis(&self, now: Micros, machine: MachineId) -> Option<Basis> {
+        self.leases.basis(now, machine)
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Takes note of a list event; the lines themselves are the caller's.
+    pub fn on_list(&mut self, now: Micros, kind: ListKind) {
+        match kind {
+            ListKind::Cached => self.leases.start(now),
+            ListKind::Full | ListKind::Delta => {
+                self.leases.confirm(now);
+                self.schedule.answered();
+            }
+            ListKind::Failed => {
+                self.counts.discovery_failures += 1;
+                self.leases.lose_subscription(now, self.schedule.stands());
+                self.schedule.failed(now, &mut self.random);
+            }
+            ListKind::Moved => self.leases.discovery_moved(now),
+            ListKind::Narrowed => {}
+        }
+    }
+
+    /// Whether an answer to what is sent to this machine now will prove that it is the machine listed: only where somebody
+    /// vouches for it, as another process may have come up under its name.
+    pub fn is_vouched(&self, now: Micros, machine: MachineId) -> bool {
+        let basis = self.leases.basis(now, machine);
+        basis.is_some_and(|b| matches!(b.source, Source::Discovery | Source::Peer | Source::Machine))
+    }
+
+    /// A vouched-for machine answered an attempt that was sent at `sent`: it was at work then.
+    pub fn on_answer(&mut self, machine: MachineId, sent: Micros) {
+        self.leases.prove(machine, sent);
+    }
+
+    /// A machine turned an attempt away, or could not be reached: nothing is proven any more.
+    pub fn on_refusal(&mut self, machine: MachineId) {
+        self.leases.disprove(machine);
+    }
+
+    /// Calls discovery and other fronts where it is time; meant to be called often.
+    pub fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if !self.asks {
+            return;
+        }
+        if self.schedule.due(now, &mut self.random) {
+            self.counts.discovery_calls += 1;
+            out.push(Action::Watch(true));
+        }
+        if self.alone && self.schedule.fails() {
+            self.leases.assume_outage(now);
+        }
+        self.ask_peers(now, out);
+        self.tell_changes(now, out);
+    }
+
+    fn ask_peers(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(peers) = &mut self.peers else { return };
+        let list_holds = self.leases.list_until() > now + ASK_PEERS_AHEAD && self.leases.is_discoverys();
+        let vouched_holds = self.leases.vouched_until() > now + RENEW_VOUCHED_AHEAD;
+        if list_holds || vouched_holds {
+            return;
+        }
+        for (peer, nonce) in peers.ask(now, &mut self.random) {
+            self.counts.peer_questions += 1;
+            out.push(Action::Tell { peer: Some(peer), bytes: Message::Question { nonce }.encode() });
+        }
+    }
+
+    /// Writes down when what the front stands on changes.
+    fn tell_changes(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let source = self.leases.source(now);
+        if source != self.told {
+            out.push(Action::Log(format!("list: stood on {:?}, stands on {source:?}", self.told)));
+            self.told = source;
+        }
+    }
+
+    /// Takes a message of another front. `stretch` gives the ready machines that a front of some number sends to; `listed`
+    /// are this front's own ready machines. False if the message makes no sense.
+    pub fn on_message<'a>(
+        &mut self,
+        now: Micros,
+        from: u32,
+        bytes: &[u8],
+        stretch: impl FnOnce(u32) -> Vec<&'a Entry>,
+        listed: impl Iterator<Item = &'a Entry>,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(peers) = &mut self.peers else { return false };
+        let Ok(peer) = u16::try_from(from) else { return false };
+        match Message::decode(bytes) {
+            Ok(Message::Question { nonce }) => {
+                let answer = self.answer(now, nonce, stretch(from));
+                out.push(Action::Tell { peer: Some(peer), bytes: answer.encode() });
+                true
+            }
+            Ok(Message::Answer { nonce, standing, vouched }) => {
+                let Some(heard) = peers.heard(now, peer, nonce, standing, &vouched) else { return false };
+                self.take_answer(now, heard, listed);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// What this front can vouch for among the machines that the asker sends to.
+    fn answer(&self, now: Micros, nonce: u32, machines: Vec<&Entry>) -> Message {
+        let vouched = |entry: &&Entry| {
+            let left = self.leases.left_to_vouch(now, entry.machine)?;
+            Some(Vouched { fingerprint: fingerprint(entry), left })
+        };
+        let vouched = machines.iter().filter_map(vouched).take(MOST_VOUCHED).collect();
+        Message::Answer { nonce, standing: self.standing(now), vouched }
+    }
+
+    fn standing(&self, now: Micros) -> Standing {
+        match self.leases.list_left(now) {
+            0 if self.schedule.fails() => Standing::OutOfReach,
+            0 => Standing::Untried,
+            left => Standing::Confirmed(left),
+        }
+    }
+
+    fn take_answer<'a>(&mut self, now: Micros, heard: Heard, listed: impl Iterator<Item = &'a Entry>) {
+        match heard {
+            Heard::Vouched { list_until, machines } => {
+                self.counts.peer_vouched += 1;
+                let known = listed.filter_map(|e| Some((e.machine, *machines.get(&fingerprint(e))?)));
+                let known: BTreeMap<MachineId, Micros> = known.collect();
+                self.leases.vouch(now, known, list_until);
+            }
+            Heard::CutOff { outage } => {
+                self.counts.peer_cut_off += 1;
+                if outage {
+                    self.leases.assume_outage(now);
+                }
+            }
+            Heard::Untried => self.counts.peer_untried += 1,
+        }
+    }
+
+    /// Forgets machines that are not kept.
+    pub fn forget(&mut self, keep: impl Fn(MachineId) -> bool) {
+        self.leases.forget(keep);
+    }
+}
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -5,6 +5,8 @@
 
 use crate::books::*;
 use crate::interface::*;
+use crate::membership::lease::Basis;
+use crate::membership::{Counts, Membership};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -106,8 +108,6 @@
 const BACK_PART: f64 = 0.15; // part of the aim after which to come back, with up to as much again for spread
 const NOMINAL_WORK: f64 = 100_000.0; // work of a request without a hint, in microseconds
 const EDGE: Micros = 60 * MS; // margin on counted spans
-const ASK_AGAIN: Micros = 1_000 * MS; // least pause before asking for the list again, spread to twice that
-const ANSWER_LIMIT: Micros = 4_000 * MS; // an ask without an answer for this long is made again
 
 // ---- State ---------------------------------------------------------------------------------------
 #[derive(Clone, Copy, PartialEq, PartialOrd, Eq, Ord, Debug)]
@@ -129,6 +129,7 @@
     rng: Pcg64Mcg,
     k: Knowledge,
     alarms: [f64; 3],
+    membership: Membership,
 }
 
 impl Front {
@@ -143,11 +144,11 @@
             boot: BOOT_LIMIT,
             probes_late: 1.0,
             retries: Bucket { left: RETRIES.1, at: now },
-            ask_at: now,
             ..Knowledge::default()
         };
-        let mut front = Self { alarms: judging(&s).1, s, rng: Pcg64Mcg::seed_from_u64(seed), k };
-        front.follow_list(now, out);
+        let membership = Membership::new(seed, &s, now);
+        let mut front = Self { alarms: judging(&s).1, s, rng: Pcg64Mcg::seed_from_u64(seed), k, membership };
+        front.membership.on_tick(now, out);
         out.push(Action::Timer { name: 0, after: TICK });
         front
     }
@@ -170,7 +171,8 @@
                 self.k.asking(machine).into_iter().for_each(|id| self.on_probed(now, told, id, out));
             }
             Event::FirstByte { .. } => {}
-            Event::Message { .. } | Event::Tally { .. } => self.k.ignored += 1,
+            Event::Message { from, bytes } => self.on_message(now, from, bytes, out),
+            Event::Tally { .. } => self.k.ignored += 1,
         }
     }
 
@@ -179,6 +181,16 @@
         self.k.ignored
     }
 
+    /// What a send to `machine` would stand on now, if its line of the list may still be used.
+    pub fn list_basis(&self, now: Micros, machine: MachineId) -> Option<Basis> {
+        self.membership.basis(now, machine)
+    }
+
+    /// What following the list took so far.
+    pub fn membership_counts(&self) -> Counts {
+        self.membership.counts()
+    }
+
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::Timer { name: 0, after: TICK });
         let rate = self.k.served.sum(now, RATE_SPAN) / RATE_SPAN as f64;
@@ -187,7 +199,7 @@
         if let Some((_, book)) = &mut self.k.book {
             book.close(now);
         }
-        self.follow_list(now, out);
+        self.membership.on_tick(now, out);
         self.eject_silent(now);
         self.rescue(now, out);
         let parked: Vec<_> = self.k.requests.iter().filter(|r| r.1.parked).map(|r| *r.0).collect();
@@ -207,6 +219,7 @@
         now < r.deadline
             && r.attempts.len() < self.most_attempts(r)
             && m.e.state == MachineState::Ready
+            && self.membership.may_use(now, m.e.machine)
             && self.may_repeat(now, r, m)
             && self.tie_allows(r, m)
             && self.cold_allows(now, r, m)
@@ -371,36 +384,40 @@
     }
 
     // ---- Following the list ----------------------------------------------------------------------
-    fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if !self.s.ask_list || now < self.k.ask_at {
-            return;
-        }
-        // Asked again after a failure or no answer, spread out so that fronts do not stampede.
-        out.push(Action::Watch(true));
-        self.k.ask_at = now + ANSWER_LIMIT + self.jitter(ASK_AGAIN);
-    }
-
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
-        if kind == ListKind::Failed {
-            self.k.ask_at = now + ASK_AGAIN + self.jitter(ASK_AGAIN);
-            return;
-        }
-        if kind != ListKind::Cached {
-            self.k.ask_at = Micros::MAX;
-        }
-        if kind != ListKind::Delta {
-            self.k.drop_missing(entries);
+        self.membership.on_list(now, kind);
+        match kind {
+            ListKind::Failed | ListKind::Moved => return,
+            ListKind::Full | ListKind::Cached => self.k.drop_missing(entries),
+            ListKind::Delta if entries.is_empty() => return,
+            ListKind::Delta | ListKind::Narrowed => {}
         }
         for e in entries {
             self.k.learn(now, e);
         }
         self.k.forget(BUILDS_KEPT);
+        self.membership.forget(|m| self.k.machines.contains_key(&m));
         // Danger: a front that meets every machine of a large fleet learns nothing of any, and holds
         // connections that machines may lack. Each takes a stretch of a ring instead, overlapping.
         self.k.reach_anew(REACH, f64::from(self.s.me) / f64::from(self.s.fronts.max(1)));
         self.measure(now);
     }
 
+    /// Another front asks, or answers, what is known of the list. Danger: anybody may write; only answers to questions of
+    /// this front count, and they name no machine that its own list has not.
+    fn on_message(&mut self, now: Micros, from: u32, bytes: &[u8], out: &mut Vec<Action>) {
+        let k = &self.k;
+        let fronts = f64::from(self.s.fronts.max(1));
+        let stretch = |front: u32| {
+            let reach = k.reach_from(REACH, (f64::from(front) / fronts).fract());
+            reach.into_values().rev().flatten().filter_map(|id| Some(&k.machines.get(&id)?.e)).collect()
+        };
+        let listed = k.machines.values().map(|m| &m.e).filter(|e| e.state == MachineState::Ready);
+        if !self.membership.on_message(now, from, bytes, stretch, listed, out) {
+            self.k.ignored += 1;
+        }
+    }
+
     // ---- Routing: window, in-flight ceiling, hash positions, two random choices -------------------
     fn on_request(&mut self, now: Micros, a: &Arrival, out: &mut Vec<Action>) {
         let (id, class, key) = (a.id, usize::from(a.class), a.key);
@@ -475,7 +492,9 @@
         out: &mut Vec<Action>,
     ) {
         let fall = (self.s.fall + EDGE).max(RATE_SPAN);
-        self.k.note_send(now, id, &mut r, machine, self.s.release.window + EDGE, fall);
+        let vouched = self.membership.is_vouched(now, machine);
+        let terms = SendTerms { vouched, window: self.s.release.window + EDGE, fall };
+        self.k.note_send(now, id, &mut r, machine, &terms);
         out.push(Action::Send { id, machine, timeout: 0 });
         self.k.requests.insert(id, r);
     }
@@ -675,6 +694,11 @@
         if matches!(ending, Ending::Cancelled | Ending::Moot) || m.e.build != o.build {
             return;
         }
+        match ending {
+            Ending::Ok | Ending::Error if o.vouched => self.membership.on_answer(o.machine, o.sent),
+            Ending::Full | Ending::ConnectFailed | Ending::Reset => self.membership.on_refusal(o.machine),
+            _ => {}
+        }
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             (m.quiet_from, m.heard) = (now, now);
         }
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -30,6 +30,7 @@
         fronts: 1,
         zone: 0,
         ask_list: false,
+        list_heartbeats: false,
         over_share_worth: 0.1,
         report_fields: vec![],
         report_source: ReportSource::None,
