An answer no longer vouches for a machine, and machines that left and came back are not vouched for to who missed it

The processes that answered were new ones under old names, which discovery still had to tell as gone; and a machine that left and returned looks to another front as it always did. So answers prove nothing (lease.rs prove, taken out), and a question names the asker's version: only lines unchanged since then are vouched for. Fronts without any lease ask every 0.1 s.

--- a/crates/yarrowspoke-drill/src/host.rs
+++ b/crates/yarrowspoke-drill/src/host.rs
@@ -120,15 +120,15 @@
     fn topology(&mut self, now: u64, at: usize, r: &mut Reader) -> Result<(), WireError> {
         let number = r.u32()?;
         let kind = r.list_kind()?;
-        let _version = r.u64()?;
+        let version = r.u64()?;
         if kind == ListKind::Failed {
-            return self.pass(now, at, Event::List { kind, entries: &[] });
+            return self.pass(now, at, Event::List { kind, version, entries: &[] });
         }
         let entries = self
             .pages
             .remove(&number)
             .ok_or_else(|| WireError::Misplaced { at, what: format!("list {number} was never sent") })?;
-        let event = Event::List { kind, entries: &entries };
+        let event = Event::List { kind, version, entries: &entries };
         let done = self.pass(now, at, event);
         self.pages.insert(number, entries);
         done
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -279,7 +279,10 @@
             }
             Input::Ended(id, attempt, Err(ending)) => self.land(id, attempt, ending, Vec::new()),
             Input::List(kind, index, rows) => self.list(kind, index, rows),
-            Input::ListConfirmed => self.tell(Event::List { kind: ListKind::Delta, entries: &[] }),
+            Input::ListConfirmed => {
+                let version = self.outside.discovery.index();
+                self.tell(Event::List { kind: ListKind::Delta, version, entries: &[] });
+            }
             Input::News(news) => self.told(news),
             Input::Fleet => self.fleet(),
             Input::AskAgain => self.ask_again(),
@@ -359,7 +362,7 @@
             Some(member) => member.listed(kind, index, rows),
             None => rows,
         };
-        self.put_list(kind, &rows);
+        self.put_list(kind, index, &rows);
     }
 
     /// What planners take away has changed, or the lease has: the module is told as if its own sources had.
@@ -367,7 +370,7 @@
         let Some(member) = self.hub.member.clone() else { return };
         let rows = member.changed_rows();
         if !rows.is_empty() {
-            self.put_list(ListKind::Narrowed, &rows);
+            self.put_list(ListKind::Narrowed, 0, &rows);
         }
         if let Some(news) = member.changed_news() {
             self.put_news(news);
@@ -382,7 +385,7 @@
         self.listen();
     }
 
-    fn put_list(&mut self, kind: ListKind, rows: &[Row]) {
+    fn put_list(&mut self, kind: ListKind, version: u64, rows: &[Row]) {
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             self.listed.clear();
             self.outside.machines.keep_only(rows);
@@ -393,7 +396,7 @@
         }
         log::debug!(kind:?, lines = rows.len(); "list");
         let entries: Vec<Entry> = rows.iter().map(|r| r.entry.clone()).collect();
-        self.tell(Event::List { kind, entries: &entries });
+        self.tell(Event::List { kind, version, entries: &entries });
         // An attempt still unwritten when its machine drains, leaves or comes back with another build.
         let listed = std::mem::take(&mut self.listed);
         self.recall(|f| listed.get(&f.machine) != Some(&(MachineState::Ready, f.build)));
@@ -551,7 +554,7 @@
         if self.outside.discovery.moved(to.discovery) {
             // What the old one still says counts for nothing; the module has the new one called in its turn.
             self.watch(false);
-            self.tell(Event::List { kind: ListKind::Moved, entries: &[] });
+            self.tell(Event::List { kind: ListKind::Moved, version: 0, entries: &[] });
             if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
                 self.fetch();
             }
--- a/crates/yarrowspoke-lab/src/world.rs
+++ b/crates/yarrowspoke-lab/src/world.rs
@@ -236,7 +236,7 @@
         }
         self.carry(me, acts);
         let entries = self.entries();
-        self.say(me, &Event::List { kind: ListKind::Cached, entries: &entries });
+        self.say(me, &Event::List { kind: ListKind::Cached, version: 0, entries: &entries });
         let news = self.news();
         self.say(me, &Event::News(news));
     }
@@ -273,7 +273,7 @@
                 self.tell_lists();
             }
             Ev::List { front, entries } => {
-                self.say(front, &Event::List { kind: ListKind::Full, entries: &entries });
+                self.say(front, &Event::List { kind: ListKind::Full, version: 0, entries: &entries });
             }
             Ev::News { front, news } => self.say(front, &Event::News(news)),
             Ev::Vote { front, build, stage, verdict } => self.vote(front, build, stage, verdict),
--- a/crates/yarrowspoke/src/books.rs
+++ b/crates/yarrowspoke/src/books.rs
@@ -209,19 +209,6 @@
     pub work: f64,
     /// Requests of this front that the machine then held, this one included.
     pub queue: f64,
-    /// Somebody vouched for the machine when it was sent.
-    pub vouched: bool,
-}
-
-/// On what terms an attempt is sent.
-#[derive(Clone, Copy, Debug)]
-pub struct SendTerms {
-    /// Somebody vouches for the machine.
-    pub vouched: bool,
-    /// How long the attempt counts as exposure.
-    pub window: Micros,
-    /// How long its work counts as sent to the machine.
-    pub fall: Micros,
 }
 
 /// One outcome as evidence.
@@ -519,16 +506,16 @@
         self.samples.range(..build).filter(kept).map(|s| s.1)
     }
 
-    /// Books an attempt at machine `to`.
+    /// Books an attempt at machine `to`; exposure is kept for `window`, work sent for `fall`.
     pub fn note_send(
         &mut self,
         now: Micros,
         id: RequestId,
         r: &mut Request,
         to: MachineId,
-        terms: &SendTerms,
+        window: Micros,
+        fall: Micros,
     ) {
-        let &SendTerms { vouched, window, fall } = terms;
         let Some(m) = self.machines.get_mut(&to) else { return };
         if m.inflight == 0 {
             m.quiet_from = now;
@@ -541,7 +528,7 @@
         self.exposed.entry((build, r.class)).or_default().add(now, 1.0, window);
         let attempt = r.attempts.len() as u16;
         r.attempts.push(Attempt { machine: to, build, zone, cell, sent: now, out: true, maybe_ran: true });
-        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue, vouched };
+        let o = Out { machine: to, build, class: r.class, sent: now, work: r.work, queue };
         self.outs.insert((id, attempt), o);
     }
 
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -401,6 +401,8 @@
     List {
         /// What the entries are.
         kind: ListKind,
+        /// Discovery's version of the list; nothing where the kind has none.
+        version: u64,
         /// The lines.
         entries: &'a [Entry],
     },
--- a/crates/yarrowspoke/src/membership/lease.rs
+++ b/crates/yarrowspoke/src/membership/lease.rs
@@ -1,4 +1,7 @@
 //! How long a list, or a single machine of it, may be sent to without being confirmed anew.
+//!
+//! A machine does not vouch for itself by answering: another process may have come up under its name and address, while
+//! discovery still has to tell that the one listed has gone.
 
 use crate::interface::{MachineId, Micros, Settings};
 use std::collections::BTreeMap;
@@ -9,9 +12,6 @@
 const MOVED_TOLD_WITHIN: Micros = 4_000_000;
 /// Held back from the grace of a drain where a list of unknown age is used.
 const GRACE_MARGIN: Micros = 100_000;
-/// How long an answer proves that a machine is at work. A drained machine turns requests away, ends, and another process may
-/// come up under its name some three seconds later at the earliest; by then no proof from before may be left.
-const PROOF_LASTS: Micros = 2_500_000;
 /// How long the list is kept in use on the word of other fronts that none of them can reach discovery.
 const OUTAGE_LASTS: Micros = 1_500_000;
 
@@ -22,8 +22,6 @@
     Nobody,
     /// The list held from before the start, of unknown age.
     Cache,
-    /// The machine itself, by an answer.
-    Machine,
     /// Other fronts, none of which can reach discovery: nothing newer is known to anybody.
     Outage,
     /// Another front whose list is confirmed.
@@ -127,18 +125,6 @@
         }
     }
 
-    /// A machine answered what was sent to it at `sent`.
-    pub fn prove(&mut self, machine: MachineId, sent: Micros) {
-        self.extend(machine, Basis { source: Source::Machine, until: sent + PROOF_LASTS });
-    }
-
-    /// A machine turned a request away or could not be reached.
-    pub fn disprove(&mut self, machine: MachineId) {
-        if self.machines.get(&machine).is_some_and(|m| m.source == Source::Machine) {
-            self.machines.remove(&machine);
-        }
-    }
-
     /// Another front vouches for machines by a list that holds until `list_until`.
     pub fn vouch(&mut self, now: Micros, machines: BTreeMap<MachineId, Micros>, list_until: Micros) {
         let own_holds = self.list.source == Source::Discovery && now < self.list.until;
--- a/crates/yarrowspoke/src/membership/message.rs
+++ b/crates/yarrowspoke/src/membership/message.rs
@@ -5,12 +5,14 @@
 //! | 0 | format, 0x59 | the same |
 //! | 1 | kind, 1 | kind, 2 |
 //! | 2 to 5 | nonce, little-endian | the question's nonce |
+//! | 6 to 13 | version of the asker's list, little-endian | - |
 //! | 6 | - | time left to the sender's list, in 50 ms; 0: it cannot reach discovery; 254: it was answered, unreadably; 255: it has not tried yet |
 //! | from 7 | - | for each machine vouched for: fingerprint (4 bytes, little-endian), time left (1 byte, in 50 ms) |
 //!
 //! A machine is named by a fingerprint of its
-//! id, build and start, so that another process under an old id is never taken for the one vouched for. An answer names no
-//! addresses: a front sends only to machines that its own list has named.
+//! id, build and start, so that another process under an old id is never taken for the one vouched for. What has left the
+//! list since the asker's version is not vouched for either, though it be back: the asker counts as told that it left. An
+//! answer names no addresses: a front sends only to machines that its own list has named.
 
 use crate::books::position;
 use crate::interface::{Entry, Micros};
@@ -61,6 +63,8 @@
     Question {
         /// Names the question.
         nonce: u32,
+        /// The version of the asker's list.
+        version: u64,
     },
     /// These machines.
     Answer {
@@ -88,7 +92,11 @@
     /// The bytes of this message, never more than 256.
     pub fn encode(&self) -> Vec<u8> {
         match self {
-            Self::Question { nonce } => head(QUESTION, *nonce),
+            Self::Question { nonce, version } => {
+                let mut bytes = head(QUESTION, *nonce);
+                bytes.extend_from_slice(&version.to_le_bytes());
+                bytes
+            }
             Self::Answer { nonce, standing, vouched } => {
                 let mut bytes = head(ANSWER, *nonce);
                 bytes.push(standing_byte(*standing));
@@ -112,12 +120,15 @@
         }
         let nonce = u32::from_le_bytes([head[2], head[3], head[4], head[5]]);
         match (head[1], rest.split_first()) {
-            (QUESTION, None) => Ok(Self::Question { nonce }),
+            (QUESTION, _) => {
+                let version = rest.try_into().map_err(|_| MessageError::Length)?;
+                Ok(Self::Question { nonce, version: u64::from_le_bytes(version) })
+            }
             (ANSWER, Some((left, lines))) if lines.len().is_multiple_of(LINE) => {
                 let vouched = lines.chunks_exact(LINE).map(line).collect();
                 Ok(Self::Answer { nonce, standing: standing(*left), vouched })
             }
-            (QUESTION | ANSWER, _) => Err(MessageError::Length),
+            (ANSWER, _) => Err(MessageError::Length),
             _ => Err(MessageError::Kind),
         }
     }
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -62,6 +62,10 @@
     /// Until when the word of another front counts that discovery is at work.
     at_work_until: Micros,
     random: Pcg64Mcg,
+    /// The version of the list held, and the one at which each of its lines was last told: a machine may have left and come
+    /// back up to then.
+    version: u64,
+    told_at: BTreeMap<MachineId, u64>,
     /// The list is asked for at all; otherwise it comes unasked.
     asks: bool,
     told: Source,
@@ -79,6 +83,8 @@
             peers: talks.then(|| PeerAsks::new(settings.me, settings.fronts, now)),
             discovery_spoke: false,
             at_work_until: 0,
+            version: 0,
+            told_at: BTreeMap::new(),
             random: Pcg64Mcg::seed_from_u64(seed ^ RANDOM_STREAM),
             asks: settings.ask_list,
             told: Source::Cache,
@@ -102,7 +108,11 @@
     }
 
     /// Takes note of a list event; the lines themselves are the caller's.
-    pub fn on_list(&mut self, now: Micros, kind: ListKind) {
+    pub fn on_list(&mut self, now: Micros, kind: ListKind, version: u64, entries: &[Entry]) {
+        if matches!(kind, ListKind::Full | ListKind::Delta | ListKind::Cached) {
+            self.version = version;
+            self.told_at.extend(entries.iter().map(|e| (e.machine, version)));
+        }
         match kind {
             ListKind::Cached => self.leases.start(now),
             ListKind::Full | ListKind::Delta => {
@@ -137,23 +147,6 @@
         self.schedule.fails() && !self.discovery_spoke && now >= self.at_work_until
     }
 
-    /// Whether an answer to what is sent to this machine now will prove that it is the machine listed: only where somebody
-    /// vouches for it, as another process may have come up under its name.
-    pub fn is_vouched(&self, now: Micros, machine: MachineId) -> bool {
-        let basis = self.leases.basis(now, machine);
-        basis.is_some_and(|b| matches!(b.source, Source::Discovery | Source::Peer | Source::Machine))
-    }
-
-    /// A vouched-for machine answered an attempt that was sent at `sent`: it was at work then.
-    pub fn on_answer(&mut self, machine: MachineId, sent: Micros) {
-        self.leases.prove(machine, sent);
-    }
-
-    /// A machine turned an attempt away, or could not be reached: nothing is proven any more.
-    pub fn on_refusal(&mut self, machine: MachineId) {
-        self.leases.disprove(machine);
-    }
-
     /// Calls discovery and other fronts where it is time; meant to be called often.
     pub fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         if !self.asks {
@@ -177,9 +170,13 @@
         if (list_holds || vouched_holds) && !self.schedule.in_doubt() {
             return;
         }
-        for (peer, nonce) in peers.ask(now, &mut self.random) {
+        let urgent = self.leases.source(now) <= Source::Cache;
+        for (peer, nonce) in peers.ask(now, urgent, &mut self.random) {
             self.counts.peer_questions += 1;
-            out.push(Action::Tell { peer: Some(peer), bytes: Message::Question { nonce }.encode() });
+            out.push(Action::Tell {
+                peer: Some(peer),
+                bytes: Message::Question { nonce, version: self.version }.encode(),
+            });
         }
     }
 
@@ -206,8 +203,8 @@
         let Some(peers) = &mut self.peers else { return false };
         let Ok(peer) = u16::try_from(from) else { return false };
         match Message::decode(bytes) {
-            Ok(Message::Question { nonce }) => {
-                let answer = self.answer(now, nonce, stretch(from));
+            Ok(Message::Question { nonce, version }) => {
+                let answer = self.answer(now, nonce, version, stretch(from));
                 out.push(Action::Tell { peer: Some(peer), bytes: answer.encode() });
                 true
             }
@@ -220,9 +217,10 @@
         }
     }
 
-    /// What this front can vouch for among the machines that the asker sends to.
-    fn answer(&self, now: Micros, nonce: u32, machines: Vec<&Entry>) -> Message {
+    /// What this front can vouch for among the machines that the asker sends to, by a list of that version.
+    fn answer(&self, now: Micros, nonce: u32, version: u64, machines: Vec<&Entry>) -> Message {
         let vouched = |entry: &&Entry| {
+            self.told_at.get(&entry.machine).filter(|told_at| **told_at <= version)?;
             let left = self.leases.left_to_vouch(now, entry.machine)?;
             Some(Vouched { fingerprint: fingerprint(entry), left })
         };
@@ -265,6 +263,7 @@
 
     /// Forgets machines that are not kept.
     pub fn forget(&mut self, keep: impl Fn(MachineId) -> bool) {
-        self.leases.forget(keep);
+        self.leases.forget(&keep);
+        self.told_at.retain(|machine, _| keep(*machine));
     }
 }
--- a/crates/yarrowspoke/src/membership/peers.rs
+++ b/crates/yarrowspoke/src/membership/peers.rs
@@ -9,9 +9,8 @@
 const ASKED_AT_ONCE: usize = 3;
 /// Least time from one round of questions to the next...
 const ROUND: Micros = 500_000;
-/// ...and in the first seconds after the start, when a fleet may have started together.
-const FIRST_ROUND: Micros = 200_000;
-const FIRST_ROUNDS_LAST: Micros = 2_000_000;
+/// ...and where no machine may be sent to meanwhile.
+const URGENT_ROUND: Micros = 100_000;
 /// An answer that takes longer is not used: what it says is older than it seems worth.
 const ANSWER_WITHIN: Micros = 1_000_000;
 /// Fronts that must have said lately that they cannot reach discovery before that counts for all of them.
@@ -53,8 +52,7 @@
 pub struct PeerAsks {
     me: u32,
     fronts: u32,
-    started: Micros,
-    next: Micros,
+    asked: Micros,
     questions: VecDeque<Question>,
     /// Fronts that said lately that they cannot reach discovery, and when.
     cut_off: BTreeMap<u16, Micros>,
@@ -63,16 +61,22 @@
 impl PeerAsks {
     /// Front `me` of `fronts`, which asks from `now` on.
     pub fn new(me: u32, fronts: u32, now: Micros) -> Self {
-        Self { me, fronts, started: now, next: now, questions: VecDeque::new(), cut_off: BTreeMap::new() }
+        Self {
+            me,
+            fronts,
+            asked: now.saturating_sub(ROUND),
+            questions: VecDeque::new(),
+            cut_off: BTreeMap::new(),
+        }
     }
 
     /// Fronts to ask now, with a nonce for each; none if the last round is too recent.
-    pub fn ask(&mut self, now: Micros, random: &mut impl RngCore) -> Vec<(u16, u32)> {
-        if now < self.next {
+    pub fn ask(&mut self, now: Micros, urgent: bool, random: &mut impl RngCore) -> Vec<(u16, u32)> {
+        let pause = if urgent { URGENT_ROUND } else { ROUND };
+        if now < self.asked + pause {
             return Vec::new();
         }
-        let young = now < self.started + FIRST_ROUNDS_LAST;
-        self.next = now + if young { FIRST_ROUND } else { ROUND };
+        self.asked = now;
         self.questions.retain(|q| now < q.asked + ANSWER_WITHIN);
         let mut asked = Vec::new();
         for _ in 0..ASKED_AT_ONCE {
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -156,7 +156,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         match *event {
-            Event::List { kind, entries } => self.on_list(now, kind, entries),
+            Event::List { kind, version, entries } => self.on_list(now, kind, version, entries),
             Event::Request(ref r) => self.on_request(now, r, out),
             Event::Timer { name: 0 } => self.on_tick(now, out),
             Event::Timer { name } => self.on_probed(now, None, name - 1, out),
@@ -384,8 +384,8 @@
     }
 
     // ---- Following the list ----------------------------------------------------------------------
-    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
-        self.membership.on_list(now, kind);
+    fn on_list(&mut self, now: Micros, kind: ListKind, version: u64, entries: &[Entry]) {
+        self.membership.on_list(now, kind, version, entries);
         match kind {
             ListKind::Failed | ListKind::Garbled | ListKind::Moved => return,
             ListKind::Full | ListKind::Cached => self.k.drop_missing(entries),
@@ -492,9 +492,7 @@
         out: &mut Vec<Action>,
     ) {
         let fall = (self.s.fall + EDGE).max(RATE_SPAN);
-        let vouched = self.membership.is_vouched(now, machine);
-        let terms = SendTerms { vouched, window: self.s.release.window + EDGE, fall };
-        self.k.note_send(now, id, &mut r, machine, &terms);
+        self.k.note_send(now, id, &mut r, machine, self.s.release.window + EDGE, fall);
         out.push(Action::Send { id, machine, timeout: 0 });
         self.k.requests.insert(id, r);
     }
@@ -694,11 +692,6 @@
         if matches!(ending, Ending::Cancelled | Ending::Moot) || m.e.build != o.build {
             return;
         }
-        match ending {
-            Ending::Ok | Ending::Error if o.vouched => self.membership.on_answer(o.machine, o.sent),
-            Ending::Full | Ending::ConnectFailed | Ending::Reset => self.membership.on_refusal(o.machine),
-            _ => {}
-        }
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Full) {
             (m.quiet_from, m.heard) = (now, now);
         }
