A restarted front calls discovery sooner where few others are without a subscription

Answers now tell whether the sender's own subscription stands, and first calls take that part of the 8 s.

--- a/crates/yarrowspoke/src/membership/message.rs
+++ b/crates/yarrowspoke/src/membership/message.rs
@@ -7,7 +7,8 @@
 //! | 2 to 5 | nonce, little-endian | the question's nonce |
 //! | 6 to 13 | version of the asker's list, little-endian | - |
 //! | 6 | - | time left to the sender's list, in 50 ms; 0: it cannot reach discovery; 254: it was answered, unreadably; 255: it has not tried yet |
-//! | from 7 | - | for each machine vouched for: fingerprint (4 bytes, little-endian), time left (1 byte, in 50 ms) |
+//! | 7 | - | 1 if the sender's own subscription stands, else 0 |
+//! | from 8 | - | for each machine vouched for: fingerprint (4 bytes, little-endian), time left (1 byte, in 50 ms) |
 //!
 //! A machine is named by a fingerprint of its
 //! id, build and start, so that another process under an old id is never taken for the one vouched for. What has left the
@@ -21,7 +22,7 @@
 const QUESTION: u8 = 1;
 const ANSWER: u8 = 2;
 const HEAD: usize = 6;
-const ANSWER_HEAD: usize = HEAD + 1;
+const ANSWER_HEAD: usize = HEAD + 2;
 const LINE: usize = 5;
 /// Most bytes of a message.
 const MOST_BYTES: usize = 256;
@@ -72,6 +73,8 @@
         nonce: u32,
         /// How the sender stands towards discovery.
         standing: Standing,
+        /// The sender's own subscription stands; otherwise what it vouches for is another front's word.
+        subscribed: bool,
         /// Machines that the asker sends to, by the sender's list.
         vouched: Vec<Vouched>,
     },
@@ -97,9 +100,10 @@
                 bytes.extend_from_slice(&version.to_le_bytes());
                 bytes
             }
-            Self::Answer { nonce, standing, vouched } => {
+            Self::Answer { nonce, standing, subscribed, vouched } => {
                 let mut bytes = head(ANSWER, *nonce);
                 bytes.push(standing_byte(*standing));
+                bytes.push(u8::from(*subscribed));
                 for line in vouched.iter().take(MOST_VOUCHED) {
                     bytes.extend_from_slice(&line.fingerprint.to_le_bytes());
                     bytes.push(units(line.left));
@@ -119,14 +123,14 @@
             return Err(MessageError::Format);
         }
         let nonce = u32::from_le_bytes([head[2], head[3], head[4], head[5]]);
-        match (head[1], rest.split_first()) {
+        match (head[1], rest) {
             (QUESTION, _) => {
                 let version = rest.try_into().map_err(|_| MessageError::Length)?;
                 Ok(Self::Question { nonce, version: u64::from_le_bytes(version) })
             }
-            (ANSWER, Some((left, lines))) if lines.len().is_multiple_of(LINE) => {
+            (ANSWER, [left, subscribed, lines @ ..]) if lines.len().is_multiple_of(LINE) => {
                 let vouched = lines.chunks_exact(LINE).map(line).collect();
-                Ok(Self::Answer { nonce, standing: standing(*left), vouched })
+                Ok(Self::Answer { nonce, standing: standing(*left), subscribed: *subscribed != 0, vouched })
             }
             (ANSWER, _) => Err(MessageError::Length),
             _ => Err(MessageError::Kind),
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -208,8 +208,11 @@
                 out.push(Action::Tell { peer: Some(peer), bytes: answer.encode() });
                 true
             }
-            Ok(Message::Answer { nonce, standing, vouched }) => {
+            Ok(Message::Answer { nonce, standing, subscribed, vouched }) => {
                 let Some(heard) = peers.heard(now, peer, nonce, standing, &vouched) else { return false };
+                if let Some(crowd) = peers.crowd(now, subscribed) {
+                    self.schedule.share(now, crowd);
+                }
                 self.take_answer(now, heard, listed);
                 true
             }
@@ -225,7 +228,7 @@
             Some(Vouched { fingerprint: fingerprint(entry), left })
         };
         let vouched = machines.iter().filter_map(vouched).take(MOST_VOUCHED).collect();
-        Message::Answer { nonce, standing: self.standing(now), vouched }
+        Message::Answer { nonce, standing: self.standing(now), subscribed: self.schedule.stands(), vouched }
     }
 
     fn standing(&self, now: Micros) -> Standing {
--- a/crates/yarrowspoke/src/membership/peers.rs
+++ b/crates/yarrowspoke/src/membership/peers.rs
@@ -15,6 +15,9 @@
 const ANSWER_WITHIN: Micros = 1_000_000;
 /// Fronts that must have said lately that they cannot reach discovery before that counts for all of them.
 const CUT_OFF_ENOUGH: usize = 3;
+/// Answers by which a front reckons how many others are without a list, at least and at most.
+const CROWD_SEEN: usize = 3;
+const CROWD_MOST: usize = 12;
 /// How long ago is lately.
 const CUT_OFF_WITHIN: Micros = 2_000_000;
 
@@ -54,6 +57,8 @@
     fronts: u32,
     asked: Micros,
     questions: VecDeque<Question>,
+    /// The last answers: when each came, and whether its front's subscription stands.
+    answers: VecDeque<(Micros, bool)>,
     /// Fronts that said lately that they cannot reach discovery, and when.
     cut_off: BTreeMap<u16, Micros>,
 }
@@ -66,6 +71,7 @@
             fronts,
             asked: now.saturating_sub(ROUND),
             questions: VecDeque::new(),
+            answers: VecDeque::new(),
             cut_off: BTreeMap::new(),
         }
     }
@@ -128,6 +134,19 @@
         }
     }
 
+    /// Takes note of whether a front that answered is `subscribed`. Part of the other fronts that are not, as far as they
+    /// answered lately; `None` if too few did.
+    pub fn crowd(&mut self, now: Micros, subscribed: bool) -> Option<f64> {
+        self.answers.push_back((now, subscribed));
+        if self.answers.len() > CROWD_MOST {
+            self.answers.pop_front();
+        }
+        self.answers.retain(|a| now < a.0 + CUT_OFF_WITHIN);
+        let (all, with_list) = (self.answers.len(), self.answers.iter().filter(|a| a.1).count());
+        let enough = CROWD_SEEN.min(self.fronts.saturating_sub(1) as usize);
+        (all >= enough && all > 0).then(|| 1.0 - with_list as f64 / all as f64)
+    }
+
     fn all_cut_off(&mut self, now: Micros) -> bool {
         self.cut_off.retain(|_, at| now < *at + CUT_OFF_WITHIN);
         let others = self.fronts.saturating_sub(1) as usize;
--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -46,6 +46,8 @@
     failures: u32,
     /// ...and those of them that a crowd explains.
     crowded: u32,
+    /// The least pause after the last failure ends then.
+    not_before: Micros,
     /// Other fronts can tell a crowd from an outage.
     talks: bool,
     /// When the last failed call began, as long as it is not known whether a crowd explains it.
@@ -72,6 +74,7 @@
             called: None,
             failures: 0,
             crowded: 0,
+            not_before: 0,
             talks,
             unexplained: None,
         }
@@ -106,6 +109,15 @@
         self.unexplained = None;
     }
 
+    /// Only a part of the fronts is without a subscription: their first calls take that part of the time, so that they come no
+    /// faster than if all called. A front whose call has failed keeps its place.
+    pub fn share(&mut self, now: Micros, crowd: f64) {
+        let sooner = now + (crowd * self.others * self.place * self.spread as f64) as Micros;
+        if self.called.is_none() && self.failures == 0 {
+            self.next = self.next.map(|next| next.min(sooner.max(self.not_before)));
+        }
+    }
+
     /// Discovery is elsewhere: it is called there, by each front at its place where fronts can vouch meanwhile.
     pub fn moved(&mut self, now: Micros) {
         let wait = if self.talks { self.others * self.place * self.spread as f64 } else { 0.0 };
@@ -131,6 +143,7 @@
         };
         let pause = LEAST_PAUSE + below(if self.others > 0.0 { JITTER } else { LEAST_PAUSE }, random);
         self.failures += 1;
+        self.not_before = now + pause;
         self.next = Some(next + pause);
     }
 
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -140,7 +140,7 @@
 }
 
 fn answer(rig: &mut Rig, from: u16, nonce: u32, standing: Standing, vouched: Vec<Vouched>) {
-    let bytes = Message::Answer { nonce, standing, vouched }.encode();
+    let bytes = Message::Answer { nonce, standing, subscribed: false, vouched }.encode();
     rig.say(Event::Message { from: from.into(), bytes: &bytes });
 }
 
@@ -299,7 +299,7 @@
     ) {
         let vouched: Vec<_> = lines.into_iter().map(|(fingerprint, left)| Vouched { fingerprint, left: left * 50 * MS }).collect();
         for standing in [Standing::Confirmed(left * 50 * MS), Standing::OutOfReach, Standing::Unreadable, Standing::Untried] {
-            let message = Message::Answer { nonce, standing, vouched: vouched.clone() };
+            let message = Message::Answer { nonce, standing, subscribed: left % 2 == 0, vouched: vouched.clone() };
             let bytes = message.encode();
             prop_assert!(bytes.len() <= 256);
             prop_assert_eq!(Message::decode(&bytes), Ok(message));
