A process that stood still lets the list go until it is confirmed; watches wait 3 s

The driver now sees that it stood still (1 s without a turn), drops that watch and has another opened; nothing is sent before its answer. A second look at a wait that is over (1 ms) alone did not do.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -32,6 +32,8 @@
 const PROBE_LIMIT: Micros = 250_000;
 /// Period of the sweep over kept connections.
 const SWEEP: Micros = 500_000;
+/// A driver that has not turned for so long stood still: its shortest timer is due far more often.
+const STANDSTILL: Micros = 1_000_000;
 /// Sweeps from one report of what is held to the next.
 const REPORT_EVERY: u32 = 10;
 
@@ -168,6 +170,7 @@
     pub async fn run(mut self, inputs: Receiver<Input>) {
         loop {
             self.fire();
+            let turned = self.hub.clock.now();
             let next = self.timers.first_key_value().map(|t| self.hub.clock.instant(t.0 .0));
             let timer = async {
                 match next {
@@ -176,7 +179,12 @@
                 };
                 None
             };
-            if let Some(input) = future::or(async { inputs.recv().await.ok() }, timer).await {
+            let input = future::or(async { inputs.recv().await.ok() }, timer).await;
+            let still = self.hub.clock.now() - turned;
+            if still > STANDSTILL {
+                self.stood_still(still);
+            }
+            if let Some(input) = input {
                 self.take(input);
                 (1..INPUTS_AT_ONCE).map_while(|_| inputs.try_recv().ok()).for_each(|i| self.take(i));
             }
@@ -184,6 +192,15 @@
         }
     }
 
+    /// A process that stood still goes on with what it knew before, while news wait to be read: the list has to be confirmed
+    /// before anything is sent on it.
+    fn stood_still(&mut self, span: Micros) {
+        log::warn!(span; "stood still; the list is let go until it is confirmed");
+        // Danger: an answer that has waited to be read says that the list was current when it was written, not now.
+        self.watch(false);
+        self.tell(Event::List { kind: ListKind::StoodStill, version: 0, entries: &[] });
+    }
+
     /// Tells now and then what is held, and what broke attempts since.
     fn report_held(&self) {
         let ((clients, lines), [fresh, kept]) =
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -23,12 +23,12 @@
 /// Longest wait of a watch. What a watch that has fallen silent misses counts as told 6 s after that, and the decision
 /// module lets go of a list that was not confirmed for as long: a wait, an answer that does not come and the opening of
 /// another watch have to fit into it.
-const LONGEST_HOLD: Duration = Duration::from_secs(4);
+const LONGEST_HOLD: Duration = Duration::from_secs(3);
 /// A call that need not wait takes no longer.
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 /// How long after its wait an answer may take. Danger: what is missed counts as told when the time above is over,
 /// so half of it has to do for opening the watch anew and for the answer on it.
-const SILENT_WITHIN: Duration = Duration::from_secs(1);
+const SILENT_WITHIN: Duration = Duration::from_secs(2);
 /// Longest time that connecting may take: one that is down in silence must not hold a call for as long as news may.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Longest pause within an answer, doubled each time it is asked again; one that stops in its midst is only a part.
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -276,6 +276,8 @@
     Garbled,
     /// Lines that the host has changed itself; no word of discovery's.
     Narrowed,
+    /// No lines: the host stood still, and what it was told meanwhile is still to be read.
+    StoodStill,
     /// No lines: discovery is at another address from now on, and the subscription at the old one has ended.
     Moved,
 }
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -128,6 +128,10 @@
                 self.leases.miss_changes(now);
                 self.on_failure(now, true);
             }
+            ListKind::StoodStill => {
+                self.leases.miss_changes(now);
+                self.schedule.call_at(now);
+            }
             ListKind::Moved => {
                 self.leases.discovery_moved(now);
                 self.schedule.moved(now);
--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -118,11 +118,16 @@
         }
     }
 
+    /// The next call is made at `at`, whatever was planned.
+    pub fn call_at(&mut self, at: Micros) {
+        self.next = Some(at);
+        self.called = None;
+    }
+
     /// Discovery is elsewhere: it is called there, by each front at its place where fronts can vouch meanwhile.
     pub fn moved(&mut self, now: Micros) {
         let wait = if self.talks { self.others * self.place * self.spread as f64 } else { 0.0 };
-        self.next = Some(now + wait as Micros);
-        self.called = None;
+        self.call_at(now + wait as Micros);
     }
 
     /// A call failed, or the subscription ended; `at_work` if discovery has shown that it is.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -387,7 +387,7 @@
     fn on_list(&mut self, now: Micros, kind: ListKind, version: u64, entries: &[Entry]) {
         self.membership.on_list(now, kind, version, entries);
         match kind {
-            ListKind::Failed | ListKind::Garbled | ListKind::Moved => return,
+            ListKind::Failed | ListKind::Garbled | ListKind::StoodStill | ListKind::Moved => return,
             ListKind::Full | ListKind::Cached => self.k.drop_missing(entries),
             ListKind::Delta if entries.is_empty() => return,
             ListKind::Delta | ListKind::Narrowed => {}
