--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -29,6 +29,8 @@
 /// How long after its wait an answer may take. Danger: what is missed counts as told when the time above is over,
 /// so half of it has to do for opening the watch anew and for the answer on it.
 const SILENT_WITHIN: Duration = Duration::from_secs(2);
+/// The same after a shorter wait: what is missed counts as told 2 s after it.
+const SILENT_WITHIN_SHORT: Duration = Duration::from_secs(1);
 /// Longest time that connecting may take: one that is down in silence must not hold a call for as long as news may.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Longest pause within an answer, doubled each time it is asked again; one that stops in its midst is only a part.
@@ -318,6 +320,7 @@
             let (from, whole) = (self.index.get(), self.astray.get());
             let (hold, limit) = match opens || whole {
                 true => (Duration::ZERO, ANSWER_WITHIN),
+                false if self.hold < LONGEST_HOLD => (self.hold, self.hold + SILENT_WITHIN_SHORT),
                 false => (self.hold, self.hold + SILENT_WITHIN),
             };
             let target = match whole {
