--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -296,8 +296,7 @@
             }
             Input::Ended(id, attempt, Err(ending)) => self.land(id, attempt, ending, Vec::new()),
             Input::List(kind, index, rows) => self.list(kind, index, rows),
-            Input::ListConfirmed => {
-                let version = self.outside.discovery.index();
+            Input::ListConfirmed(version) => {
                 self.tell(Event::List { kind: ListKind::Delta, version, entries: &[] });
             }
             Input::News(news) => self.told(news),
@@ -620,10 +619,12 @@
             self.follow.push_back(Follow::Outcome { id, attempt, machine, ending, took: 0, load });
             return;
         }
-        let version = self.outside.discovery.index();
-        let age_ms = self.outside.discovery.heard().map(|at| at.elapsed().as_millis() as u64);
-        let basis = self.front.list_basis(now, machine);
-        log::debug!(id, attempt, machine, build, version, age_ms:?, basis:?; "attempt sent");
+        if log::log_enabled!(log::Level::Debug) {
+            let discovery = &self.outside.discovery;
+            let age_ms = discovery.heard().map(|at| at.elapsed().as_millis() as u64);
+            let (version, basis) = (discovery.index(), self.front.list_basis(now, machine));
+            log::debug!(id, attempt, machine, build, version, age_ms:?, basis:?; "attempt sent");
+        }
         open.out += 1;
         let wait = exchange.deadline - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -98,8 +98,8 @@
     Probed(MachineId, Ending, Micros, Option<String>),
     /// Discovery has told something, or failed; the index of what it told.
     List(ListKind, u64, Vec<Row>),
-    /// Discovery has nothing new: the list held was current just now.
-    ListConfirmed,
+    /// Discovery has nothing new: the list of this version was current just now.
+    ListConfirmed(u64),
     /// The platform has told something, or answered a vote.
     News(News),
     /// A peer's message.
--- a/crates/yarrowspoke-front/src/keeper.rs
+++ b/crates/yarrowspoke-front/src/keeper.rs
@@ -147,7 +147,7 @@
     /// The list has been told. One held from before a start is where changes go on from, and by itself nothing to write
     /// down: it would look younger than it is.
     pub fn listed(&self, kind: ListKind, rows: &[Row]) {
-        if self.on.is_none() || matches!(kind, ListKind::Failed | ListKind::Garbled) {
+        if self.on.is_none() || kind.is_failure() {
             return;
         }
         let mut known = self.rows.borrow_mut();
--- a/crates/yarrowspoke-front/src/member.rs
+++ b/crates/yarrowspoke-front/src/member.rs
@@ -171,7 +171,7 @@
 
     /// Its own sources told a list, or a part of it; what the module is to be told instead.
     pub fn listed(&self, kind: ListKind, index: u64, rows: Vec<Row>) -> Vec<Row> {
-        if matches!(kind, ListKind::Failed | ListKind::Garbled) {
+        if kind.is_failure() {
             return rows;
         }
         {
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -344,7 +344,7 @@
                 Err(e) => {
                     // A watch that discovery itself ends has told all there was until then.
                     if matches!(e, ListError::Status(_)) && !opens && self.went_on.get() {
-                        let _ = to.send(Input::ListConfirmed).await;
+                        let _ = to.send(Input::ListConfirmed(from)).await;
                     }
                     let _ = to.send(self.failed(&e)).await;
                     return;
@@ -355,7 +355,7 @@
             if opens || list.whole || !list.rows.is_empty() {
                 let _ = to.send(Input::List(kind, index, list.rows)).await;
             } else {
-                let _ = to.send(Input::ListConfirmed).await;
+                let _ = to.send(Input::ListConfirmed(from)).await;
             }
             // Danger: taken on before the lines are handed over, a version whose watch is ended in between is never
             // asked for again, and its changes are lost.
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -37,14 +37,10 @@
     .await
 }
 
-/// A process that stood still finds a span over and what it waited for there, both at once: it looks again so long.
-const SECOND_LOOK: Duration = Duration::from_millis(1);
-
 /// What `work` gives, or `None` once `span` is over.
 pub async fn within<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
     let over = async {
         Timer::after(span).await;
-        Timer::after(SECOND_LOOK).await;
         None
     };
     future::or(async { Some(work.await) }, over).await
--- a/crates/yarrowspoke-lab/src/scale/hollow.rs
+++ b/crates/yarrowspoke-lab/src/scale/hollow.rs
@@ -166,7 +166,7 @@
     front.watch(&executor, &inputs);
     while let Ok(input) = taken.recv().await {
         match input {
-            Input::List(ListKind::Failed | ListKind::Garbled, ..) => {
+            Input::List(kind, ..) if kind.is_failure() => {
                 front.failed.set(front.failed.get() + 1);
                 let pause = ASK_AGAIN.mul_f64(1.0 + draws.gen::<f64>());
                 let (front, executor, inputs) = (Rc::clone(&front), Rc::clone(&executor), inputs.clone());
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -282,6 +282,13 @@
     Moved,
 }
 
+impl ListKind {
+    /// A call or the subscription failed, whatever came of it.
+    pub fn is_failure(self) -> bool {
+        matches!(self, Self::Failed | Self::Garbled)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/crates/yarrowspoke/src/membership/lease.rs
+++ b/crates/yarrowspoke/src/membership/lease.rs
@@ -113,15 +113,18 @@
 
     /// Discovery told something that could not be read, and it counts as told.
     pub fn miss_changes(&mut self, now: Micros) {
-        if !self.trust.unasked {
-            self.list.until = self.list.until.min(now);
-        }
+        self.end_list_by(now);
     }
 
     /// Discovery is elsewhere from now on: what it has counts as told sooner than after a mere silence.
     pub fn discovery_moved(&mut self, now: Micros) {
+        self.end_list_by(now + MOVED_TOLD_WITHIN);
+    }
+
+    /// The list as a whole holds until `at` at the latest; one that comes unasked needs no lease and keeps standing.
+    fn end_list_by(&mut self, at: Micros) {
         if !self.trust.unasked {
-            self.list.until = self.list.until.min(now + MOVED_TOLD_WITHIN);
+            self.list.until = self.list.until.min(at);
         }
     }
 
@@ -139,7 +142,7 @@
         }
         // Somebody knows better: what only stood because nobody did falls.
         if !own_holds {
-            self.list.until = self.list.until.min(now);
+            self.end_list_by(now);
         }
     }
 
@@ -160,7 +163,7 @@
     /// Discovery is at work: what stood because it seemed not to be falls.
     pub fn end_outage(&mut self, now: Micros) {
         if matches!(self.list.source, Source::Outage | Source::Cache) {
-            self.list.until = self.list.until.min(now);
+            self.end_list_by(now);
         }
         self.machines.retain(|_, m| m.source != Source::Outage);
     }
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -26,7 +26,6 @@
 const ASK_PEERS_AHEAD: Micros = 1_000_000;
 /// Other fronts are asked again once what they vouched for ends within this span.
 const RENEW_VOUCHED_AHEAD: Micros = 2_000_000;
-
 /// How long the word of another front counts that discovery is at work.
 const AT_WORK_LASTS: Micros = 6_000_000;
 
@@ -68,7 +67,8 @@
     told_at: BTreeMap<MachineId, u64>,
     /// The list is asked for at all; otherwise it comes unasked.
     asks: bool,
-    told: Source,
+    /// The source that the log last named.
+    logged: Source,
     counts: Counts,
 }
 
@@ -87,7 +87,7 @@
             told_at: BTreeMap::new(),
             random: Pcg64Mcg::seed_from_u64(seed ^ RANDOM_STREAM),
             asks: settings.ask_list,
-            told: Source::Cache,
+            logged: Source::Cache,
             counts: Counts::default(),
         }
     }
@@ -134,7 +134,7 @@
             }
             ListKind::Moved => {
                 self.leases.discovery_moved(now);
-                self.schedule.moved(now);
+                self.schedule.call_in_place(now);
             }
             ListKind::Narrowed => {}
         }
@@ -164,7 +164,7 @@
             self.leases.assume_outage(now);
         }
         self.ask_peers(now, out);
-        self.tell_changes(now, out);
+        self.log_source(now, out);
     }
 
     fn ask_peers(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -185,11 +185,11 @@
     }
 
     /// Writes down when what the front stands on changes.
-    fn tell_changes(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn log_source(&mut self, now: Micros, out: &mut Vec<Action>) {
         let source = self.leases.source(now);
-        if source != self.told {
-            out.push(Action::Log(format!("list: stood on {:?}, stands on {source:?}", self.told)));
-            self.told = source;
+        if source != self.logged {
+            out.push(Action::Log(format!("list: stood on {:?}, stands on {source:?}", self.logged)));
+            self.logged = source;
         }
     }
 
--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -63,21 +63,25 @@
             within => (within as f64 * SPREAD_PART) as Micros,
         };
         let fronts = f64::from(settings.fronts.max(1));
-        let (place, others) = ((f64::from(settings.me) / fronts).fract(), 1.0 - 1.0 / fronts);
-        let wait = if talks { others * place * spread as f64 } else { 0.0 };
-        let first = now + wait as Micros;
-        Self {
+        let mut schedule = Self {
             spread,
-            place,
-            others,
-            next: Some(first),
+            place: (f64::from(settings.me) / fronts).fract(),
+            others: 1.0 - 1.0 / fronts,
+            next: None,
             called: None,
             failures: 0,
             crowded: 0,
             not_before: 0,
             talks,
             unexplained: None,
-        }
+        };
+        schedule.call_in_place(now);
+        schedule
+    }
+
+    /// How long after a moment that all fronts share this front's place comes.
+    fn until_place(&self) -> f64 {
+        self.others * self.place * self.spread as f64
     }
 
     /// Whether calls fail.
@@ -112,7 +116,7 @@
     /// Only a part of the fronts is without a subscription: their first calls take that part of the time, so that they come no
     /// faster than if all called. A front whose call has failed keeps its place.
     pub fn share(&mut self, now: Micros, crowd: f64) {
-        let sooner = now + (crowd * self.others * self.place * self.spread as f64) as Micros;
+        let sooner = now + (crowd * self.until_place()) as Micros;
         if self.called.is_none() && self.failures == 0 {
             self.next = self.next.map(|next| next.min(sooner.max(self.not_before)));
         }
@@ -124,9 +128,9 @@
         self.called = None;
     }
 
-    /// Discovery is elsewhere: it is called there, by each front at its place where fronts can vouch meanwhile.
-    pub fn moved(&mut self, now: Micros) {
-        let wait = if self.talks { self.others * self.place * self.spread as f64 } else { 0.0 };
+    /// All fronts are to call from now on: each at its place, where fronts can vouch meanwhile.
+    pub fn call_in_place(&mut self, now: Micros) {
+        let wait = if self.talks { self.until_place() } else { 0.0 };
         self.call_at(now + wait as Micros);
     }
 
@@ -138,11 +142,10 @@
         let crowded = called.is_some() && (turned_away || at_work || unclear);
         self.crowded += u32::from(crowded);
         self.unexplained = called.filter(|_| !crowded);
-        let spread = self.others * self.spread as f64;
         let next = match (self.failures, called) {
             // The subscription ended, for all fronts at once more often than not.
-            (_, None) => now + (spread * self.place) as Micros,
-            (0, Some(_)) => now + (spread * self.place + self.others * COOL_OFF as f64) as Micros,
+            (_, None) => now + self.until_place() as Micros,
+            (0, Some(_)) => now + (self.until_place() + self.others * COOL_OFF as f64) as Micros,
             // Each front keeps the place it once took: calls that are spread stay spread.
             (_, Some(called)) => self.next_turn(called).max(now),
         };
--- a/crates/yarrowspoke/tests/list_outage.rs
+++ b/crates/yarrowspoke/tests/list_outage.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use yarrowspoke::interface::*;
 
 const STEP: Micros = 50 * MS;
@@ -86,8 +86,6 @@
     watch: Option<Micros>,
     had_list: Option<Micros>,
     restarts_at: Option<Micros>,
-    /// Attempts by request, so that each outcome names its own.
-    attempts: BTreeMap<RequestId, u16>,
 }
 
 /// One day.
@@ -160,21 +158,11 @@
     let mut did = Vec::new();
     let front = yarrowspoke::Front::new(u64::from(me) + now, settings, now, &mut did);
     let mut rig = Rig { front, now, next: 1, ruled: Ruled::default(), did };
-    let mut member = Member {
-        rig: Rig::new(common::settings(), 0),
-        version: 1,
-        call: None,
-        watch: None,
-        had_list: None,
-        restarts_at: None,
-        attempts: BTreeMap::new(),
-    };
     let first = std::mem::take(&mut rig.did);
     let entries: Vec<Entry> = (0..MACHINES).map(|m| entry(m, 1, 0)).collect();
     rig.listed(ListKind::Cached, 1, &entries);
     rig.did.splice(0..0, first);
-    member.rig = rig;
-    member
+    Member { rig, version: 1, call: None, watch: None, had_list: None, restarts_at: None }
 }
 
 struct Fleet {
@@ -339,7 +327,6 @@
             served = how == Ending::Ok;
             member.rig.end(sent, attempt, machine, how);
         }
-        member.attempts.clear();
         // Listed again, they may be used once that counts as told, or as soon as this front has it.
         let relisted = self.day.relisted_after.is_some_and(|after| now > self.back + after + TOLD)
             || member.version == 3;
