--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -317,7 +317,8 @@
 class Front:
     """One real front, started as the deploy file says."""
 
-    def __init__(self, record, discovery, platform, hosts, name="n0", front_settings=None, peers=None, sockets=1024):
+    def __init__(self, record, discovery, platform, hosts, name="n0", front_settings=None, peers=None, operator=None):
+        """`operator`: text of the operator's file, in which DIRECTORY stands for a directory of this front's own."""
         if not os.access(os.path.join(ROOT, "target/release/yarrowspoke"), os.X_OK):
             raise CannotRun("target/release/yarrowspoke is not built")
         self.record, self.name = record, name
@@ -325,7 +326,7 @@
         self.listen = free_address()
         self.config = {
             "name": name, "listen": self.listen, "discovery": discovery.address, "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "rollouts": {"address": platform.address, "news": {
                 "Revision": 41, "Wave": 3, "State": "stable", "MaxShare": 1.0, "AgeMs": 60000}},
             "known": hosts.whole(), "settings": front_settings or settings()}
@@ -336,7 +337,14 @@
         environment = dict(os.environ, PROXY_NAME=name, PROXY_LISTEN=self.listen, PROXY_DISCOVERY=discovery.address,
                            PROXY_CONFIG=self.path, TMPDIR=self.dir, RUST_LOG="info")
         self.log = open(os.path.join(self.dir, "log"), "w")
-        self.process = subprocess.Popen(["/bin/sh", "-c", RUN], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+        command = RUN
+        if operator:
+            kept = os.path.join(self.dir, "store")
+            os.mkdir(kept)
+            with open(os.path.join(self.dir, "operator.sexp"), "w") as file:
+                file.write(operator.replace("DIRECTORY", kept))
+            command += f" serve --operator {self.dir}/operator.sexp"
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=self.log)
         STARTED.append(self.process)
         record.line(f"front {name} started at {self.listen}")
