--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -433,6 +433,8 @@
             process.kill()
         os._exit(2)
 
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: give_up())
     watchdog = threading.Timer(115, give_up)
     watchdog.daemon = True
     watchdog.start()
