Whoever sends without end is read up to a limit and lets the others have their turn

Callers saw: while bad clients sent empty lines at full speed nobody else was accepted or answered. Cause: http.rs, Decoder::read_head, skipped empty lines without a limit, two bytes at a time with the rest of the buffer moved each time; clients.rs, next_request and wait_for_answer, and every other loop of reads, never yield while the next read is ready, so neither timers nor the driver run. Excluded: the decision module (the driver's task did not run), descriptors, the rate of accepting (open connections waited as long). What arrived is read before a time limit is looked at, as after a pause. Why it works: each remote party's input now has a limit in bytes, costs what came, and every reading task returns to the executor in between.

--- a/crates/yarrowspoke-front/src/fleet_commands.rs
+++ b/crates/yarrowspoke-front/src/fleet_commands.rs
@@ -1,7 +1,7 @@
 //! `yarrowspoke fleet`: queries a planner or its directory about a fleet, and sends orders to a planner.
 
 use crate::cli::{CommandOutput, OrderArgs, RecordFilter, RecordSource};
-use crate::net::fleet::send_message;
+use crate::net::fleet::{send_message, COMMAND_RESPONSE_LIMIT};
 use crate::net::with_timeout;
 use crate::planner;
 use std::collections::BTreeSet;
@@ -24,7 +24,10 @@
 
 fn get(address: SocketAddr, target: &str) -> Result<Vec<u8>, String> {
     let (mut connection, named) = (None, |e: &dyn ToString| format!("{address}: {}", e.to_string()));
-    let call = with_timeout(ANSWER_TIMEOUT, send_message(&mut connection, address, ("GET", target), b""));
+    let call = with_timeout(
+        ANSWER_TIMEOUT,
+        send_message(&mut connection, address, ("GET", target), b"", COMMAND_RESPONSE_LIMIT),
+    );
     match async_io::block_on(call) {
         Some(Ok(body)) => Ok(body),
         Some(Err(e)) => Err(named(&e)),
@@ -189,8 +192,10 @@
 
 fn post_order(address: SocketAddr, body: &[u8]) -> Result<(), String> {
     let mut connection = None;
-    let call =
-        with_timeout(ANSWER_TIMEOUT, send_message(&mut connection, address, ("POST", "/fleet/order"), body));
+    let call = with_timeout(
+        ANSWER_TIMEOUT,
+        send_message(&mut connection, address, ("POST", "/fleet/order"), body, COMMAND_RESPONSE_LIMIT),
+    );
     match async_io::block_on(call) {
         Some(Ok(_)) => Ok(()),
         Some(Err(e)) => Err(format!("{address}: {e}")),
--- a/crates/yarrowspoke-front/src/fleet_member.rs
+++ b/crates/yarrowspoke-front/src/fleet_member.rs
@@ -5,7 +5,7 @@
 //! request more than the module would.
 
 use crate::input::{Input, Row};
-use crate::net::fleet::{send_message, LinkError};
+use crate::net::fleet::{send_message, LinkError, MEMBER_RESPONSE_LIMIT};
 use crate::net::list::Discovery;
 use crate::net::with_timeout;
 use async_channel::Sender;
@@ -356,7 +356,8 @@
         let started = Instant::now();
         let sent_at = member.now();
         let body = encode_with_list(&mut member.side.borrow_mut().heartbeat(planner, sent_at));
-        let exchanged = send_message(&mut connection, address, ("POST", "/fleet/report"), &body);
+        let exchanged =
+            send_message(&mut connection, address, ("POST", "/fleet/report"), &body, MEMBER_RESPONSE_LIMIT);
         let reply = with_timeout((lease / 4).max(renew), exchanged).await;
         let answer = match reply {
             Some(Ok(bytes)) => decode_with_list::<HeartbeatResponse>(&bytes).map_err(|e| e.to_string()),
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -2,7 +2,8 @@
 
 use super::http::{Decoder, Encoder, BODY_LIMIT};
 use super::request_head::{ClientRequest, RequestHead};
-use super::{read_some, with_timeout};
+use super::turn::Turn;
+use super::{read_some, with_deadline, with_timeout};
 use crate::descriptor_budget::{BodyReservation, CountGuard};
 use crate::event_bus::EventBus;
 use crate::exchange::{Answer, Exchange};
@@ -22,6 +23,8 @@
 /// Longest time from a request's first byte, or from the opening of the connection, to its last byte. The operators
 /// guarantee a close or an error within 3 s to clients that send anything else.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long after that time a request is still read whose bytes are there, as after a pause of the process.
+const LATE_READ_TIME: Duration = Duration::from_millis(1_000);
 /// Longest idle time between two requests. Some clients send one request and then keep their connection for good.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time for writing an answer.
@@ -197,6 +200,7 @@
 struct Connection {
     stream: Async<TcpStream>,
     decoder: Decoder<RequestHead>,
+    turn: Turn,
     /// Memory reserved for the body that is being read.
     body_reservation: Option<BodyReservation>,
 }
@@ -204,7 +208,9 @@
 impl Connection {
     async fn read(&mut self) -> std::io::Result<usize> {
         let decoder = &mut self.decoder;
-        read_some(&mut self.stream, |bytes| decoder.feed(bytes)).await
+        let count = read_some(&mut self.stream, |bytes| decoder.feed(bytes)).await?;
+        self.turn.record_bytes(count);
+        Ok(count)
     }
 
     async fn write(&mut self, bytes: &[u8]) -> bool {
@@ -248,7 +254,7 @@
 async fn serve_connection(stream: Async<TcpStream>, event_bus: Rc<EventBus>, waited: Micros) {
     let _ = stream.get_ref().set_nodelay(true);
     let decoder = Decoder::with_context(BODY_LIMIT, Rc::clone(&event_bus.classifier));
-    let mut connection = Connection { stream, decoder, body_reservation: None };
+    let mut connection = Connection { stream, decoder, turn: Turn::default(), body_reservation: None };
     let mut served = 0u64;
     loop {
         let (head, body) = match next_request(&mut connection, &event_bus, served == 0).await {
@@ -348,6 +354,8 @@
         if !written {
             return;
         }
+        // Requests that wait behind one another, such as readiness checks, are answered in turn with all others.
+        future::yield_now().await;
     }
 }
 
@@ -375,6 +383,7 @@
                 return NextRequest::Malformed(e.status());
             }
         }
+        connection.turn.yield_if_used().await;
         let idle = connection.decoder.is_idle();
         let body_len = connection.decoder.expected_body_len();
         if body_len > UNRESERVED_BODY_BYTES && connection.body_reservation.is_none() {
@@ -422,8 +431,12 @@
             }
             read
         } else {
-            let remaining = deadline.map_or(REQUEST_TIMEOUT, |d| d.saturating_duration_since(Instant::now()));
-            match with_timeout(remaining, connection.read()).await {
+            let until = deadline.unwrap_or_else(|| Instant::now() + REQUEST_TIMEOUT);
+            // A sender that is never waited for meets the time limit all the same.
+            if Instant::now() >= until + LATE_READ_TIME {
+                return NextRequest::Malformed(408);
+            }
+            match with_deadline(until, connection.read()).await {
                 Some(read) => Some(read),
                 None => return NextRequest::Malformed(408),
             }
@@ -456,7 +469,8 @@
                 Ok(n) if n > 0 && connection.decoder.has_unread_message() => {
                     return WaitResult::UnexpectedData
                 }
-                Ok(n) if n > 0 => connection.decoder.skip_blank_lines(),
+                Ok(n) if n > 0 && connection.decoder.skip_blank_lines().is_ok() => {}
+                Ok(n) if n > 0 => return WaitResult::UnexpectedData,
                 _ => return WaitResult::ClientLeft,
             }
         }
--- a/crates/yarrowspoke-front/src/net/fleet.rs
+++ b/crates/yarrowspoke-front/src/net/fleet.rs
@@ -2,10 +2,11 @@
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
 use super::list::ResponseHead;
+use super::turn::Turn;
 use super::{read_some, with_timeout};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt, StreamExt};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::panic::AssertUnwindSafe;
@@ -21,8 +22,10 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after an accept has failed, or while the connection limit is reached.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Largest response in bytes; an audit may cover weeks.
-const RESPONSE_LIMIT: usize = 256 * 1024 * 1024;
+/// Largest response to an operator's command in bytes; an audit may cover weeks.
+pub const COMMAND_RESPONSE_LIMIT: usize = 256 * 1024 * 1024;
+/// Largest response between members of a fleet, in bytes.
+pub const MEMBER_RESPONSE_LIMIT: usize = 4 * 1024 * 1024;
 
 /// Why an exchange over a link failed.
 #[derive(Debug, Error)]
@@ -41,12 +44,14 @@
     Status(u16, String),
 }
 
-/// Sends one message on a kept connection or a new one and returns the body of the response.
+/// Sends one message on a kept connection or a new one and returns the body of the response, of up to `response_limit`
+/// bytes.
 pub async fn send_message(
     connection: &mut Option<Async<TcpStream>>,
     address: SocketAddr,
     (method, target): (&str, &str),
     body: &[u8],
+    response_limit: usize,
 ) -> Result<Vec<u8>, LinkError> {
     // Messages are numbered and a duplicate is applied once, so a kept connection that was closed can be replaced safely.
     let mut stream = match connection.take() {
@@ -59,9 +64,12 @@
         .field("Content-Length", format_args!("{}", body.len()))
         .body(body);
     stream.write_all(&request).await?;
-    let mut decoder = Decoder::<ResponseHead>::new(RESPONSE_LIMIT);
+    let mut decoder = Decoder::<ResponseHead>::new(response_limit);
+    let mut turn = Turn::default();
     loop {
+        turn.yield_if_used().await;
         let n = read_some(&mut stream, |bytes| decoder.feed(bytes)).await?;
+        turn.record_bytes(n);
         let message = if n == 0 { decoder.finish()? } else { decoder.next_message()? };
         match message {
             Some((head, body)) => {
@@ -185,16 +193,19 @@
 ) -> Result<(), LinkError> {
     stream.get_ref().set_nodelay(true)?;
     let mut decoder = Decoder::<LinkHead>::new(BODY_LIMIT);
+    let mut turn = Turn::default();
     loop {
+        turn.yield_if_used().await;
         let (head, body) = match decoder.next_message() {
             Ok(Some(message)) => message,
             Ok(None) => {
                 let limit = if decoder.is_idle() { IDLE_TIMEOUT } else { MESSAGE_TIMEOUT };
                 let read = with_timeout(limit, read_some(&mut stream, |bytes| decoder.feed(bytes))).await;
                 match read {
-                    Some(Ok(n)) if n > 0 => continue,
+                    Some(Ok(n)) if n > 0 => turn.record_bytes(n),
                     _ => return Ok(()),
                 }
+                continue;
             }
             Err(e) => {
                 let bytes = LinkResponse::error(e.status(), e).encode(false);
@@ -207,5 +218,7 @@
             Some(Ok(())) if head.keep_alive => {}
             _ => return Ok(()),
         }
+        // Messages that wait behind one another are answered in turn with those of other members.
+        future::yield_now().await;
     }
 }
--- a/crates/yarrowspoke-front/src/net/http.rs
+++ b/crates/yarrowspoke-front/src/net/http.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-/// Largest head of a message, in bytes.
+/// Largest head of a message, in bytes; also the most bytes of empty lines before one.
 pub const HEAD_LIMIT: usize = 8 * 1024;
 /// Largest body, in bytes, as the protocol defines it.
 pub const BODY_LIMIT: usize = 64 * 1024;
@@ -155,8 +155,14 @@
 
 /// Decodes bytes into messages.
 pub struct Decoder<T: FromHead> {
+    /// Received bytes; those before `consumed_len` are done with and dropped as further bytes arrive, since moving the
+    /// rest at each step would cost the square of what arrived.
     buffer: Vec<u8>,
+    consumed_len: usize,
+    /// Bytes after the consumed ones in which the end of a head was already looked for.
     searched_len: usize,
+    /// Bytes of empty lines since the last head.
+    blank_bytes: usize,
     current: Option<(T, Framing)>,
     body: Vec<u8>,
     in_trailer: bool,
@@ -180,10 +186,13 @@
     pub fn with_context(body_limit: usize, context: T::Context) -> Self {
         let (buffer, body) = (Vec::new(), Vec::new());
         let (current, in_trailer, continue_sent) = (None, false, false);
-        let (searched_len, interim_count, overhead_bytes) = (0, 0, 0);
+        let (consumed_len, searched_len, blank_bytes) = (0, 0, 0);
+        let (interim_count, overhead_bytes) = (0, 0);
         Self {
             buffer,
+            consumed_len,
             searched_len,
+            blank_bytes,
             current,
             body,
             in_trailer,
@@ -197,17 +206,34 @@
 
     /// Adds received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.drop_consumed();
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns whether the decoder is between messages, with no byte of the next one received.
+    /// Returns the received bytes that are not consumed yet.
+    fn unread(&self) -> &[u8] {
+        &self.buffer[self.consumed_len..]
+    }
+
+    fn drop_consumed(&mut self) {
+        self.buffer.drain(..self.consumed_len);
+        self.consumed_len = 0;
+    }
+
+    /// Returns whether the decoder is between messages, with no byte of the next one received. Empty lines are no part
+    /// of a message.
     pub fn is_idle(&self) -> bool {
-        self.buffer.is_empty() && self.current.is_none()
+        self.unread().is_empty() && self.current.is_none()
+    }
+
+    /// Returns whether anything was received since the last message, be it only empty lines.
+    pub fn has_begun(&self) -> bool {
+        self.blank_bytes > 0 || !self.is_idle()
     }
 
     /// Returns whether bytes of a further message have been received.
     pub fn has_unread_message(&self) -> bool {
-        !self.buffer.iter().all(|b| matches!(b, b'\r' | b'\n'))
+        !self.unread().iter().all(|b| matches!(b, b'\r' | b'\n'))
     }
 
     /// Returns the largest number of body bytes that the current message may have.
@@ -222,15 +248,25 @@
     /// Returns true once per message, if its head has arrived and its sender waits for `100 Continue` according to
     /// `expects_continue`.
     pub fn take_continue_request(&mut self, expects_continue: impl Fn(&T) -> bool) -> bool {
-        let waits = self.current.as_ref().is_some_and(|b| expects_continue(&b.0)) && self.buffer.is_empty();
+        let waits = self.current.as_ref().is_some_and(|b| expects_continue(&b.0)) && self.unread().is_empty();
         waits && !std::mem::replace(&mut self.continue_sent, true)
     }
 
-    /// Discards empty lines between messages.
-    pub fn skip_blank_lines(&mut self) {
-        if !self.has_unread_message() {
-            self.consume(self.buffer.len());
+    /// Discards received empty lines, if nothing else was received. They count against the limit of the next head.
+    pub fn skip_blank_lines(&mut self) -> Result<(), HttpError> {
+        if self.has_unread_message() {
+            return Ok(());
+        }
+        self.discard_blank(self.unread().len())
+    }
+
+    fn discard_blank(&mut self, len: usize) -> Result<(), HttpError> {
+        self.consume(len);
+        self.blank_bytes += len;
+        if self.blank_bytes > HEAD_LIMIT {
+            return Err(HttpError::HeadTooLarge);
         }
+        Ok(())
     }
 
     /// Returns the next message, if it is complete.
@@ -244,6 +280,7 @@
                 Framing::Length(n) => self.read_length(n),
                 Framing::Chunked => self.read_chunks()?,
                 Framing::UntilClose => {
+                    self.drop_consumed();
                     self.body.append(&mut self.buffer);
                     if self.body.len() > self.body_limit {
                         return Err(HttpError::BodyTooLarge);
@@ -271,7 +308,7 @@
     pub fn finish(&mut self) -> Result<Option<(T, Vec<u8>)>, HttpError> {
         match &self.current {
             Some((_, Framing::UntilClose)) => Ok(self.take_message()),
-            None if self.buffer.is_empty() => Ok(None),
+            None if self.unread().is_empty() => Ok(None),
             _ => Err(HttpError::Truncated),
         }
     }
@@ -283,30 +320,33 @@
     }
 
     fn consume(&mut self, len: usize) {
-        self.buffer.drain(..len);
+        self.consumed_len += len;
         self.searched_len = 0;
-        if self.buffer.is_empty() {
+        if self.unread().is_empty() {
+            self.drop_consumed();
             self.buffer.shrink_to(RETAINED_CAPACITY);
         }
     }
 
     fn read_head(&mut self) -> Result<bool, HttpError> {
         // An empty line before a message is skipped, as the standard recommends.
-        while self.buffer.starts_with(b"\r\n") {
-            self.consume(2);
+        let blank_lines = self.unread().chunks_exact(2).take_while(|pair| pair == b"\r\n").count();
+        if blank_lines > 0 {
+            self.discard_blank(2 * blank_lines)?;
         }
+        let unread = self.unread();
         // The bytes searched before contain no end of the head, but their last three may be the beginning of one.
         let from = self.searched_len.saturating_sub(3);
-        let found = self.buffer[from..].windows(4).position(|w| w == b"\r\n\r\n");
+        let found = unread[from..].windows(4).position(|w| w == b"\r\n\r\n");
         let Some(end) = found.map(|at| from + at) else {
-            self.searched_len = self.buffer.len();
-            let too_long = self.buffer.len() > HEAD_LIMIT;
+            let too_long = unread.len() > HEAD_LIMIT;
+            self.searched_len = unread.len();
             return if too_long { Err(HttpError::HeadTooLarge) } else { Ok(false) };
         };
         if end > HEAD_LIMIT {
             return Err(HttpError::HeadTooLarge);
         }
-        let raw = split_head(&self.buffer[..end], T::STRICT)?;
+        let raw = split_head(&unread[..end], T::STRICT)?;
         let head = T::from_head(&raw, &self.context)?;
         let framing = match raw.framing()? {
             _ if head.has_no_body() => Framing::Length(0),
@@ -316,30 +356,44 @@
         if matches!(framing, Framing::Length(n) if n > self.body_limit) {
             return Err(HttpError::BodyTooLarge);
         }
-        if let Framing::Length(n) = framing {
-            self.buffer.reserve_exact((end + 4 + n).saturating_sub(self.buffer.len()));
-        }
         self.current = Some((head, framing));
+        self.blank_bytes = 0;
         self.consume(end + 4);
+        if let Framing::Length(n) = framing {
+            self.reserve_body(n);
+        }
         Ok(true)
     }
 
+    fn reserve_body(&mut self, len: usize) {
+        let missing = len.saturating_sub(self.unread().len());
+        if missing > 0 {
+            self.drop_consumed();
+            self.buffer.reserve_exact(missing);
+        }
+    }
+
     fn read_length(&mut self, len: usize) -> bool {
-        if self.buffer.len() < len {
-            return false;
+        let Some(rest_len) = self.unread().len().checked_sub(len) else { return false };
+        // Whichever part is shorter is copied.
+        if rest_len <= len {
+            self.drop_consumed();
+            let rest = self.buffer.split_off(len);
+            self.body = std::mem::replace(&mut self.buffer, rest);
+            self.searched_len = 0;
+        } else {
+            self.body = self.unread()[..len].to_vec();
+            self.consume(len);
         }
-        let rest = self.buffer.split_off(len);
-        self.body = std::mem::replace(&mut self.buffer, rest);
-        self.searched_len = 0;
         true
     }
 
     /// Consumes complete chunks; returns true after the last one and its trailer.
     fn read_chunks(&mut self) -> Result<bool, HttpError> {
         loop {
-            let line_end = self.buffer.windows(2).position(|w| w == b"\r\n");
-            let Some(line_end) = line_end.filter(|at| *at <= CHUNK_LINE_LIMIT) else {
-                let too_long = line_end.is_some() || self.buffer.len() > CHUNK_LINE_LIMIT + 1;
+            let searchable = &self.unread()[..self.unread().len().min(CHUNK_LINE_LIMIT + 2)];
+            let Some(line_end) = searchable.windows(2).position(|w| w == b"\r\n") else {
+                let too_long = self.unread().len() > CHUNK_LINE_LIMIT + 1;
                 return if too_long { Err(HttpError::Framing) } else { Ok(false) };
             };
             // Lines between chunks, and a trailer, might go on without end.
@@ -354,7 +408,7 @@
                 }
                 continue;
             }
-            let line = std::str::from_utf8(&self.buffer[..line_end]).map_err(|_| HttpError::Framing)?;
+            let line = std::str::from_utf8(&self.unread()[..line_end]).map_err(|_| HttpError::Framing)?;
             let digits = line.split(';').next().unwrap_or("").trim();
             if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
                 return Err(HttpError::Framing);
@@ -369,13 +423,13 @@
                 continue;
             }
             let (from, to) = (line_end + 2, line_end + 2 + size);
-            if self.buffer.len() < to + 2 {
+            if self.unread().len() < to + 2 {
                 return Ok(false);
             }
-            if &self.buffer[to..to + 2] != b"\r\n" {
+            if &self.unread()[to..to + 2] != b"\r\n" {
                 return Err(HttpError::Framing);
             }
-            self.body.extend_from_slice(&self.buffer[from..to]);
+            self.body.extend_from_slice(&self.buffer[self.consumed_len..][from..to]);
             self.consume(to + 2);
         }
     }
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -1,10 +1,11 @@
 //! Client of discovery: the list of machines, fetched once or watched.
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
-use super::{read_some, with_timeout};
+use super::turn::Turn;
+use super::{read_some, with_deadline};
 use crate::input::{Input, ListMessage, Row, SubscriptionId};
 use async_channel::Sender;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -42,6 +43,8 @@
 /// gave no response within 4 s, which restarts the count of unreadable responses; so a call that takes longer would
 /// never fail, and a new process that waits for the call would never be ready.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Least time between the starts of two calls of a watch: discovery may answer a call at once that it should hold.
+const MIN_CALL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A decoded response of discovery.
 #[derive(Clone, Debug, Default)]
@@ -256,6 +259,42 @@
     }
 }
 
+/// Time limits of a call, which is repeated while its response is unreadable.
+#[derive(Clone, Copy)]
+struct CallLimits {
+    /// Longest time of one request.
+    call: Duration,
+    /// When the call has failed, whatever its requests did.
+    until: Instant,
+}
+
+/// Time limits of one request.
+#[derive(Clone, Copy)]
+struct RequestTimes {
+    /// When the request has failed.
+    deadline: Instant,
+    /// Longest pause within the response.
+    pause_timeout: Duration,
+}
+
+impl RequestTimes {
+    /// Reads what has arrived of a response. Bytes that are there are read even after the deadline, since the process may
+    /// have been paused; the decoder bounds how many there may be.
+    async fn read(
+        &self,
+        stream: &mut Async<TcpStream>,
+        decoder: &mut Decoder<ResponseHead>,
+    ) -> Result<usize, ListError> {
+        let pause_ends = Instant::now() + self.pause_timeout;
+        let (until, failure) = match decoder.is_idle() || self.deadline <= pause_ends {
+            true => (self.deadline, ListError::Timeout),
+            false => (pause_ends, ListError::Truncated),
+        };
+        let reading = read_some(stream, |bytes| decoder.feed(bytes));
+        Ok(with_deadline(until, reading).await.ok_or(failure)??)
+    }
+}
+
 /// Client of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -341,7 +380,8 @@
     /// Fetches the whole list once.
     pub async fn fetch(self: Rc<Self>, to: Sender<Input>) {
         let (watch, started_at) = (self.current.get(), Instant::now());
-        let response = self.call(watch, &mut None, "/discovery/hosts", RESPONSE_TIMEOUT).await;
+        let limits = CallLimits { call: RESPONSE_TIMEOUT, until: started_at + OPEN_TIMEOUT };
+        let response = self.call(watch, &mut None, "/discovery/hosts", limits).await;
         self.record_call(true, started_at, response.as_ref().err());
         let message = match response {
             Ok(list) => {
@@ -372,11 +412,13 @@
                 false => format!("/discovery/hosts?from={from}&hold_ms={}", hold.as_millis()),
             };
             let started_at = Instant::now();
-            let call = self.call(watch, &mut connection, &target, limit);
-            let response = match hold.is_zero() {
-                true => with_timeout(OPEN_TIMEOUT, call).await.unwrap_or(Err(ListError::Timeout)),
-                false => call.await,
+            let limits = match hold.is_zero() {
+                true => CallLimits { call: limit, until: started_at + OPEN_TIMEOUT },
+                false => {
+                    CallLimits { call: limit, until: started_at + limit * (MAX_UNREADABLE_RESPONSES + 1) }
+                }
             };
+            let response = self.call(watch, &mut connection, &target, limits).await;
             self.record_call(hold.is_zero(), started_at, response.as_ref().err());
             let list = match response {
                 Ok(list) => list,
@@ -425,6 +467,7 @@
                 return;
             }
             (from, wants_snapshot, opens) = (index, version_went_back, false);
+            Timer::at(started_at + MIN_CALL_INTERVAL).await;
         }
     }
 
@@ -461,15 +504,16 @@
         watch: SubscriptionId,
         connection: &mut Option<Async<TcpStream>>,
         target: &str,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<ListResponse, ListError> {
         let mut unreadable_responses = 0;
         self.had_unreadable_response.set(false);
         loop {
-            match self
-                .call_once(watch, connection, target, limit, PAUSE_TIMEOUT * (1 << unreadable_responses))
-                .await
-            {
+            let times = RequestTimes {
+                deadline: limits.until.min(Instant::now() + limits.call),
+                pause_timeout: PAUSE_TIMEOUT * (1 << unreadable_responses),
+            };
+            match self.call_once(watch, connection, target, times).await {
                 Err(e)
                     if e.is_unreadable()
                         && unreadable_responses < MAX_UNREADABLE_RESPONSES
@@ -506,50 +550,46 @@
         watch: SubscriptionId,
         connection: &mut Option<Async<TcpStream>>,
         target: &str,
-        limit: Duration,
-        pause_timeout: Duration,
+        times: RequestTimes,
     ) -> Result<ListResponse, ListError> {
-        let call = async {
-            self.reused_connection.set(connection.is_some());
-            if let Some(kept) = connection.take() {
-                // A kept connection may have been closed meanwhile; repeating the call is harmless.
-                match self.request(kept, target, pause_timeout).await {
-                    Err(ListError::Io(_) | ListError::Closed) => {}
-                    other => return other,
-                }
-            }
-            if !self.is_current(watch) {
-                return Err(ListError::Closed);
+        self.reused_connection.set(connection.is_some());
+        if let Some(kept) = connection.take() {
+            // A kept connection may have been closed meanwhile; repeating the call is harmless.
+            match self.request(kept, connection, target, times).await {
+                Err(ListError::Io(_) | ListError::Closed) => {}
+                other => return other,
             }
-            self.reused_connection.set(false);
-            let connecting = Async::<TcpStream>::connect(self.address.get());
-            let stream = with_timeout(CONNECT_TIMEOUT, connecting).await.ok_or(ListError::Timeout)??;
-            self.request(stream, target, pause_timeout).await
-        };
-        let (list, kept) = with_timeout(limit, call).await.ok_or(ListError::Timeout)??;
-        *connection = kept;
-        Ok(list)
+        }
+        if !self.is_current(watch) {
+            return Err(ListError::Closed);
+        }
+        self.reused_connection.set(false);
+        let connecting = Async::<TcpStream>::connect(self.address.get());
+        let connect_deadline = times.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = with_deadline(connect_deadline, connecting).await.ok_or(ListError::Timeout)??;
+        self.request(stream, connection, target, times).await
     }
 
+    /// Makes one request; the stream is put back into `kept` if it can be used for the next.
     async fn request(
         &self,
         mut stream: Async<TcpStream>,
+        kept: &mut Option<Async<TcpStream>>,
         target: &str,
-        pause_timeout: Duration,
-    ) -> Result<(ListResponse, Option<Async<TcpStream>>), ListError> {
+        times: RequestTimes,
+    ) -> Result<ListResponse, ListError> {
         stream.get_ref().set_nodelay(true)?;
         let request = Encoder::new(format_args!("GET {target} HTTP/1.1"))
             .field("Host", format_args!("{}", self.address.get()))
             .body(&[]);
-        stream.write_all(&request).await?;
+        let writing = stream.write_all(&request);
+        with_deadline(times.deadline, writing).await.ok_or(ListError::Timeout)??;
         let mut decoder = Decoder::<ResponseHead>::new(LIST_LIMIT);
+        let mut turn = Turn::default();
         loop {
-            let has_begun = !decoder.is_idle();
-            let reading = read_some(&mut stream, |bytes| decoder.feed(bytes));
-            let n = match has_begun {
-                true => with_timeout(pause_timeout, reading).await.ok_or(ListError::Truncated)??,
-                false => reading.await?,
-            };
+            turn.yield_if_used().await;
+            let n = times.read(&mut stream, &mut decoder).await?;
+            turn.record_bytes(n);
             let message = if n == 0 { decoder.finish()? } else { decoder.next_message()? };
             if let Some((head, body)) = message {
                 if head.status != 200 {
@@ -560,7 +600,8 @@
                 if list.unreadable > 0 {
                     return Err(ListError::UnreadableRows(list));
                 }
-                return Ok((list, keep.then_some(stream)));
+                *kept = keep.then_some(stream);
+                return Ok(list);
             }
             if n == 0 {
                 return Err(ListError::Closed);
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -3,6 +3,7 @@
 //! An attempt is cancelled by dropping it, which closes its connection. This module never resends a request.
 
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
+use super::turn::Turn;
 use super::{micros_to_duration, read_some, with_timeout};
 use crate::descriptor_budget::{Descriptor, DescriptorBudget};
 use crate::exchange::Exchange;
@@ -10,7 +11,7 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -182,8 +183,10 @@
     /// Reads the response to the request that was written.
     async fn read_response(&mut self) -> Result<Response, AttemptFailure> {
         let mut decoder = Decoder::<ReplyHead>::new(BODY_LIMIT);
+        let mut turn = Turn::default();
         loop {
             let n = read_some(&mut self.stream, |bytes| decoder.feed(bytes)).await?;
+            turn.record_bytes(n);
             let message = if n == 0 { decoder.finish()? } else { decoder.next_message()? };
             if let Some((head, body)) = message {
                 let reusable = n > 0 && head.keep_alive && decoder.is_idle();
@@ -192,6 +195,7 @@
             if n == 0 {
                 return Err(AttemptFailure::Closed);
             }
+            turn.yield_if_used().await;
         }
     }
 }
@@ -272,7 +276,8 @@
 
     /// Removes machines that a snapshot of the list no longer contains.
     pub fn keep_only(&self, rows: &[Row]) {
-        self.hosts.borrow_mut().retain(|id, _| rows.iter().any(|r| r.entry.machine == *id));
+        let listed: BTreeSet<MachineId> = rows.iter().map(|row| row.entry.machine).collect();
+        self.hosts.borrow_mut().retain(|id, _| listed.contains(id));
     }
 
     /// Closes the idle connections to a machine.
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod peers;
 pub mod platform;
 pub mod request_head;
+pub mod turn;
 
 use async_io::Timer;
 use futures_lite::{future, AsyncRead};
@@ -15,7 +16,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Largest number of bytes read from a socket at once.
 const READ_SIZE: usize = 4 * 1024;
@@ -39,8 +40,13 @@
 
 /// Returns the output of `work`, or `None` after `timeout`.
 pub async fn with_timeout<T>(timeout: Duration, work: impl Future<Output = T>) -> Option<T> {
+    with_deadline(Instant::now() + timeout, work).await
+}
+
+/// Returns the output of `work`, or `None` from `deadline` on. Output that is there at once is returned even later.
+pub async fn with_deadline<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let expired = async {
-        Timer::after(timeout).await;
+        Timer::at(deadline).await;
         None
     };
     future::or(async { Some(work.await) }, expired).await
--- a/crates/yarrowspoke-front/src/net/peers.rs
+++ b/crates/yarrowspoke-front/src/net/peers.rs
@@ -1,5 +1,6 @@
 //! Datagrams between fronts; they are unreliable and untrusted.
 
+use super::turn::Turn;
 use crate::input::Input;
 use async_channel::Sender;
 use async_io::Async;
@@ -52,8 +53,12 @@
     /// Forwards received messages; datagrams from unknown senders and oversized ones are ignored.
     pub async fn listen(self: Rc<Self>, to: Sender<Input>) {
         let mut bytes = [0; DATAGRAM_LIMIT + 1];
+        let mut turn = Turn::default();
         loop {
-            match self.socket.recv_from(&mut bytes).await {
+            turn.pause_if_used().await;
+            let received = self.socket.recv_from(&mut bytes).await;
+            turn.record_message(received.as_ref().map_or(0, |(len, _)| *len));
+            match received {
                 Ok((len, from)) if len <= DATAGRAM_LIMIT => {
                     let sender = self.addresses.borrow().iter().position(|p| *p == from);
                     if let Some(peer) = sender {
--- a/crates/yarrowspoke-front/src/net/platform.rs
+++ b/crates/yarrowspoke-front/src/net/platform.rs
@@ -1,5 +1,6 @@
 //! Client of the platform: casts votes and receives rollout status, in a line-based text protocol.
 
+use super::turn::Turn;
 use super::{micros_to_duration, read_some, with_timeout};
 use crate::input::Input;
 use async_channel::Sender;
@@ -184,30 +185,32 @@
 /// Splits received bytes into lines.
 #[derive(Default)]
 pub struct LineDecoder {
+    /// Received bytes; those before `consumed_len` are lines that were returned.
     buffer: Vec<u8>,
+    consumed_len: usize,
 }
 
 impl LineDecoder {
     /// Adds received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.consumed_len);
+        self.consumed_len = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Returns the next complete line without its ending; a line over the limit is an error.
-    pub fn line(&mut self) -> Result<Option<Vec<u8>>, LineError> {
-        let Some(end) = self.buffer.iter().position(|b| *b == b'\n') else {
-            let too_long = self.buffer.len() > LINE_LIMIT;
+    pub fn line(&mut self) -> Result<Option<&[u8]>, LineError> {
+        let unread = &self.buffer[self.consumed_len..];
+        let Some(end) = unread.iter().position(|b| *b == b'\n') else {
+            let too_long = unread.len() > LINE_LIMIT;
             return if too_long { Err(LineError::TooLong) } else { Ok(None) };
         };
         if end > LINE_LIMIT {
             return Err(LineError::TooLong);
         }
-        let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
-        line.pop();
-        if line.last() == Some(&b'\r') {
-            line.pop();
-        }
-        Ok(Some(line))
+        self.consumed_len += end + 1;
+        let line = &unread[..end];
+        Ok(Some(line.strip_suffix(b"\r").unwrap_or(line)))
     }
 }
 
@@ -275,7 +278,7 @@
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
         if let Some(line) = lines.line().map_err(std::io::Error::other)? {
-            return decode(&line).map_err(std::io::Error::other);
+            return decode(line).map_err(std::io::Error::other);
         }
     }
 }
@@ -304,6 +307,7 @@
     stream.get_ref().set_nodelay(true)?;
     stream.write_all(b"NOTIFY\r\n").await?;
     let mut lines = LineDecoder::default();
+    let mut turn = Turn::default();
     loop {
         let read = with_timeout(SILENCE_TIMEOUT, read_some(&mut stream, |bytes| lines.feed(bytes))).await;
         if read.ok_or_else(timed_out)?? == 0 {
@@ -312,7 +316,8 @@
         while let Some(line) = lines.line().map_err(std::io::Error::other)? {
             // After an unreadable line nothing more arrives, or nothing reliable: the connection is closed, and the
             // next one reports the state again.
-            match decode(&line).map_err(std::io::Error::other)? {
+            turn.record_message(line.len());
+            match decode(line).map_err(std::io::Error::other)? {
                 PlatformLine::Progress(state) => {
                     *has_update = true;
                     let _ = to.send(Input::RolloutStatus(state.to_status(false))).await;
@@ -320,6 +325,7 @@
                 PlatformLine::Refused(why) => log::warn!("platform: refused: {why:?}"),
                 PlatformLine::Heartbeat | PlatformLine::Other | PlatformLine::Accepted(_) => {}
             }
+            turn.pause_if_used().await;
         }
     }
 }
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -1,7 +1,7 @@
 //! Runs a planner: connects `yarrowspoke_fleet::planner` to the network, to the disk and to operators' orders.
 
 use crate::agreed_log::{AgreedLog, JoinError, MessageBatch};
-use crate::net::fleet::{send_message, serve, LinkHandler, LinkHead, LinkResponse};
+use crate::net::fleet::{send_message, serve, LinkHandler, LinkHead, LinkResponse, MEMBER_RESPONSE_LIMIT};
 use crate::net::with_timeout;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -419,7 +419,8 @@
             continue;
         };
         let body = encode(&batch);
-        let call = send_message(&mut connection, address, ("POST", "/fleet/agree"), &body);
+        let call =
+            send_message(&mut connection, address, ("POST", "/fleet/agree"), &body, MEMBER_RESPONSE_LIMIT);
         let reply = with_timeout(BATCH_TIMEOUT, call).await;
         if reply.is_none() {
             connection = None;
@@ -455,7 +456,8 @@
     loop {
         let started = Instant::now();
         let body = encode(&running.planner.borrow().pull_request());
-        let call = send_message(&mut connection, address, ("POST", "/fleet/pull"), &body);
+        let call =
+            send_message(&mut connection, address, ("POST", "/fleet/pull"), &body, MEMBER_RESPONSE_LIMIT);
         match with_timeout(PULL_TIMEOUT, call).await {
             Some(Ok(bytes)) => match decode::<PullResponse>(&bytes) {
                 Ok(response) if response.planner == other => {
--- a/crates/yarrowspoke-front/tests/parsers.rs
+++ b/crates/yarrowspoke-front/tests/parsers.rs
@@ -101,7 +101,7 @@
         for part in &parts {
             lines.feed(part);
             while let Ok(Some(line)) = lines.line() {
-                let _ = decode(&line);
+                let _ = decode(line);
             }
         }
         let text = parts.concat();
@@ -154,6 +154,21 @@
     assert!(lines.line().is_err());
 }
 
+#[test]
+fn empty_lines_before_a_message_count_up_to_a_limit_and_anew_behind_it() {
+    // Without a limit a sender of empty lines alone is read for as long as it sends.
+    let blank = "\r\n".repeat(HEAD_LIMIT / 2);
+    let message = format!("{blank}GET / HTTP/1.1\r\n\r\n");
+    assert_eq!(decoded(&[message.as_bytes(), message.as_bytes()]).map(|messages| messages.len()), Ok(2));
+    let parts = [blank.as_bytes(), b"\r".as_slice(), b"\n"];
+    assert_eq!(decoded(&parts), Err(HttpError::HeadTooLarge));
+    let mut decoder = Decoder::<Head>::new(100);
+    decoder.feed(blank.as_bytes());
+    assert_eq!(decoder.skip_blank_lines(), Ok(()));
+    decoder.feed(b"\n");
+    assert_eq!(decoder.skip_blank_lines(), Err(HttpError::HeadTooLarge));
+}
+
 #[test]
 fn the_platforms_words_mean_what_its_page_says() {
     assert_eq!(decode(b"*"), Ok(PlatformLine::Heartbeat));
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod stage;
 
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -30,6 +31,10 @@
         Self::over(TcpStream::connect(address).unwrap())
     }
 
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
     pub fn write(&mut self, bytes: &str) {
         self.reader.get_mut().write_all(bytes.as_bytes()).unwrap();
     }
@@ -186,8 +191,24 @@
 
 impl Program {
     pub fn start(path: &Path, listen: SocketAddr) -> Self {
+        Self::start_with(&[], path, listen)
+    }
+
+    /// Starts a front with this operator's file.
+    pub fn start_with_operator(operator: &Path, path: &Path, listen: SocketAddr) -> Self {
+        Self::start_with(&["serve".as_ref(), "--operator".as_ref(), operator.as_ref()], path, listen)
+    }
+
+    /// Starts a planner of the fleet in this operator's file.
+    pub fn start_planner(operator: &Path, name: &str, listen: SocketAddr) -> Self {
+        let arguments = ["planner", "--name", name, "--operator"].map(OsStr::new);
+        let arguments = [&arguments[..], &[operator.as_ref()]].concat();
+        Self::start_with(&arguments, operator, listen)
+    }
+
+    fn start_with(arguments: &[&OsStr], path: &Path, listen: SocketAddr) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
-        let command = command.env("PROXY_CONFIG", path).env("RUST_LOG", "debug");
+        let command = command.args(arguments).env("PROXY_CONFIG", path).env("RUST_LOG", "debug");
         let mut child = command.stderr(Stdio::piped()).stdout(Stdio::null()).spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
         let (to, lines) = channel();
@@ -229,6 +250,19 @@
         Wire::to(self.listen)
     }
 
+    /// Returns whether the front has read everything that this client has written.
+    pub fn has_read_all(&self, client: &Wire) -> bool {
+        let hexadecimal = |address: SocketAddr| match address {
+            SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), v4.port()),
+            SocketAddr::V6(_) => panic!("only IPv4 is used"),
+        };
+        let (front, client) = (hexadecimal(self.listen), hexadecimal(client.stream().local_addr().unwrap()));
+        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let fields = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let mut sides = fields.filter(|f| f.len() > 4 && f[1] == front && f[2] == client);
+        sides.next().is_some_and(|side| side[4].ends_with(":00000000"))
+    }
+
     /// Returns whether `/up` reports that the front is ready.
     pub fn is_up(&self) -> bool {
         let mut client = self.client();
--- a/crates/yarrowspoke-front/tests/scripted/stage.rs
+++ b/crates/yarrowspoke-front/tests/scripted/stage.rs
@@ -36,6 +36,11 @@
         Program::start(&temp_file("config.json", &self.config), self.listen)
     }
 
+    /// Starts the program as a member of the fleet in this operator's file.
+    pub fn start_in_fleet(&self, operator: &std::path::Path) -> Program {
+        Program::start_with_operator(operator, &temp_file("config.json", &self.config), self.listen)
+    }
+
     /// Answers the first call of the watch with this list.
     pub fn open_watch(&self, list: &str) -> Wire {
         let mut watch = self.discovery.connection();
