After SIGTERM every request is answered before the process may be killed

Callers saw: at a planned restart with one hanging machine, comments sent 0.80 to 0.99 s after SIGTERM on connections that the front had left open were unanswered at SIGKILL. Cause: nothing knew when the process may be killed; event_bus.rs, open_exchange, and driver.rs, on_request and send_attempt, gave a request all the time of its client after the signal as before it. A new connection may bring its first request up to 1.1 s after SIGTERM (clients.rs, next_request). Change: shutdown.rs computes the earliest kill from the protocol's figures; Event::Shutdown tells the module; rules/shutdown.rs brings all deadlines forward and refuses unsent what has less than twice its usual answer time left; the driver moves the timers of open requests and attempts. Related: an answer waits for a slow disk until its deadline at most; a planner at its stop waits for a full disk queue (by reading, not forced by a test). Why it works: every deadline after SIGTERM lies 0.25 s before the earliest kill, and what cannot meet it is never sent. Tests: shutdown.rs, before: all three failed (answered after 9.00 s; told 9.00 s with 3.70 s left; sent on 3.5 s after the signal). After: they and two new ones in guards.rs pass.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -350,6 +350,7 @@
                 self.handle_event(Event::List { kind: ListUpdate::Delta, version, entries: &[] });
             }
             Input::RolloutStatus(status) => self.on_rollout_status(status),
+            Input::ShutdownBegun { answer_by } => self.on_shutdown(answer_by),
             Input::RestrictionsChanged => self.apply_fleet_changes(),
             Input::RefreshSources => self.reconnect_sources(),
             Input::PeerMessage(from, bytes) => self.handle_event(Event::PeerMessage { from, bytes: &bytes }),
@@ -379,11 +380,14 @@
         if exchange.is_finished() {
             return;
         }
+        if let Some(answer_by) = self.event_bus.answer_by() {
+            exchange.limit_deadline(answer_by);
+        }
         let (id, call) = (exchange.id, &exchange.call);
         let arrival = Arrival {
             id,
             class: call.class,
-            remaining: exchange.deadline.saturating_sub(self.event_bus.clock.now()),
+            remaining: exchange.client_deadline.saturating_sub(self.event_bus.clock.now()),
             key: call.key,
             tenant: call.tenant,
             work_hint: call.work_hint,
@@ -391,7 +395,7 @@
             policy: call.policy,
         };
         // Fail-safe for rule 1: if the decision module does not answer, the client still gets an error in time.
-        let overdue_at = exchange.deadline + self.settings.module.answer_slack;
+        let overdue_at = exchange.deadline() + self.settings.module.answer_slack;
         let overdue_timer = self.set_timer(overdue_at, TimerKind::AnswerOverdue(id));
         self.open_requests.insert(
             id,
@@ -404,6 +408,28 @@
         self.remove_if_finished(id);
     }
 
+    /// Brings the deadlines of open requests and of their attempts forward to the time at which the process may be killed.
+    fn on_shutdown(&mut self, answer_by: Micros) {
+        let remaining = answer_by.saturating_sub(self.event_bus.clock.now());
+        self.handle_event(Event::Shutdown { remaining });
+        let overdue_at = answer_by + self.settings.module.answer_slack;
+        let requests = self.open_requests.iter().filter(|(_, open)| open.exchange.limit_deadline(answer_by));
+        for id in requests.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let timer = self.set_timer(overdue_at, TimerKind::AnswerOverdue(id));
+            if let Some(open) = self.open_requests.get_mut(&id) {
+                self.timers.remove(&std::mem::replace(&mut open.overdue_timer, timer));
+            }
+        }
+        let attempts =
+            self.attempts_in_flight.iter().filter(|(_, flight)| flight.timeout_timer.0 > answer_by);
+        for (id, attempt) in attempts.map(|(key, _)| *key).collect::<Vec<_>>() {
+            let timer = self.set_timer(answer_by, TimerKind::Attempt(id, attempt));
+            if let Some(flight) = self.attempts_in_flight.get_mut(&(id, attempt)) {
+                self.timers.remove(&std::mem::replace(&mut flight.timeout_timer, timer));
+            }
+        }
+    }
+
     fn on_client_left(&mut self, id: RequestId) {
         if !self.open_requests.contains_key(&id) {
             return;
@@ -716,7 +742,7 @@
         open.attempts_sent += 1;
         let exchange = Rc::clone(&open.exchange);
         let build = self.listed_machines.get(&machine).map_or(0, |m| m.1);
-        let late = exchange.is_finished() || now >= exchange.deadline;
+        let late = exchange.is_finished() || now >= exchange.deadline();
         // A process resumes from a pause with actions decided before it, so the lease is checked again here.
         let late = late || self.event_bus.member.as_ref().is_some_and(|m| m.excludes(machine, build));
         if late || u32::from(attempt) >= self.settings.module.max_attempts {
@@ -738,7 +764,7 @@
             log::debug!(id, attempt, machine, build, version, age_ms:?, basis:?; "attempt sent");
         }
         open.in_flight += 1;
-        let wait = exchange.deadline - now;
+        let wait = exchange.deadline() - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
         let deadlines =
             AttemptDeadlines { expires: now + wait, write_by: write_by.map(|by| by.min(now + wait)) };
--- a/crates/yarrowspoke-front/src/event_bus.rs
+++ b/crates/yarrowspoke-front/src/event_bus.rs
@@ -6,6 +6,7 @@
 use crate::fleet_member::Member;
 use crate::input::{ClassProtocol, Clock, Input};
 use crate::ledger_writer::LedgerWriter;
+use crate::shutdown;
 use async_channel::{Receiver, Sender};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -45,6 +46,8 @@
     pub idle_clients: [Rc<Cell<usize>>; 2],
     next_id: Cell<RequestId>,
     malformed: Cell<u64>,
+    /// Once the shutdown has begun, the time by which every request must be answered.
+    answer_by: Cell<Option<Micros>>,
     stop: (Sender<()>, Receiver<()>),
 }
 
@@ -76,6 +79,7 @@
             idle_clients: Default::default(),
             next_id: Cell::new(1),
             malformed: Cell::new(0),
+            answer_by: Cell::new(None),
             stop: async_channel::bounded(1),
         };
         (Rc::new(event_bus), receiver)
@@ -87,9 +91,18 @@
         self.member.as_ref().is_none_or(|m| m.accepts_requests())
     }
 
-    /// Begins the shutdown: requests in flight and those that still arrive are served, then connections close.
-    pub fn begin_stop(&self) {
+    /// Begins the shutdown: requests in flight and those that still arrive are answered before the process may be killed,
+    /// then connections close.
+    pub async fn begin_stop(&self) {
+        let answer_by = self.clock.now() + shutdown::answer_time(&self.classes);
+        self.answer_by.set(Some(answer_by));
         self.stop.0.close();
+        let _ = self.inputs.send(Input::ShutdownBegun { answer_by }).await;
+    }
+
+    /// Once the shutdown has begun, returns the time by which every request must be answered.
+    pub fn answer_by(&self) -> Option<Micros> {
+        self.answer_by.get()
     }
 
     /// Returns whether the shutdown has begun.
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -1,6 +1,6 @@
 //! A client request and its final answer: the only state that the client side and the machine side share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashSet, VecDeque};
 use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -120,15 +120,32 @@
     /// When its last byte arrived.
     pub arrived_at: Micros,
     /// When the client stops waiting.
-    pub deadline: Micros,
+    pub client_deadline: Micros,
+    /// When it must be answered: at the client's deadline, or before the process may be killed.
+    deadline: Cell<Micros>,
     slot: RefCell<AnswerSlot>,
 }
 
 impl Exchange {
     /// Creates the exchange of a request that has just arrived.
     pub fn new(id: RequestId, call: Call, arrived_at: Micros) -> Rc<Self> {
-        let deadline = arrived_at.saturating_add(call.budget);
-        Rc::new(Self { id, call, arrived_at, deadline, slot: RefCell::default() })
+        let client_deadline = arrived_at.saturating_add(call.budget);
+        let deadline = Cell::new(client_deadline);
+        Rc::new(Self { id, call, arrived_at, client_deadline, deadline, slot: RefCell::default() })
+    }
+
+    /// Returns when the request must be answered.
+    pub fn deadline(&self) -> Micros {
+        self.deadline.get()
+    }
+
+    /// Brings the deadline forward to `latest`; returns whether it was later.
+    pub fn limit_deadline(&self, latest: Micros) -> bool {
+        let is_later = self.deadline.get() > latest;
+        if is_later {
+            self.deadline.set(latest);
+        }
+        is_later
     }
 
     /// Sets the final answer. Returns false if there is one already or the client has disconnected.
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -130,6 +130,11 @@
     AddressesChanged(Addresses),
     /// The operators' file states other error rates for judging builds.
     ErrorRatesChanged(Option<ErrorRates>),
+    /// The process is shutting down: every request must be answered by this time.
+    ShutdownBegun {
+        /// Time on the front's clock.
+        answer_by: Micros,
+    },
     /// What the planners take away from this front may have changed.
     RestrictionsChanged,
     /// This front is stale compared with the others and has to query its own sources again.
--- a/crates/yarrowspoke-front/src/ledger_writer.rs
+++ b/crates/yarrowspoke-front/src/ledger_writer.rs
@@ -144,10 +144,10 @@
         }
     }
 
-    /// Records the outcome of a call before its client is answered. `answer` is `None` if the client disconnected and it is
-    /// unknown whether the call ran. If the disk fails here, the call stays in doubt, which is safe, and the client is
-    /// answered all the same.
-    pub async fn record_outcome(&self, id: u128, call: &Call, answer: Option<&Answer>) {
+    /// Records the outcome of a call before its client is answered, which must be within `time_left`. `answer` is `None` if
+    /// the client disconnected and it is unknown whether the call ran. If the disk fails here or takes longer, the call stays
+    /// in doubt, which is safe, and the client is answered all the same.
+    pub async fn record_outcome(&self, id: u128, call: &Call, answer: Option<&Answer>, time_left: Micros) {
         let Some(ledger) = &self.ledger else { return };
         let (_, keep) = ledger.record_key(call);
         let state = match answer {
@@ -157,7 +157,8 @@
         };
         let Ok(pending) = ledger.writer.submit(Op::End { id, state, retention: keep }) else { return };
         if answer.is_some() {
-            with_timeout(Duration::from_micros(ledger.settings.disk_timeout), pending.done()).await;
+            let limit = time_left.min(ledger.settings.disk_timeout);
+            with_timeout(Duration::from_micros(limit), pending.done()).await;
         }
     }
 
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod planner;
 pub mod run;
 pub mod shadow_settings;
+pub mod shutdown;
 pub mod store_commands;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -3,12 +3,13 @@
 use super::http::{Decoder, Encoder, BODY_LIMIT};
 use super::request_head::{ClientRequest, RequestHead};
 use super::turn::Turn;
-use super::{read_some, with_deadline, with_timeout};
+use super::{micros_to_duration, read_some, with_deadline, with_timeout};
 use crate::descriptor_budget::{BodyReservation, CountGuard};
 use crate::event_bus::EventBus;
 use crate::exchange::{Answer, Exchange};
 use crate::input::Input;
 use crate::ledger_writer::LedgerDecision;
+use crate::shutdown::STOP_GRACE;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -42,8 +43,6 @@
 const UNRESERVED_BODY_BYTES: usize = 4 * 1024;
 /// Pause after an accept has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Longest time that a new connection may take to send its first request during a stop.
-const STOP_FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shortest time without data after which a new connection may be closed while descriptors run low.
 const MIN_SILENT_TIME: Duration = Duration::from_millis(300);
 /// Shortest idle time after which a connection may be closed to free its descriptor.
@@ -339,7 +338,8 @@
                 if let Some(id) = record_id {
                     let answer =
                         if let WaitResult::Answer(answer) = &wait_result { Some(answer) } else { None };
-                    event_bus.ledger_writer.record_outcome(id, &exchange.call, answer).await;
+                    let time_left = exchange.deadline().saturating_sub(event_bus.clock.now());
+                    event_bus.ledger_writer.record_outcome(id, &exchange.call, answer, time_left).await;
                 }
                 let answer = match wait_result {
                     WaitResult::Answer(answer) => answer,
@@ -400,7 +400,7 @@
         let stop = async {
             event_bus.stop_begun().await;
             if is_new {
-                Timer::after(STOP_FIRST_REQUEST_TIMEOUT).await;
+                Timer::after(micros_to_duration(STOP_GRACE)).await;
             }
             None
         };
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -383,6 +383,11 @@
     };
     future::or(work, stop).await;
     housekeep(&running, writes.as_ref(), retention);
+    // Their fronts were told that these reports are kept, so this process does not end before the disk has taken them.
+    let unwritten = running.unwritten.take();
+    if let Some(writes) = writes.filter(|_| !unwritten.is_empty()) {
+        let _ = writes.send((unwritten, Vec::new()));
+    }
     log::info!("planner {name} stops");
     Ok(())
 }
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -11,7 +11,9 @@
 use crate::net::clients::{self, ClientListener};
 use crate::net::list::Discovery;
 use crate::net::machines::Machines;
+use crate::net::micros_to_duration;
 use crate::net::peers::Peers;
+use crate::shutdown::STOP_GRACE;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -34,8 +36,6 @@
 
 /// Descriptors reserved for standard streams, the reactor, the listener, peers, discovery and the platform.
 const RESERVED_DESCRIPTORS: usize = 28;
-/// Time for which clients may still open connections after a stop has begun.
-const STOP_GRACE: Duration = Duration::from_millis(700);
 /// Largest difference between the clocks of one deployment, in microseconds.
 const MAX_CLOCK_SKEW: u64 = 2_000_000;
 /// Interval at which a stop checks whether all clients have disconnected.
@@ -244,8 +244,8 @@
     let stop = async {
         stop_signals.next().await;
         log::info!("stopping: {} client connections", descriptors.in_use().0);
-        event_bus.begin_stop();
-        Timer::after(STOP_GRACE).await;
+        event_bus.begin_stop().await;
+        Timer::after(micros_to_duration(STOP_GRACE)).await;
         // Connections that wait to be accepted may already carry a request and are reset when the process exits.
         while client_listener.accept_waiting() || descriptors.in_use().0 > 0 {
             Timer::after(STOP_CHECK_INTERVAL).await;
--- a/crates/yarrowspoke/src/accounting.rs
+++ b/crates/yarrowspoke/src/accounting.rs
@@ -325,6 +325,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     /// Open requests, which have yet to get their final answer.
     pub requests: BTreeMap<RequestId, Request>,
+    /// Once the process is shutting down, the time by which all requests must be answered.
+    pub answer_by: Option<Micros>,
     /// Attempts whose outcome is still to come.
     pub attempts_in_flight: BTreeMap<(RequestId, u16), InFlightAttempt>,
     /// Number of attempts in flight.
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -485,6 +485,11 @@
         /// Time since the tally's period ended.
         age: Micros,
     },
+    /// The process is shutting down.
+    Shutdown {
+        /// Time from now after which the process may be killed, so that an answer may not reach its client any more.
+        remaining: Micros,
+    },
     /// The client has left.
     ClientLeft {
         /// The request.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -1,7 +1,7 @@
 //! The decision module. Its interface (settings, events, actions) is defined in `src/interface.rs`.
 //!
 //! Reading order: constants, state, entry point, the five guards, the list of machines, routing, attempts; then, in
-//! modules of their own, admission under overload, the judge of builds and the votes. The mechanism is described in
+//! modules of their own, admission under overload, shutdown, the judge of builds and the votes. The mechanism is described in
 //! `docs/design.md`; comments that begin with "Beyond the design" mark what was added to it.
 //!
 //! The five rules that comments cite by number:
@@ -14,6 +14,7 @@
 
 mod admission;
 mod judge;
+mod shutdown;
 mod vote;
 
 pub use judge::{judge_design, DEFAULT_ERROR_RATES};
@@ -180,6 +181,7 @@
                     .into_iter()
                     .for_each(|id| self.on_probe_result(now, answered, id, out));
             }
+            Event::Shutdown { remaining } => self.on_shutdown(now, remaining),
             Event::FirstByte { .. } => {}
             Event::PeerMessage { from, bytes } => self.on_peer_message(now, from, bytes, out),
             Event::PlatformTally { .. } => self.state.ignored_events += 1,
@@ -499,7 +501,7 @@
         let over_share = self.is_over_share(now, arrival.tenant as usize);
         let work = arrival.work_hint.filter(|h| *h > 0).map_or(NOMINAL_WORK, |h| h as f64);
         let hash_position = hash_to_unit(arrival.policy.hash_key.unwrap_or(if key == 0 { id } else { key }));
-        let deadline = now + arrival.remaining;
+        let deadline = self.answer_deadline(now + arrival.remaining);
         // Retries state the time that is left to them. The stated time is limited to the class's deadline, since one
         // client that states an hour would otherwise make all others appear to have waited before.
         let longest = &mut self.state.longest_waits[class];
@@ -528,7 +530,9 @@
             waited_before,
             ..defaults
         };
-        let admitted = request.policy.refuse_with_retry_after.is_none() && self.admits(now, &request);
+        let admitted = request.policy.refuse_with_retry_after.is_none()
+            && self.outlives(now, &request)
+            && self.admits(now, &request);
         self.state.requests.insert(id, request);
         if admitted {
             self.dispatch(now, id, out);
--- a/crates/yarrowspoke/src/rules/admission.rs
+++ b/crates/yarrowspoke/src/rules/admission.rs
@@ -35,6 +35,11 @@
         self.settings.classes.iter().map(|c| c.latency_target).min().unwrap_or(0) as f64
     }
 
+    /// Returns the time in which a request is usually answered, by its work, in microseconds.
+    pub(super) fn expected_answer_time(&self, request: &Request) -> f64 {
+        self.state.answer_time * (request.work / self.state.answer_work.max(1.0)).min(MAX_RELATIVE_WORK)
+    }
+
     /// Returns whether a request is admitted. By Little's law, the work in flight divided by the completion rate predicts
     /// the answer time.
     pub(super) fn admits(&mut self, now: Micros, request: &Request) -> bool {
@@ -47,8 +52,7 @@
         let queued = || self.state.attempts_in_flight.values().filter(|a| now <= a.sent_at + queued_for);
         // Refused clients retry, those with the largest requests last, until most of what is served is late. Requests
         // that would be late are therefore shed before others.
-        let expected_time =
-            self.state.answer_time * (request.work / self.state.answer_work.max(1.0)).min(MAX_RELATIVE_WORK);
+        let expected_time = self.expected_answer_time(request);
         let late = request.waited_before + expected_time
             > (self.settings.classes[request.value_class].latency_target as f64).max(self.state.answer_time);
         let max_worth = self.settings.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
--- a/crates/yarrowspoke/tests/guards.rs
+++ b/crates/yarrowspoke/tests/guards.rs
@@ -266,3 +266,37 @@
     }
     assert_eq!(finals, 1, "not answered before its deadline");
 }
+
+// Rule 1 at the end of the process: nothing is answered once it may have been killed.
+
+#[test]
+fn requests_that_are_open_at_a_shutdown_are_answered_by_its_end() {
+    for (class, written) in [(0, true), (1, true), (1, false)] {
+        let mut rig = Rig::new(settings(), 3);
+        let id = rig.request_with_remaining(class, 0, 5 * S);
+        let (_, machine) = rig.sent().expect("a ready machine takes it");
+        rig.say(Event::Shutdown { remaining: S });
+        assert_eq!(rig.finals(), 0);
+        rig.now += S;
+        let outcome = if written { CallOutcome::Timeout } else { CallOutcome::ConnectFailed };
+        rig.end(id, 0, machine, outcome);
+        assert_eq!((rig.finals(), rig.sent()), (1, None));
+        // Only what may have run, and must not run twice, fails; for anything else a retry is harmless.
+        assert_eq!(rig.failed(), class == 1 && written);
+    }
+}
+
+#[test]
+fn a_request_that_can_hardly_be_answered_before_the_shutdown_ends_is_refused_unsent() {
+    let mut rig = Rig::new(settings(), 3);
+    rig.run_request(0, |_| (CallOutcome::Ok, 300 * MS));
+    rig.say(Event::Shutdown { remaining: 2 * S });
+    rig.request_with_remaining(1, 0, 5 * S);
+    assert!(rig.sent().is_some());
+    rig.now += 1_500 * MS;
+    rig.request_with_remaining(1, 0, 5 * S);
+    assert!(rig.refused() && rig.sent().is_none());
+    rig.now += S;
+    rig.request_with_remaining(0, 0, 5 * S);
+    assert!(rig.refused() && rig.sent().is_none());
+}
