Decoding of lists in a module of its own

Change: net/list_codec.rs holds the wire form, a row's checks and the decoded response; list.rs re-exports what others use.

--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod http;
 pub mod list;
+pub mod list_codec;
 pub mod machines;
 pub mod peers;
 pub mod platform;
