A whole list removes what it does not name on a watch that was left and with bad lines

Callers saw: after a SIGHUP that moved discovery, fronts sent to a machine that the old address had just told was gone, by a whole list without it. Cause: driver.rs, apply_superseded_list, used only lines that name a machine as draining or removed; in a whole list a removed machine has none. Excluded: the watch (its answer was read at once, leave=0 in the log); the wait for the new address (within the 4 s that a move allows). Change: input::ListContent is one type for whole lists, whole lists with undecodable lines, changes and failures; listed_machines.rs computes what each takes away. Related, each with a test: a whole list with one undecodable line was read as changes and its removals lost; a left watch that lists another process behind an id was passed over; a left watch was dropped at a second move and at a failed call. After a whole list of a left watch the present address is asked for one, so nothing stays out that it names; after undecodable lines so too, 3 s later. Why it works: absence is looked at wherever a whole list is read, against the rows held; only the present watch confirms anything.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -2,7 +2,8 @@
 
 use crate::event_bus::EventBus;
 use crate::exchange::{Answer, Exchange};
-use crate::input::{Addresses, Input, ListMessage, Row};
+use crate::input::{Addresses, Input, ListContent, ListMessage, Row};
+use crate::listed_machines::ListedMachines;
 use crate::net::list::Discovery;
 use crate::net::machines::{parse_load_report, AttemptDeadlines, Machines, Progress};
 use crate::net::peers::Peers;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use yarrowspoke::interface::{
     Action, Arrival, AttemptEnd, Build, CallOutcome, Event, Idempotency, ListUpdate, MachineEntry, MachineId,
-    MachineState, Micros, RequestId, RolloutStatus,
+    Micros, RequestId, RolloutStatus,
 };
 use yarrowspoke::Front;
 use yarrowspoke_settings::Settings;
@@ -35,6 +36,8 @@
 /// Gap between two turns of the loop, in microseconds, above which the process must have been paused: the shortest timer is
 /// due far more often.
 const PROCESS_PAUSE: Micros = 1_000_000;
+/// Superseded watches that are kept for the response that each still waits for; the oldest are given up first.
+const MAX_SUPERSEDED_WATCHES: usize = 4;
 /// Sweeps between two usage reports in the log.
 const SWEEPS_PER_REPORT: u32 = 10;
 
@@ -109,14 +112,16 @@
     timer_sequence: u64,
     /// When the driver last read the clock, used to detect that the process was paused.
     last_turn_at: Micros,
-    listed_machines: BTreeMap<MachineId, (MachineState, Build)>,
+    listed_machines: ListedMachines,
     rollout_status: Option<RolloutStatus>,
     /// The newest status that the platform itself reported.
     platform_status: Option<RolloutStatus>,
     list_watch: Option<Task<()>>,
-    /// The previous watch, kept until the present one gets a response, since this front counts as notified of whatever
-    /// discovery wrote to it.
-    superseded_watch: Option<Task<()>>,
+    /// Earlier watches, kept until the present one gets a response, since this front counts as notified of whatever
+    /// discovery wrote to them.
+    superseded_watches: Vec<Task<()>>,
+    /// Whether the present watch has got a response.
+    watch_has_answered: bool,
     list_fetch: Option<Task<()>>,
     _platform_listener: Option<Task<()>>,
     votes_in_flight: Rc<Cell<usize>>,
@@ -147,11 +152,12 @@
             timers: BTreeMap::new(),
             timer_sequence: 0,
             last_turn_at: now,
-            listed_machines: BTreeMap::new(),
+            listed_machines: ListedMachines::default(),
             rollout_status: None,
             platform_status: None,
             list_watch: None,
-            superseded_watch: None,
+            superseded_watches: Vec::new(),
+            watch_has_answered: false,
             list_fetch: None,
             _platform_listener: None,
             votes_in_flight: Rc::default(),
@@ -336,16 +342,12 @@
                 self.end_attempt(id, attempt, outcome, Vec::new())
             }
             Input::ListUpdated(message) if self.remotes.discovery.is_current(message.watch) => {
-                self.superseded_watch = None;
-                if !message.kind.is_failure() {
-                    self.remotes.discovery.set_version(message.index, message.needs_snapshot);
-                }
-                self.update_list(message.kind, message.index, message.rows);
+                self.on_list_message(message);
             }
             Input::ListUpdated(message) => self.apply_superseded_list(message),
             Input::ListConfirmed(watch, _) if !self.remotes.discovery.is_current(watch) => {}
             Input::ListConfirmed(_, version) => {
-                self.superseded_watch = None;
+                self.on_watch_answered();
                 self.remotes.discovery.set_version(version, false);
                 self.handle_event(Event::List { kind: ListUpdate::Delta, version, entries: &[] });
             }
@@ -457,6 +459,33 @@
         self.cancel_attempts(id);
     }
 
+    fn on_watch_answered(&mut self) {
+        self.superseded_watches.clear();
+        self.watch_has_answered = true;
+    }
+
+    /// Applies the result of a call of the present watch.
+    fn on_list_message(&mut self, message: ListMessage) {
+        let ListMessage { index, needs_snapshot, content, .. } = message;
+        let (kind, rows) = match content {
+            ListContent::Failed => return self.update_list(ListUpdate::Failed, index, Vec::new()),
+            ListContent::Unreadable => return self.update_list(ListUpdate::Unreadable, index, Vec::new()),
+            ListContent::Snapshot(rows) => {
+                self.remotes.discovery.snapshot_applied();
+                (ListUpdate::Snapshot, rows)
+            }
+            // What the undecoded lines name is as it was, so this is applied as changes.
+            ListContent::PartialSnapshot { mut rows, undecoded } => {
+                rows.extend(self.listed_machines.removed_by_absence(&rows, &undecoded));
+                (ListUpdate::Delta, rows)
+            }
+            ListContent::Delta(rows) => (ListUpdate::Delta, rows),
+        };
+        self.on_watch_answered();
+        self.remotes.discovery.set_version(index, needs_snapshot);
+        self.update_list(kind, index, rows);
+    }
+
     fn update_list(&mut self, kind: ListUpdate, index: u64, rows: Vec<Row>) {
         if kind != ListUpdate::Cached {
             self.event_bus.ready.set(true);
@@ -470,17 +499,22 @@
     }
 
     /// Applies the last response of a superseded watch. This front counts as notified of it, but the list may have changed
-    /// since and discovery may have moved: so the response may remove machines but confirms none.
+    /// since and discovery may have moved: so the response may take machines away but confirms none.
     fn apply_superseded_list(&mut self, message: ListMessage) {
-        let is_in_use = |row: &Row| {
-            matches!(self.listed_machines.get(&row.entry.machine), Some((MachineState::Ready, _)))
+        let is_outdated = self.watch_has_answered && message.index <= self.remotes.discovery.index();
+        let rows = match is_outdated {
+            true => Vec::new(),
+            false => self.listed_machines.restricted_by(&message.content),
         };
-        let is_removed = |row: &Row| row.entry.state != MachineState::Ready && is_in_use(row);
-        let rows: Vec<Row> = message.rows.into_iter().filter(is_removed).collect();
         log::info!(index = message.index, leave = rows.len(); "discovery: last response of a superseded watch");
-        if !rows.is_empty() {
-            self.apply_list(ListUpdate::Restricted, 0, &rows);
+        if rows.is_empty() {
+            return;
         }
+        // What the present address sends as changes would not bring back a machine that is missing from this response.
+        if !matches!(message.content, ListContent::Delta(_)) {
+            self.remotes.discovery.request_snapshot();
+        }
+        self.apply_list(ListUpdate::Restricted, 0, &rows);
     }
 
     /// Applies a change of the planners' restrictions or of the lease, as if the front's own sources had reported it.
@@ -505,19 +539,16 @@
 
     fn apply_list(&mut self, kind: ListUpdate, version: u64, rows: &[Row]) {
         if matches!(kind, ListUpdate::Snapshot | ListUpdate::Cached) {
-            self.listed_machines.clear();
             self.remotes.machines.keep_only(rows);
         }
-        for row in rows {
-            self.listed_machines.insert(row.entry.machine, (row.entry.state, row.entry.build));
-            self.remotes.machines.update(row);
-        }
+        self.listed_machines.apply(kind, rows);
+        rows.iter().for_each(|row| self.remotes.machines.update(row));
         log::debug!(kind:?, lines = rows.len(); "list");
         let entries: Vec<MachineEntry> = rows.iter().map(|r| r.entry.clone()).collect();
         self.handle_event(Event::List { kind, version, entries: &entries });
         // Fails attempts that are not written yet when their machine drains, leaves or returns with another build.
         let listed_machines = std::mem::take(&mut self.listed_machines);
-        self.fail_unwritten(|f| listed_machines.get(&f.machine) != Some(&(MachineState::Ready, f.build)));
+        self.fail_unwritten(|f| !listed_machines.is_ready(f.machine, f.build));
         self.listed_machines = listed_machines;
     }
 
@@ -671,13 +702,20 @@
 
     fn set_watch(&mut self, on: bool) {
         let number = self.remotes.discovery.supersede_watches();
-        if let Some(previous) = self.list_watch.take() {
-            self.superseded_watch = Some(previous);
-        }
+        self.supersede_watch();
         let watch = Rc::clone(&self.remotes.discovery).watch(number, self.event_bus.inputs.clone());
         self.list_watch = on.then(|| self.remotes.executor.spawn(watch));
     }
 
+    fn supersede_watch(&mut self) {
+        self.watch_has_answered = false;
+        self.superseded_watches.retain(|watch| !watch.is_finished());
+        self.superseded_watches.extend(self.list_watch.take());
+        if self.superseded_watches.len() > MAX_SUPERSEDED_WATCHES {
+            drop(self.superseded_watches.remove(0));
+        }
+    }
+
     fn fetch_list(&mut self) {
         let fetch = Rc::clone(&self.remotes.discovery).fetch(self.event_bus.inputs.clone());
         self.list_fetch = Some(self.remotes.executor.spawn(fetch));
@@ -741,7 +779,7 @@
         let attempt = open.attempts_sent;
         open.attempts_sent += 1;
         let exchange = Rc::clone(&open.exchange);
-        let build = self.listed_machines.get(&machine).map_or(0, |m| m.1);
+        let build = self.listed_machines.build(machine).unwrap_or(0);
         let late = exchange.is_finished() || now >= exchange.deadline();
         // A process resumes from a pause with actions decided before it, so the lease is checked again here.
         let late = late || self.event_bus.member.as_ref().is_some_and(|m| m.excludes(machine, build));
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -7,8 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke::interface::{
-    CallOutcome, Class, ErrorRates, Idempotency, ListUpdate, MachineEntry, MachineId, Micros, RequestId,
-    RolloutStatus,
+    CallOutcome, Class, ErrorRates, Idempotency, MachineEntry, MachineId, Micros, RequestId, RolloutStatus,
 };
 
 /// The clock of the whole front: monotonic, with the Unix time of the start as its origin.
@@ -98,14 +97,33 @@
 pub struct ListMessage {
     /// Subscription that received it.
     pub watch: SubscriptionId,
-    /// Kind of update.
-    pub kind: ListUpdate,
     /// Discovery's version of the list.
     pub index: u64,
     /// Whether deltas cannot be requested from this version, so that the next request has to fetch a snapshot.
     pub needs_snapshot: bool,
-    /// Rows of the update.
-    pub rows: Vec<Row>,
+    /// What discovery sent.
+    pub content: ListContent,
+}
+
+/// What a call to discovery resulted in.
+#[derive(Clone, Debug)]
+pub enum ListContent {
+    /// The whole list: a machine without a row has been removed.
+    Snapshot(Vec<Row>),
+    /// The whole list, some lines of which could not be decoded. A machine that neither a row nor such a line names has been
+    /// removed.
+    PartialSnapshot {
+        /// The lines that could be decoded.
+        rows: Vec<Row>,
+        /// Machines named in the other lines, as far as their names could be decoded.
+        undecoded: Vec<MachineId>,
+    },
+    /// Changes only: a machine without a row is as it was.
+    Delta(Vec<Row>),
+    /// Nothing: the call failed.
+    Failed,
+    /// Nothing: the response could not be used.
+    Unreadable,
 }
 
 /// Events that the network modules send to the driver.
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet_member;
 pub mod input;
 pub mod ledger_writer;
+pub mod listed_machines;
 pub mod logging;
 pub mod net;
 pub mod planner;
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -5,7 +5,7 @@
 pub use super::list_codec::{decode, machine_id, ListResponse};
 use super::turn::Turn;
 use super::{read_some, with_deadline};
-use crate::input::{Input, ListMessage, SubscriptionId};
+use crate::input::{Input, ListContent, ListMessage, SubscriptionId};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
-use yarrowspoke::interface::{DiscoveryId, ListUpdate, Micros};
+use yarrowspoke::interface::{DiscoveryId, Micros};
 use yarrowspoke_settings::Names;
 
 /// Largest list, in bytes: some 30,000 machines at about 130 bytes each. A front whose list exceeds the limit never
@@ -43,6 +43,8 @@
 /// gave no response within 4 s, which restarts the count of unreadable responses; so a call that takes longer would
 /// never fail, and a new process that waits for the call would never be ready.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Least time from a response with lines that could not be decoded until the whole list is asked for.
+const UNDECODED_RETRY: Duration = Duration::from_secs(3);
 /// Least time between the starts of two calls of a watch: discovery may answer a call at once that it should hold.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -192,6 +194,9 @@
     current: Cell<SubscriptionId>,
     /// Whether the held version does not match discovery's history, so that only a snapshot shows what has changed.
     needs_snapshot: Cell<bool>,
+    /// Whether the front holds a list of which some lines could not be decoded, or from which machines were taken that only
+    /// a superseded watch did not name.
+    is_snapshot_requested: Cell<bool>,
     last_response: Cell<Option<Instant>>,
     counts: RefCell<CallCounts>,
     /// Whether the last call was answered on the connection of the call before.
@@ -216,6 +221,7 @@
             index: Cell::new(index),
             current: Cell::new(0),
             needs_snapshot: Cell::new(false),
+            is_snapshot_requested: Cell::new(false),
             last_response: Cell::new(None),
             counts: RefCell::default(),
             reused_connection: Cell::new(false),
@@ -272,8 +278,8 @@
         self.record_call(true, started_at, response.as_ref().err());
         let message = match response {
             Ok(list) => {
-                let ListResponse { index, rows, .. } = list;
-                ListMessage { watch, kind: ListUpdate::Snapshot, index, needs_snapshot: false, rows }
+                let index = list.index;
+                ListMessage { watch, index, needs_snapshot: false, content: list.into_content(true) }
             }
             Err(e) => self.failure_message(watch, &e),
         };
@@ -285,7 +291,9 @@
     /// delivers the response that it waits for, and then ends.
     pub async fn watch(self: Rc<Self>, watch: SubscriptionId, to: Sender<Input>) {
         let (mut connection, mut opens) = (None, true);
-        let (mut from, mut wants_snapshot) = (self.index.get(), self.needs_snapshot.get());
+        let mut from = self.index.get();
+        let mut wants_snapshot = self.needs_snapshot.get() || self.is_snapshot_requested.get();
+        let mut undecoded_at: Option<Instant> = None;
         loop {
             let (hold, limit) = match opens || wants_snapshot {
                 true => (Duration::ZERO, RESPONSE_TIMEOUT),
@@ -329,32 +337,40 @@
                     return;
                 }
             };
-            let (index, version_went_back) =
-                (list.index, !wants_snapshot && !list.is_snapshot && list.index < from);
+            let index = list.index;
+            if list.unreadable > 0 {
+                // What the undecoded lines say is known only once a whole list can be decoded.
+                undecoded_at = Some(Instant::now());
+                self.request_snapshot();
+            }
+            let content = list.into_content(wants_snapshot);
+            let is_delta = matches!(content, ListContent::Delta(_));
+            let version_went_back = is_delta && index < from;
             if version_went_back {
                 log::warn!("discovery: version {index} after {from}; requesting a snapshot");
             }
-            let input = match opens || list.is_snapshot || version_went_back || !list.rows.is_empty() {
-                true => {
-                    let kind = if list.is_snapshot { ListUpdate::Snapshot } else { ListUpdate::Delta };
-                    Input::ListUpdated(ListMessage {
-                        watch,
-                        kind,
-                        index,
-                        needs_snapshot: version_went_back,
-                        rows: list.rows,
-                    })
+            let confirms = !opens
+                && !version_went_back
+                && matches!(&content, ListContent::Delta(rows) if rows.is_empty());
+            let input = match confirms {
+                true => Input::ListConfirmed(watch, index),
+                false => {
+                    let needs_snapshot = version_went_back;
+                    Input::ListUpdated(ListMessage { watch, index, needs_snapshot, content })
                 }
-                false => Input::ListConfirmed(watch, index),
             };
             let _ = to.send(input).await;
             // The front counts as notified of what was written to a watch, even if it has moved to another one
             // meanwhile; so a superseded watch still delivers its last response.
+            if self.is_current(watch) {
+                Timer::at(started_at + MIN_CALL_INTERVAL).await;
+            }
             if !self.is_current(watch) {
                 return;
             }
-            (from, wants_snapshot, opens) = (index, version_went_back, false);
-            Timer::at(started_at + MIN_CALL_INTERVAL).await;
+            let may_request = undecoded_at.is_none_or(|at| at.elapsed() >= UNDECODED_RETRY);
+            wants_snapshot = version_went_back || may_request && self.is_snapshot_requested.get();
+            (from, opens) = (index, false);
         }
     }
 
@@ -365,6 +381,16 @@
         self.needs_snapshot.set(needs_snapshot);
     }
 
+    /// Has the whole list asked for as soon as the current watch allows it.
+    pub fn request_snapshot(&self) {
+        self.is_snapshot_requested.set(true);
+    }
+
+    /// Records that a whole list of the current watch was applied.
+    pub fn snapshot_applied(&self) {
+        self.is_snapshot_requested.set(false);
+    }
+
     /// Counts a call and logs its result and the version that the front held.
     fn record_call(&self, opens: bool, started_at: Instant, failure: Option<&ListError>) {
         let duration = started_at.elapsed();
@@ -412,9 +438,7 @@
                 }
                 // Lines that remain unreadable must neither invalidate the others nor remove the machines that they
                 // name.
-                Err(ListError::UnreadableRows(list)) => {
-                    return Ok(ListResponse { is_snapshot: false, ..list })
-                }
+                Err(ListError::UnreadableRows(list)) => return Ok(list),
                 result => {
                     if result.is_ok() && self.is_current(watch) {
                         self.last_response.set(Some(Instant::now()));
@@ -428,8 +452,8 @@
     /// Returns the message to the driver for a failed call.
     fn failure_message(&self, watch: SubscriptionId, why: &ListError) -> ListMessage {
         let is_unreadable = why.is_unreadable() || self.had_unreadable_response.get();
-        let kind = if is_unreadable { ListUpdate::Unreadable } else { ListUpdate::Failed };
-        ListMessage { watch, kind, index: 0, needs_snapshot: false, rows: Vec::new() }
+        let content = if is_unreadable { ListContent::Unreadable } else { ListContent::Failed };
+        ListMessage { watch, index: 0, needs_snapshot: false, content }
     }
 
     async fn call_once(
--- a/crates/yarrowspoke-front/src/net/list_codec.rs
+++ b/crates/yarrowspoke-front/src/net/list_codec.rs
@@ -1,6 +1,6 @@
 //! Decoding of discovery's lists.
 
-use crate::input::Row;
+use crate::input::{ListContent, Row};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
@@ -18,6 +18,20 @@
     pub rows: Vec<Row>,
     /// Number of lines that could not be decoded.
     pub unreadable: usize,
+    /// Machines named in such lines, as far as their names could be decoded.
+    pub undecoded: Vec<MachineId>,
+}
+
+impl ListResponse {
+    /// Returns what the response states. `asked_whole` says that the whole list was asked for, and not changes.
+    pub fn into_content(self, asked_whole: bool) -> ListContent {
+        let Self { rows, undecoded, .. } = self;
+        match self.is_snapshot || asked_whole {
+            true if self.unreadable > 0 => ListContent::PartialSnapshot { rows, undecoded },
+            true => ListContent::Snapshot(rows),
+            false => ListContent::Delta(rows),
+        }
+    }
 }
 
 /// A list whose lines stay text until each is decoded on its own: thousands of lines decoded at once take ten times
@@ -59,20 +73,31 @@
 /// used.
 pub fn decode(json: &[u8], names: &Names) -> Result<ListResponse, serde_json::Error> {
     let wire: WireList = serde_json::from_slice(json)?;
-    let line_count = wire.endpoints.len();
-    let decode_line = |raw: &&RawValue| {
-        // Decoded through a JSON value, since a repeated field name is no reason to skip the line.
-        let line = serde_json::from_str::<serde_json::Value>(raw.get()).ok()?;
-        WireMachine::deserialize(&line).ok().and_then(|r| decode_row(&r, names))
-    };
-    let mut rows = Vec::with_capacity(line_count);
-    rows.extend(wire.endpoints.iter().filter_map(decode_line));
-    Ok(ListResponse {
-        index: wire.index,
-        is_snapshot: wire.snapshot,
-        unreadable: line_count - rows.len(),
-        rows,
-    })
+    let mut rows = Vec::with_capacity(wire.endpoints.len());
+    let (mut unreadable, mut undecoded) = (0, Vec::new());
+    for raw in &wire.endpoints {
+        match decode_line(raw, names) {
+            Ok(row) => rows.push(row),
+            Err(machine) => {
+                unreadable += 1;
+                undecoded.extend(machine);
+            }
+        }
+    }
+    Ok(ListResponse { index: wire.index, is_snapshot: wire.snapshot, unreadable, undecoded, rows })
+}
+
+/// Decodes one line; an error holds the machine that it names, if that much can be decoded.
+fn decode_line(raw: &RawValue, names: &Names) -> Result<Row, Option<MachineId>> {
+    // Decoded through a JSON value, since a repeated field name is no reason to skip the line.
+    let line: serde_json::Value = serde_json::from_str(raw.get()).map_err(|_| None)?;
+    let row = WireMachine::deserialize(&line).ok().and_then(|wire| decode_row(&wire, names));
+    let name = line.get("name").and_then(serde_json::Value::as_str);
+    row.ok_or_else(|| name.filter(|name| is_valid_name(name)).map(machine_id))
+}
+
+fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|b| b.is_ascii_graphic())
 }
 
 fn decode_row(wire: &WireMachine, names: &Names) -> Option<Row> {
@@ -92,8 +117,7 @@
         at => at,
     };
     let is_u16 = |n: f64| (0.0..=f64::from(u16::MAX)).contains(&n) && n.fract() == 0.0;
-    let is_valid_name = !wire.name.is_empty() && wire.name.bytes().all(|b| b.is_ascii_graphic());
-    if !is_valid_name || !is_u16(wire.build) || !is_u16(wire.group) {
+    if !is_valid_name(&wire.name) || !is_u16(wire.build) || !is_u16(wire.group) {
         return None;
     }
     let entry = MachineEntry {
--- a/crates/yarrowspoke-lab/src/scale/hollow.rs
+++ b/crates/yarrowspoke-lab/src/scale/hollow.rs
@@ -23,7 +23,7 @@
 use yarrowspoke::interface::{Build, ListUpdate, MachineId, MachineState};
 use yarrowspoke_fleet::settings::{Fleet, Role};
 use yarrowspoke_front::fleet_member::{self, Member};
-use yarrowspoke_front::input::{Input, ListMessage, Row};
+use yarrowspoke_front::input::{Input, ListContent, ListMessage, Row};
 use yarrowspoke_front::net::list::Discovery;
 use yarrowspoke_front::net::platform;
 use yarrowspoke_settings::Names;
@@ -167,7 +167,10 @@
     front.watch(&executor, &inputs);
     while let Ok(input) = taken.recv().await {
         match input {
-            Input::ListUpdated(news) if news.kind.is_failure() => {
+            Input::ListUpdated(ListMessage {
+                content: ListContent::Failed | ListContent::Unreadable,
+                ..
+            }) => {
                 front.failed.set(front.failed.get() + 1);
                 let pause = ASK_AGAIN.mul_f64(1.0 + draws.gen::<f64>());
                 let (front, executor, inputs) = (Rc::clone(&front), Rc::clone(&executor), inputs.clone());
@@ -178,7 +181,14 @@
                 };
                 spawner.spawn(again).detach();
             }
-            Input::ListUpdated(ListMessage { kind, index, needs_snapshot, rows, .. }) => {
+            Input::ListUpdated(ListMessage { index, needs_snapshot, content, .. }) => {
+                let (kind, rows) = match content {
+                    ListContent::Snapshot(rows) => (ListUpdate::Snapshot, rows),
+                    ListContent::PartialSnapshot { rows, .. } | ListContent::Delta(rows) => {
+                        (ListUpdate::Delta, rows)
+                    }
+                    ListContent::Failed | ListContent::Unreadable => continue,
+                };
                 front.discovery.set_version(index, needs_snapshot);
                 let rows = front.member.apply_list(kind, index, rows);
                 front.take(kind, &rows);
