--- a/crates/yarrowspoke-lab/tests/known_red.rs
+++ b/crates/yarrowspoke-lab/tests/known_red.rs
@@ -220,6 +220,60 @@
     }
 }
 
+/// A day of the bench as an entry, which is printed and never run.
+const DAY: &str =
+    "$ lbreal SITE --rough split+mass --nodes 300 --seed 521 | 521 | failback in 1 of 2 runs | 52\n";
+const PRINTED_DAY: &str =
+    "known red, not run: lbreal SITE --rough split+mass --nodes 300 --seed 521 (seed 521): \
+    failback in 1 of 2 runs (issue 52)";
+
+#[test]
+fn commands_are_printed_and_change_nothing_in_what_the_tests_must_do() {
+    let passed = run("commands", Some(DAY), Told::default());
+    assert!(passed.passed && passed.ran.iter().eq(ALL), "{passed:#?}");
+    assert_eq!(passed.out.lines().filter(|l| l.starts_with("known red")).collect::<Vec<_>>(), [PRINTED_DAY]);
+    let failed = run("commands", Some(DAY), fails("sound"));
+    assert!(!failed.passed, "{failed:#?}");
+    // Beside listed tests as well; these must fail as before, and only these.
+    let list =
+        format!("{DAY}red | counts twice | 37\n$ review/2/run.sh | none | 6 of 138 unanswered | #52\n");
+    let listed = run("commands", Some(&list), fails("red"));
+    assert!(listed.passed && listed.ran.iter().eq(ALL), "{listed:#?}");
+    for line in [
+        PRINTED_DAY,
+        "known red, not run: review/2/run.sh (seed none): 6 of 138 unanswered (issue 52)",
+        "known red: red: counts twice (issue 37)",
+    ] {
+        assert!(listed.out.lines().any(|l| l == line), "{line}: {listed:#?}");
+    }
+    assert!(!run("commands", Some(&list), fails("red,sound")).passed);
+    assert!(!run("commands", Some(&list), Told::default()).passed);
+}
+
+#[test]
+fn a_command_that_is_not_as_it_must_be_fails_the_run_before_any_test() {
+    let four: String = (1..=4).map(|n| format!("$ review/{n}/run.sh | none | x | 52\n")).collect();
+    for (list, why) in [
+        (four.as_str(), "4 commands, 3 at most"),
+        (&DAY.repeat(2), "--seed 521 is named twice"),
+        ("$ review/1/run.sh | none | seen\n", "line 1: expected"),
+        ("$ review/1/run.sh | soon | seen | 52\n", "line 1: expected"),
+        ("$ review/1/run.sh | none |  | 52\n", "line 1: expected"),
+        ("$ review/1/run.sh | none | seen | later\n", "line 1: expected"),
+        ("$  | none | seen | 52\n", "line 1: expected"),
+        ("$review/1/run.sh | none | seen | 52\n", "line 1: expected"),
+        ("review/1/run.sh | none | seen | 52\n", "line 1: expected"),
+        ("$ lbreal SITE --seed 5 | 6 | seen | 52\n", "line 1: the seed is 6, that of the command 5"),
+        ("$ lbreal SITE --seed 5 | none | seen | 52\n", "line 1: the seed is none, that of the command 5"),
+        ("$ lbreal SITE | 6 | seen | 52\n", "line 1: the seed is 6, that of the command none"),
+        ("$ /opt/lbreal SITE | none | seen | 52\n", "line 1: the path /opt/lbreal"),
+    ] {
+        let run = run("refused-command", Some(list), Told::default());
+        assert!(!run.passed && run.ran.is_empty(), "{list:?}: {run:#?}");
+        assert!(run.err.contains(why), "{list:?}: {run:#?}");
+    }
+}
+
 #[test]
 fn what_does_not_compile_fails_the_run_whatever_is_listed() {
     let told = Told { fails: "red", words: &["--features", "broken"], ..Told::default() };
