--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -493,6 +493,8 @@
     state: Arc<(Mutex<ListState>, Condvar)>,
     /// While set, watches end with a reset and calls too.
     pub down: Arc<AtomicBool>,
+    /// While set, a call that arrives waits too long in the queue of calls: it ends in 503 after a second.
+    pub crowded: Arc<AtomicBool>,
 }
 
 /// Where one front reaches discovery.
@@ -514,7 +516,11 @@
 impl Discovery {
     pub fn start(endpoints: Vec<Endpoint>) -> Self {
         let state = ListState { index: 1, endpoints };
-        Self { state: Arc::new((Mutex::new(state), Condvar::new())), down: Arc::default() }
+        Self {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            down: Arc::default(),
+            crowded: Arc::default(),
+        }
     }
 
     /// Opens an address for the front of this name.
@@ -523,7 +529,7 @@
         let served = (self.clone(), Arc::clone(&told), front.to_owned());
         let address = accept(move |stream| {
             let (discovery, told, front) = &served;
-            let _ = serve_list(stream, &discovery.state, told, &discovery.down, front);
+            let _ = serve_list(stream, discovery, told, front);
         });
         Door { address, told }
     }
@@ -561,11 +567,11 @@
 
 fn serve_list(
     stream: TcpStream,
-    state: &(Mutex<ListState>, Condvar),
+    discovery: &Discovery,
     told: &Mutex<Vec<(u64, f64)>>,
-    down: &AtomicBool,
     front: &str,
 ) -> io::Result<()> {
+    let (state, down) = (&*discovery.state, &discovery.down);
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream;
     while let Some(message) = read_message(&mut reader)? {
@@ -574,6 +580,13 @@
             query.split('&').find_map(|p| p.strip_prefix(name)).and_then(|v| v.parse::<u64>().ok())
         };
         let (from, hold) = (value("from="), value("hold_ms=").unwrap_or(0).min(60_000));
+        if discovery.crowded.load(Ordering::SeqCst) {
+            record(format!("discovery: a call of {front} from {from:?} waits in the queue"));
+            sleep(1.0);
+            record(format!("discovery: the call of {front} waited too long: 503"));
+            writer.write_all(&response("503 Service Unavailable", "", b"waited too long"))?;
+            continue;
+        }
         let end = Instant::now() + Duration::from_millis(hold);
         let mut list = lock(&state.0);
         while from.is_some_and(|f| f >= list.index) && Instant::now() < end && !down.load(Ordering::SeqCst) {
