--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -740,6 +740,8 @@
 struct Job {
     id: String,
     call: Call,
+    /// Whether the request carries an `Idempotency-Key` of its own.
+    own_key: bool,
 }
 
 /// Clients that keep their connections and open more once all are busy.
@@ -749,6 +751,7 @@
     open: Arc<AtomicU64>,
     next: AtomicU64,
     tag: String,
+    own_keys: AtomicBool,
 }
 
 impl Clients {
@@ -777,13 +780,18 @@
                 }
             });
         }
-        Self { jobs, done, open, next: AtomicU64::new(1), tag: tag.to_owned() }
+        Self { jobs, done, open, next: AtomicU64::new(1), tag: tag.to_owned(), own_keys: AtomicBool::new(false) }
+    }
+
+    /// Has every request from now on carry an `Idempotency-Key` of its own.
+    pub fn use_own_keys(&self) {
+        self.own_keys.store(true, Ordering::SeqCst);
     }
 
     pub fn send(&self, call: Call) {
         let id = format!("{}-{:06}", self.tag, self.next.fetch_add(1, Ordering::SeqCst));
         self.open.fetch_add(1, Ordering::SeqCst);
-        lock(&self.jobs.0).push_back(Job { id, call });
+        lock(&self.jobs.0).push_back(Job { id, call, own_key: self.own_keys.load(Ordering::SeqCst) });
         self.jobs.1.notify_one();
     }
 
@@ -806,7 +814,7 @@
 }
 
 fn converse(connections: &Mutex<Vec<BufReader<TcpStream>>>, front: SocketAddr, job: &Job, patience: f64) -> Done {
-    let Job { id, call } = job;
+    let Job { id, call, own_key } = job;
     let mut done = Done {
         id: id.clone(),
         class: call.class,
@@ -823,6 +831,9 @@
     if call.method != "GET" {
         head.push_str(&format!("Content-Length: {}\r\n", call.body.len()));
     }
+    if *own_key {
+        head.push_str(&format!("Idempotency-Key: {id}\r\n"));
+    }
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(&call.body);
