--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -491,7 +491,7 @@
 #[derive(Clone)]
 pub struct Discovery {
     state: Arc<(Mutex<ListState>, Condvar)>,
-    /// While set, watches end with a reset and calls too.
+    /// While set, open watches and all calls end in 503.
     pub down: Arc<AtomicBool>,
     /// While set, a call that arrives waits too long in the queue of calls: it ends in 503 after a second.
     pub crowded: Arc<AtomicBool>,
@@ -595,8 +595,8 @@
         }
         if down.load(Ordering::SeqCst) {
             drop(list);
-            let _ = writer.shutdown(Shutdown::Both);
-            return Ok(());
+            writer.write_all(&response("503 Service Unavailable", "", b"down"))?;
+            continue;
         }
         let index = list.index;
         let text = match from {
