Review: ports of the cases' fronts apart from those of connections

Cause: two scripts run at once took one port for two fronts; one case then reported a front that could not bind as crashed. Done: ports from 20000 on, and a front that ends at its start makes the case one that could not run.

--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -119,12 +119,19 @@
     finish(COULD_NOT_RUN, &format!("could not run: {why}"))
 }
 
-/// A port that was free a moment ago.
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+/// A port that was free a moment ago, below those that the system gives to connections of its own choice.
 pub fn free_address() -> SocketAddr {
-    match TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()) {
-        Ok(address) => address,
-        Err(e) => could_not_run(&format!("no free port: {e}")),
+    let base = u64::from(std::process::id()) * 61;
+    for _ in 0..2_000 {
+        let offset = (base + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % 10_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], 20_000 + offset as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
     }
+    could_not_run("no free port")
 }
 
 // ---- The front as a process ------------------------------------------------------------------------
@@ -244,7 +251,12 @@
             ("PROXY_CONFIG", self.path().display().to_string()),
             ("TMPDIR", temp().display().to_string()),
         ];
-        Process::start(&self.name, command, &environment)
+        let mut process = Process::start(&self.name, command, &environment);
+        sleep(0.2);
+        if process.has_ended() {
+            could_not_run(&format!("{} ended at its start: was its port taken?", self.name));
+        }
+        process
     }
 
     /// Waits until `GET /up` returns 200.
