Review records without the temporary folder

Cause: the record of case 6 named the temporary folder of its run. Done: the folder is shown as TMP.

--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -168,7 +168,8 @@
             Ok(child) => {
                 let pid = child.id() as i32;
                 lock(&CHILDREN).push(pid);
-                record(format!("{name} started: {command}"));
+                let shown = command.replace(&temp().display().to_string(), "TMP");
+                record(format!("{name} started: {shown}"));
                 Self { child, pid, name: name.to_owned() }
             }
             Err(e) => could_not_run(&format!("{command}: {e}")),
