A call to discovery that is turned away renews no lease

Cause: net/list.rs, Discovery::watch, took any status but 200 on a kept connection for the end of a watch on which everything had been told, and sent ListConfirmed. A call that waited in discovery's queue and is then turned away was never looked at. Leases::confirm began a new lease at the time of the 503.

Class: only a response that shows what discovery knew renews a lease, and the lease counts from when it may have looked. So a response read late counts from the last moment at which it had not begun to arrive (net/arrival.rs, as_of in Event::List); a delta of an earlier version than the held one takes machines away and renews nothing; a front alone relies on each call made in vain only for the time of that call. Superseded watches, other fronts' confirmations, restarts and the fleet's lease were looked at and are right as they stand.

Excluded: the slot of the next call. It only lets the wrong lease be seen.

A front that cannot ask others now makes one call before its lease ends (schedule.rs).

Tests: tests/lease_evidence.rs and tests/membership.rs. On the code before, the call turned away and the earlier version moved the lease's end; both failed. single_front_keeps_sending... fed failures that answered no call, as no host does; it now waits for each call and asserts after each of 20, not once.

--- a/crates/yarrowspoke-drill/src/host.rs
+++ b/crates/yarrowspoke-drill/src/host.rs
@@ -128,13 +128,13 @@
         let kind = reader.list_update()?;
         let version = reader.u64()?;
         if kind == ListUpdate::Failed {
-            return self.dispatch(now, at, Event::List { kind, version, entries: &[] });
+            return self.dispatch(now, at, Event::List { kind, version, as_of: now, entries: &[] });
         }
         let entries = self
             .lists
             .remove(&number)
             .ok_or_else(|| WireError::Misplaced { at, what: format!("list {number} was never sent") })?;
-        let event = Event::List { kind, version, entries: &entries };
+        let event = Event::List { kind, version, as_of: now, entries: &entries };
         let done = self.dispatch(now, at, event);
         self.lists.insert(number, entries);
         done
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -169,7 +169,7 @@
         actions.into_iter().for_each(|a| driver.perform(now, a));
         let discovery_id = driver.remotes.discovery.discovery_id();
         driver.handle_event(Event::DiscoveryAddress { discovery_id, moved: false });
-        driver.update_list(ListUpdate::Cached, initial_list.0, initial_list.1);
+        driver.update_list(ListUpdate::Cached, initial_list.0, now, initial_list.1);
         driver.process_pending_events();
         if let Some(status) = rollout_status {
             driver.handle_input(Input::RolloutStatus(status));
@@ -233,7 +233,8 @@
         log::warn!(span; "process was paused; the machine list is not used until it is confirmed");
         // A response that waited unread shows that the list was current when the response was written, not that it is now.
         self.set_watch(false);
-        self.handle_event(Event::List { kind: ListUpdate::Stalled, version: 0, entries: &[] });
+        let as_of = self.event_bus.clock.now();
+        self.handle_event(Event::List { kind: ListUpdate::Stalled, version: 0, as_of, entries: &[] });
     }
 
     /// Logs the connections and requests in use, and the attempt failures since the last report.
@@ -345,11 +346,12 @@
                 self.on_list_message(message);
             }
             Input::ListUpdated(message) => self.apply_superseded_list(message),
-            Input::ListConfirmed(watch, _) if !self.remotes.discovery.is_current(watch) => {}
-            Input::ListConfirmed(_, version) => {
+            Input::ListConfirmed { watch, .. } if !self.remotes.discovery.is_current(watch) => {}
+            Input::ListConfirmed { version, as_of, .. } => {
                 self.on_watch_answered();
                 self.remotes.discovery.set_version(version, false);
-                self.handle_event(Event::List { kind: ListUpdate::Delta, version, entries: &[] });
+                let as_of = self.event_bus.clock.micros(as_of);
+                self.handle_event(Event::List { kind: ListUpdate::Delta, version, as_of, entries: &[] });
             }
             Input::RolloutStatus(status) => self.on_rollout_status(status),
             Input::ShutdownBegun { answer_by } => self.on_shutdown(answer_by),
@@ -466,10 +468,16 @@
 
     /// Applies the result of a call of the present watch.
     fn on_list_message(&mut self, message: ListMessage) {
-        let ListMessage { index, needs_snapshot, content, .. } = message;
+        if message.needs_snapshot {
+            return self.apply_unrelated_changes(&message);
+        }
+        let ListMessage { index, content, .. } = message;
+        let as_of = self.event_bus.clock.micros(message.as_of);
         let (kind, rows) = match content {
-            ListContent::Failed => return self.update_list(ListUpdate::Failed, index, Vec::new()),
-            ListContent::Unreadable => return self.update_list(ListUpdate::Unreadable, index, Vec::new()),
+            ListContent::Failed => return self.update_list(ListUpdate::Failed, index, as_of, Vec::new()),
+            ListContent::Unreadable => {
+                return self.update_list(ListUpdate::Unreadable, index, as_of, Vec::new())
+            }
             ListContent::Snapshot(rows) => {
                 self.remotes.discovery.snapshot_applied();
                 (ListUpdate::Snapshot, rows)
@@ -482,11 +490,21 @@
             ListContent::Delta(rows) => (ListUpdate::Delta, rows),
         };
         self.on_watch_answered();
-        self.remotes.discovery.set_version(index, needs_snapshot);
-        self.update_list(kind, index, rows);
+        self.remotes.discovery.set_version(index, false);
+        self.update_list(kind, index, as_of, rows);
+    }
+
+    /// Applies changes to a list that this front does not hold, since discovery's version went back. They may take machines
+    /// away, but say nothing of the others: only the whole list, which is requested next, confirms those.
+    fn apply_unrelated_changes(&mut self, message: &ListMessage) {
+        self.remotes.discovery.set_version(message.index, true);
+        let rows = self.listed_machines.restricted_by(&message.content);
+        if !rows.is_empty() {
+            self.restrict_list(&rows);
+        }
     }
 
-    fn update_list(&mut self, kind: ListUpdate, index: u64, rows: Vec<Row>) {
+    fn update_list(&mut self, kind: ListUpdate, index: u64, as_of: Micros, rows: Vec<Row>) {
         if kind != ListUpdate::Cached {
             self.event_bus.ready.set(true);
         }
@@ -495,7 +513,7 @@
             Some(member) => member.apply_list(kind, index, rows),
             None => rows,
         };
-        self.apply_list(kind, index, &rows);
+        self.apply_list(kind, index, as_of, &rows);
     }
 
     /// Applies the last response of a superseded watch. This front counts as notified of it, but the list may have changed
@@ -514,7 +532,7 @@
         if !matches!(message.content, ListContent::Delta(_)) {
             self.remotes.discovery.request_snapshot();
         }
-        self.apply_list(ListUpdate::Restricted, 0, &rows);
+        self.restrict_list(&rows);
     }
 
     /// Applies a change of the planners' restrictions or of the lease, as if the front's own sources had reported it.
@@ -522,7 +540,7 @@
         let Some(member) = self.event_bus.member.clone() else { return };
         let rows = member.changed_rows();
         if !rows.is_empty() {
-            self.apply_list(ListUpdate::Restricted, 0, &rows);
+            self.restrict_list(&rows);
         }
         if let Some(status) = member.changed_status() {
             self.apply_rollout_status(status);
@@ -537,7 +555,12 @@
         self.listen_to_platform();
     }
 
-    fn apply_list(&mut self, kind: ListUpdate, version: u64, rows: &[Row]) {
+    /// Applies rows that only take machines away.
+    fn restrict_list(&mut self, rows: &[Row]) {
+        self.apply_list(ListUpdate::Restricted, 0, self.event_bus.clock.now(), rows);
+    }
+
+    fn apply_list(&mut self, kind: ListUpdate, version: u64, as_of: Micros, rows: &[Row]) {
         if matches!(kind, ListUpdate::Snapshot | ListUpdate::Cached) {
             self.remotes.machines.keep_only(rows);
         }
@@ -545,7 +568,7 @@
         rows.iter().for_each(|row| self.remotes.machines.update(row));
         log::debug!(kind:?, lines = rows.len(); "list");
         let entries: Vec<MachineEntry> = rows.iter().map(|r| r.entry.clone()).collect();
-        self.handle_event(Event::List { kind, version, entries: &entries });
+        self.handle_event(Event::List { kind, version, as_of, entries: &entries });
         // Fails attempts that are not written yet when their machine drains, leaves or returns with another build.
         let listed_machines = std::mem::take(&mut self.listed_machines);
         self.fail_unwritten(|f| !listed_machines.is_ready(f.machine, f.build));
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -29,6 +29,11 @@
         self.unix_base + self.started.elapsed().as_micros() as Micros
     }
 
+    /// Converts an [`Instant`] to a time of this clock.
+    pub fn micros(&self, at: Instant) -> Micros {
+        self.unix_base + at.saturating_duration_since(self.started).as_micros() as Micros
+    }
+
     /// Converts a time of this clock to an [`Instant`] for timers.
     pub fn instant(&self, at: Micros) -> Instant {
         self.started + Duration::from_micros(at.saturating_sub(self.unix_base))
@@ -101,6 +106,8 @@
     pub index: u64,
     /// Whether deltas cannot be requested from this version, so that the next request has to fetch a snapshot.
     pub needs_snapshot: bool,
+    /// The earliest time at which discovery may have looked at its list for this.
+    pub as_of: Instant,
     /// What discovery sent.
     pub content: ListContent,
 }
@@ -138,8 +145,15 @@
     ProbeEnded(MachineId, CallOutcome, Micros, Option<String>),
     /// Discovery sent an update of the list, or a call to it failed.
     ListUpdated(ListMessage),
-    /// Discovery confirmed to this subscription that nothing has changed: the present list, of this version, is current.
-    ListConfirmed(SubscriptionId, u64),
+    /// Discovery looked at its list and told this subscription that nothing has changed.
+    ListConfirmed {
+        /// Subscription that received it.
+        watch: SubscriptionId,
+        /// Version of the list.
+        version: u64,
+        /// The earliest time at which discovery may have looked.
+        as_of: Instant,
+    },
     /// The platform sent a rollout status, or the reply to a vote.
     RolloutStatus(RolloutStatus),
     /// A message from a peer arrived.
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -1,10 +1,11 @@
 //! Client of discovery: the list of machines, fetched once or watched.
 
+use super::arrival::read_noting_arrival;
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
 use super::list_codec::fnv1a;
 pub use super::list_codec::{decode, machine_id, ListResponse};
 use super::turn::Turn;
-use super::{read_some, with_deadline};
+use super::with_deadline;
 use crate::input::{Input, ListContent, ListMessage, SubscriptionId};
 use async_channel::Sender;
 use async_io::{Async, Timer};
@@ -67,8 +68,8 @@
     #[error("response truncated")]
     Truncated,
     /// Some lines of the list could not be decoded.
-    #[error("{} lines of the list could not be decoded", .0.unreadable)]
-    UnreadableRows(ListResponse),
+    #[error("{} lines of the list could not be decoded", .0.list.unreadable)]
+    UnreadableRows(DatedList),
     /// The status is not 200.
     #[error("status {0}")]
     Status(u16),
@@ -168,22 +169,37 @@
 
 impl RequestTimes {
     /// Reads what has arrived of a response. Bytes that are there are read even after the deadline, since the process may
-    /// have been paused; the decoder bounds how many there may be.
+    /// have been paused; the decoder bounds how many there may be. `as_of` is set to the last time at which the response
+    /// had not begun to arrive.
     async fn read(
         &self,
         stream: &mut Async<TcpStream>,
         decoder: &mut Decoder<ResponseHead>,
+        as_of: &mut Instant,
     ) -> Result<usize, ListError> {
         let pause_ends = Instant::now() + self.pause_timeout;
-        let (until, failure) = match decoder.is_idle() || self.deadline <= pause_ends {
+        let has_begun = !decoder.is_idle();
+        let (until, failure) = match !has_begun || self.deadline <= pause_ends {
             true => (self.deadline, ListError::Timeout),
             false => (pause_ends, ListError::Truncated),
         };
-        let reading = read_some(stream, |bytes| decoder.feed(bytes));
-        Ok(with_deadline(until, reading).await.ok_or(failure)??)
+        let mut empty_at = *as_of;
+        let reading = read_noting_arrival(stream, |bytes| decoder.feed(bytes), &mut empty_at);
+        let count = with_deadline(until, reading).await.ok_or(failure)??;
+        if !has_begun {
+            *as_of = empty_at;
+        }
+        Ok(count)
     }
 }
 
+/// A response of discovery and the earliest time at which discovery may have looked at its list for it.
+#[derive(Debug)]
+pub struct DatedList {
+    list: ListResponse,
+    as_of: Instant,
+}
+
 /// Client of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -199,8 +215,6 @@
     is_snapshot_requested: Cell<bool>,
     last_response: Cell<Option<Instant>>,
     counts: RefCell<CallCounts>,
-    /// Whether the last call was answered on the connection of the call before.
-    reused_connection: Cell<bool>,
     /// Whether the last call got an unreadable response, however it ended.
     had_unreadable_response: Cell<bool>,
 }
@@ -224,7 +238,6 @@
             is_snapshot_requested: Cell::new(false),
             last_response: Cell::new(None),
             counts: RefCell::default(),
-            reused_connection: Cell::new(false),
             had_unreadable_response: Cell::new(false),
         })
     }
@@ -277,9 +290,9 @@
         let response = self.call(watch, &mut None, "/discovery/hosts", limits).await;
         self.record_call(true, started_at, response.as_ref().err());
         let message = match response {
-            Ok(list) => {
+            Ok(DatedList { list, as_of }) => {
                 let index = list.index;
-                ListMessage { watch, index, needs_snapshot: false, content: list.into_content(true) }
+                ListMessage { watch, index, needs_snapshot: false, as_of, content: list.into_content(true) }
             }
             Err(e) => self.failure_message(watch, &e),
         };
@@ -315,24 +328,16 @@
             };
             let response = self.call(watch, &mut connection, &target, limits).await;
             self.record_call(hold.is_zero(), started_at, response.as_ref().err());
-            let list = match response {
-                Ok(list) => list,
+            let DatedList { list, as_of } = match response {
+                Ok(dated) => dated,
                 _ if !self.is_current(watch) => return,
                 Err(ListError::Timeout) if !opens => {
                     log::warn!("discovery: the watch has fallen silent; reopening it");
                     (connection, opens) = (None, true);
                     continue;
                 }
+                // A call that is turned away may never have been looked at, so it confirms nothing.
                 Err(e) => {
-                    // A watch that discovery itself ends has delivered all updates until then, unless the held
-                    // version needs a snapshot.
-                    if matches!(e, ListError::Status(_))
-                        && !opens
-                        && !wants_snapshot
-                        && self.reused_connection.get()
-                    {
-                        let _ = to.send(Input::ListConfirmed(watch, from)).await;
-                    }
                     let _ = to.send(Input::ListUpdated(self.failure_message(watch, &e))).await;
                     return;
                 }
@@ -353,10 +358,10 @@
                 && !version_went_back
                 && matches!(&content, ListContent::Delta(rows) if rows.is_empty());
             let input = match confirms {
-                true => Input::ListConfirmed(watch, index),
+                true => Input::ListConfirmed { watch, version: index, as_of },
                 false => {
                     let needs_snapshot = version_went_back;
-                    Input::ListUpdated(ListMessage { watch, index, needs_snapshot, content })
+                    Input::ListUpdated(ListMessage { watch, index, needs_snapshot, as_of, content })
                 }
             };
             let _ = to.send(input).await;
@@ -418,7 +423,7 @@
         connection: &mut Option<Async<TcpStream>>,
         target: &str,
         limits: CallLimits,
-    ) -> Result<ListResponse, ListError> {
+    ) -> Result<DatedList, ListError> {
         let mut unreadable_responses = 0;
         self.had_unreadable_response.set(false);
         loop {
@@ -438,7 +443,7 @@
                 }
                 // Lines that remain unreadable must neither invalidate the others nor remove the machines that they
                 // name.
-                Err(ListError::UnreadableRows(list)) => return Ok(list),
+                Err(ListError::UnreadableRows(dated)) => return Ok(dated),
                 result => {
                     if result.is_ok() && self.is_current(watch) {
                         self.last_response.set(Some(Instant::now()));
@@ -453,7 +458,7 @@
     fn failure_message(&self, watch: SubscriptionId, why: &ListError) -> ListMessage {
         let is_unreadable = why.is_unreadable() || self.had_unreadable_response.get();
         let content = if is_unreadable { ListContent::Unreadable } else { ListContent::Failed };
-        ListMessage { watch, index: 0, needs_snapshot: false, content }
+        ListMessage { watch, index: 0, needs_snapshot: false, as_of: Instant::now(), content }
     }
 
     async fn call_once(
@@ -462,8 +467,7 @@
         connection: &mut Option<Async<TcpStream>>,
         target: &str,
         times: RequestTimes,
-    ) -> Result<ListResponse, ListError> {
-        self.reused_connection.set(connection.is_some());
+    ) -> Result<DatedList, ListError> {
         if let Some(kept) = connection.take() {
             // A kept connection may have been closed meanwhile; repeating the call is harmless.
             match self.request(kept, connection, target, times).await {
@@ -474,7 +478,6 @@
         if !self.is_current(watch) {
             return Err(ListError::Closed);
         }
-        self.reused_connection.set(false);
         let connecting = Async::<TcpStream>::connect(self.address.get());
         let connect_deadline = times.deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let stream = with_deadline(connect_deadline, connecting).await.ok_or(ListError::Timeout)??;
@@ -488,7 +491,8 @@
         kept: &mut Option<Async<TcpStream>>,
         target: &str,
         times: RequestTimes,
-    ) -> Result<ListResponse, ListError> {
+    ) -> Result<DatedList, ListError> {
+        let asked_at = Instant::now();
         stream.get_ref().set_nodelay(true)?;
         let request = Encoder::new(format_args!("GET {target} HTTP/1.1"))
             .field("Host", format_args!("{}", self.address.get()))
@@ -496,10 +500,11 @@
         let writing = stream.write_all(&request);
         with_deadline(times.deadline, writing).await.ok_or(ListError::Timeout)??;
         let mut decoder = Decoder::<ResponseHead>::new(LIST_LIMIT);
+        let mut as_of = asked_at;
         let mut turn = Turn::default();
         loop {
             turn.yield_if_used().await;
-            let n = times.read(&mut stream, &mut decoder).await?;
+            let n = times.read(&mut stream, &mut decoder, &mut as_of).await?;
             turn.record_bytes(n);
             let message = if n == 0 { decoder.finish()? } else { decoder.next_message()? };
             if let Some((head, body)) = message {
@@ -508,11 +513,12 @@
                 }
                 let keep = n > 0 && head.keep_alive && decoder.is_idle();
                 let list = decode(&body, &self.names)?;
-                if list.unreadable > 0 {
-                    return Err(ListError::UnreadableRows(list));
+                let dated = DatedList { list, as_of };
+                if dated.list.unreadable > 0 {
+                    return Err(ListError::UnreadableRows(dated));
                 }
                 *kept = keep.then_some(stream);
-                return Ok(list);
+                return Ok(dated);
             }
             if n == 0 {
                 return Err(ListError::Closed);
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Network protocols of a front, one module per kind of remote party.
 
+pub mod arrival;
 pub mod clients;
 pub mod fleet;
 pub mod http;
--- a/crates/yarrowspoke-lab/src/scale/hollow.rs
+++ b/crates/yarrowspoke-lab/src/scale/hollow.rs
@@ -194,7 +194,7 @@
                 front.take(kind, &rows);
                 front.listed.set(index);
             }
-            Input::ListConfirmed(_, version) => front.discovery.set_version(version, false),
+            Input::ListConfirmed { version, .. } => front.discovery.set_version(version, false),
             Input::RolloutStatus(news) => drop(front.member.apply_status(news)),
             Input::RestrictionsChanged => {
                 front.take(ListUpdate::Delta, &front.member.changed_rows());
--- a/crates/yarrowspoke-lab/src/scale/pure/module.rs
+++ b/crates/yarrowspoke-lab/src/scale/pure/module.rs
@@ -209,7 +209,7 @@
 
     /// Tells it a list; seconds of processor time.
     pub fn list(&mut self, kind: ListUpdate, entries: &[MachineEntry]) -> f64 {
-        self.say(&Event::List { kind, version: 0, entries })
+        self.say(&Event::List { kind, version: 0, as_of: self.now, entries })
     }
 
     /// Plays until `to`: what is due of its timers and of attempts that end, in the order of time.
--- a/crates/yarrowspoke-lab/src/world.rs
+++ b/crates/yarrowspoke-lab/src/world.rs
@@ -236,7 +236,8 @@
         }
         self.carry(me, acts);
         let entries = self.entries();
-        self.say(me, &Event::List { kind: ListUpdate::Cached, version: 0, entries: &entries });
+        let as_of = self.now;
+        self.say(me, &Event::List { kind: ListUpdate::Cached, version: 0, as_of, entries: &entries });
         let news = self.news();
         self.say(me, &Event::RolloutStatus(news));
     }
@@ -273,7 +274,8 @@
                 self.tell_lists();
             }
             Ev::List { front, entries } => {
-                self.say(front, &Event::List { kind: ListUpdate::Snapshot, version: 0, entries: &entries });
+                let (kind, as_of) = (ListUpdate::Snapshot, self.now);
+                self.say(front, &Event::List { kind, version: 0, as_of, entries: &entries });
             }
             Ev::News { front, news } => self.say(front, &Event::RolloutStatus(news)),
             Ev::Vote { front, build, stage, verdict } => self.vote(front, build, stage, verdict),
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -414,6 +414,9 @@
         kind: ListUpdate,
         /// Discovery's version of the list; meaningless for kinds that have none.
         version: u64,
+        /// The earliest time at which discovery may have looked at its list for this response: the list is known to be
+        /// current up to then, and for no later time.
+        as_of: Micros,
         /// The entries.
         entries: &'a [MachineEntry],
     },
--- a/crates/yarrowspoke/src/membership/lease.rs
+++ b/crates/yarrowspoke/src/membership/lease.rs
@@ -113,10 +113,10 @@
         }
     }
 
-    /// Records that discovery has confirmed the list, or sent all changes.
-    pub fn confirm(&mut self, now: Micros) {
+    /// Records that discovery has confirmed the list, or sent all changes, as of a time that is not later than now.
+    pub fn confirm(&mut self, as_of: Micros) {
         let is_unlimited = self.terms.is_pushed || !self.terms.has_heartbeats;
-        let until = if is_unlimited { Micros::MAX } else { now + self.terms.duration };
+        let until = if is_unlimited { Micros::MAX } else { as_of + self.terms.duration };
         self.list = LeaseBasis { source: LeaseSource::Discovery, until };
         self.newer = None;
         self.moved_deadline = None;
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -168,8 +168,16 @@
         self.counts
     }
 
-    /// Updates leases and schedule after a list event; the caller keeps the entries themselves.
-    pub fn on_list(&mut self, now: Micros, kind: ListUpdate, version: u64, entries: &[MachineEntry]) {
+    /// Updates leases and schedule after a list event; the caller keeps the entries themselves. A lease counts from
+    /// `as_of`, the time for which the event states the list.
+    pub fn on_list(
+        &mut self,
+        now: Micros,
+        as_of: Micros,
+        kind: ListUpdate,
+        version: u64,
+        entries: &[MachineEntry],
+    ) {
         if matches!(kind, ListUpdate::Snapshot | ListUpdate::Delta | ListUpdate::Cached) {
             self.version = version;
             self.entry_versions.extend(entries.iter().map(|e| (e.machine, version)));
@@ -177,9 +185,9 @@
         match kind {
             ListUpdate::Cached => self.leases.start_from_cache(now),
             ListUpdate::Snapshot | ListUpdate::Delta => {
-                self.leases.confirm(now);
+                self.leases.confirm(as_of);
                 self.schedule.on_answer(now);
-                self.outage.confirm(now);
+                self.outage.confirm(as_of);
             }
             ListUpdate::Failed => {
                 self.leases.lose_subscription(now, self.schedule.is_subscribed());
@@ -219,7 +227,7 @@
 
     fn on_failure(&mut self, now: Micros, discovery_is_up: bool) {
         self.counts.discovery_failures += 1;
-        self.schedule.on_failure(now, discovery_is_up, &mut self.random);
+        self.schedule.on_failure(now, discovery_is_up, self.leases.list_until(), &mut self.random);
         if let Some(peers) = &mut self.peers {
             peers.forget_subscriptions();
         }
@@ -247,8 +255,11 @@
             out.push(Action::Subscribe(true));
         }
         // With a single front, no other front's calls can keep discovery busy, so failing calls mean an outage.
+        // Each call shows that only for the time at which it was made.
         if self.is_only_front && self.schedule.is_failing() && self.may_be_outage(now) {
-            self.leases.assume_outage(now, now);
+            if let Some(nothing_missed_until) = self.outage.nothing_missed_until() {
+                self.leases.assume_outage(now, nothing_missed_until);
+            }
         }
         self.query_peers(now, out);
         self.log_changes(now, out);
--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -8,6 +8,9 @@
 //! not down, that was still too fast, and each front doubles its wait, up to four times the interval: a queue drains
 //! only if calls arrive more slowly than they are served.
 //!
+//! Where a subscription ends while a lease is still valid, and other fronts cannot confirm the list, a front whose slot
+//! comes after the end of its lease makes one call before it, at a random time, in addition to that in its slot.
+//!
 //! That interval is meant for the worst case, an outage of a slow discovery. Where other fronts report how many of
 //! them wait and what a call costs (the time that the quickest recently took), the calls are spread over just the
 //! time that so many calls need, with some to spare, so that a lease is renewed while it is still valid.
@@ -39,6 +42,8 @@
 /// Calls of the whole fleet are no further apart than this, because evidence of an outage is only as recent as the
 /// last call.
 const MAX_CALL_SPACING: Micros = 4_000_000;
+/// Time that a call needs to renew a lease: a busy discovery answers it late.
+const RENEWAL_TIME: Micros = 1_000_000;
 /// Random part of each call's time, so that fronts with the same slot in two fleets drift apart.
 const JITTER: Micros = 100_000;
 
@@ -65,6 +70,8 @@
     unexplained_call_at: Option<Micros>,
     /// An open subscription was ended by discovery, not by this front.
     subscription_lost: bool,
+    /// This front's slot, while a call ahead of it is planned or in flight.
+    slot_after_early_call: Option<Micros>,
     /// Number of fronts.
     fronts: f64,
     /// This front's random fraction of the time over which waiting fronts spread their calls, drawn anew for each
@@ -95,6 +102,7 @@
             queries_peers,
             unexplained_call_at: None,
             subscription_lost: false,
+            slot_after_early_call: None,
             fronts,
             random_fraction: 0.0,
             last_opening: None,
@@ -153,6 +161,7 @@
         self.overload_failures = 0;
         self.unexplained_call_at = None;
         self.subscription_lost = false;
+        self.slot_after_early_call = None;
     }
 
     /// Returns how long the last answered call took, if that was recent.
@@ -194,6 +203,7 @@
     pub fn call_at(&mut self, at: Micros) {
         self.next_call = Some(at);
         self.call_began_at = None;
+        self.slot_after_early_call = None;
     }
 
     /// Schedules calls of all fronts from now on: each in its slot, where fronts can confirm each other's machines
@@ -225,9 +235,20 @@
     }
 
     /// Records that a call failed or the subscription ended; `discovery_is_up` states that discovery has proved to be
-    /// up.
-    pub fn on_failure(&mut self, now: Micros, discovery_is_up: bool, random: &mut impl RngCore) {
-        self.subscription_lost |= self.is_subscribed();
+    /// up, `lease_end` when the lease on the list ends.
+    pub fn on_failure(
+        &mut self,
+        now: Micros,
+        discovery_is_up: bool,
+        lease_end: Micros,
+        random: &mut impl RngCore,
+    ) {
+        if let Some(slot) = self.slot_after_early_call.take() {
+            self.call_at(slot.max(now + MIN_BACKOFF));
+            return;
+        }
+        let was_subscribed = self.is_subscribed();
+        self.subscription_lost |= was_subscribed;
         let call_began_at = self.call_began_at.take();
         let was_rejected = call_began_at.is_some_and(|at| now < at + REJECTED_WITHIN);
         let is_unclear = !self.queries_peers && self.failures >= OVERLOAD_AFTER_FAILURES;
@@ -249,6 +270,19 @@
         self.backoff_until = now + backoff;
         self.next_call = Some(next + backoff);
         self.redraw_fraction(random);
+        if was_subscribed && !self.queries_peers {
+            self.call_before(lease_end, now);
+        }
+    }
+
+    /// Plans a call ahead of that in this front's slot, if the slot comes too late to renew a lease that ends at
+    /// `lease_end`.
+    fn call_before(&mut self, lease_end: Micros, now: Micros) {
+        let (earliest, latest) = (now + MIN_BACKOFF, lease_end.saturating_sub(RENEWAL_TIME));
+        let Some(slot) = self.next_call.filter(|slot| *slot > latest && latest > earliest) else { return };
+        let wait = self.random_fraction * (latest - earliest) as f64;
+        self.call_at(earliest + wait as Micros);
+        self.slot_after_early_call = Some(slot);
     }
 
     /// Returns this front's next slot after a call that began at `call_began_at`.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -161,7 +161,10 @@
     /// Handles one event and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         match *event {
-            Event::List { kind, version, entries } => self.on_list(now, kind, version, entries),
+            Event::List { kind, version, as_of, entries } => {
+                self.membership.on_list(now, as_of, kind, version, entries);
+                self.on_list(now, kind, entries);
+            }
             Event::DiscoveryAddress { discovery_id, moved } => {
                 self.membership.on_discovery(now, discovery_id, moved)
             }
@@ -444,8 +447,7 @@
     }
 
     // ---- Following the list ----------------------------------------------------------------------
-    fn on_list(&mut self, now: Micros, kind: ListUpdate, version: u64, entries: &[MachineEntry]) {
-        self.membership.on_list(now, kind, version, entries);
+    fn on_list(&mut self, now: Micros, kind: ListUpdate, entries: &[MachineEntry]) {
         match kind {
             ListUpdate::Failed | ListUpdate::Unreadable | ListUpdate::Stalled => return,
             ListUpdate::Snapshot | ListUpdate::Cached => self.state.mark_missing_gone(entries),
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -135,7 +135,7 @@
 
     /// Passes a list update with a version of the list.
     pub fn listed(&mut self, kind: ListUpdate, version: u64, entries: &[MachineEntry]) {
-        self.say(Event::List { kind, version, entries });
+        self.say(Event::List { kind, version, as_of: self.now, entries });
     }
 
     /// Moves discovery to the address that `discovery_id` names.
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -23,6 +23,18 @@
     }
 }
 
+/// Ticks until the front calls discovery.
+fn wait_for_call(rig: &mut Rig) {
+    let until = rig.now + 60 * S;
+    loop {
+        wait(rig, 50 * MS);
+        if rig.did.contains(&Action::Subscribe(true)) {
+            return;
+        }
+        assert!(rig.now < until, "no call");
+    }
+}
+
 /// Hands in a request and returns the machine that it is sent to, if any. The machine responds at once with
 /// `response`, if given.
 fn send_request(rig: &mut Rig, response: Option<CallOutcome>) -> Option<MachineId> {
@@ -54,6 +66,37 @@
     assert!(send_request(&mut rig, None).is_some());
 }
 
+#[test]
+fn a_lease_counts_from_when_discovery_looked_and_not_from_when_its_response_was_read() {
+    // Guards against a response that waited unread, as in a suspended process, and says nothing of the time since.
+    let mut rig = Rig::new(subscribed_settings(0, 2, false), 3);
+    let as_of = rig.now - S;
+    rig.say(Event::List { kind: ListUpdate::Delta, version: 0, as_of, entries: &[] });
+    wait(&mut rig, 4_950 * MS);
+    assert!(send_request(&mut rig, None).is_some());
+    wait(&mut rig, 50 * MS);
+    assert_eq!(send_request(&mut rig, None), None);
+}
+
+#[test]
+fn a_single_front_assumes_an_outage_only_from_the_calls_that_it_made() {
+    // Guards against a failed call that counts for longer than its own time: while the next call hangs, discovery may be
+    // back and have changes.
+    let mut rig = Rig::new(subscribed_settings(0, 1, false), 3);
+    rig.list(ListUpdate::Delta, &[]);
+    rig.list(ListUpdate::Failed, &[]);
+    wait_for_call(&mut rig);
+    let called_at = rig.now;
+    rig.list(ListUpdate::Failed, &[]);
+    assert!(send_request(&mut rig, None).is_some());
+    while rig.now < called_at + 5_950 * MS {
+        wait(&mut rig, 50 * MS);
+        assert!(send_request(&mut rig, Some(CallOutcome::Ok)).is_some(), "{} us", rig.now - called_at);
+    }
+    wait(&mut rig, 100 * MS);
+    assert_eq!(send_request(&mut rig, None), None);
+}
+
 #[test]
 fn cached_list_expires_before_the_drain_grace() {
     let mut rig = Rig::new(subscribed_settings(0, 2, false), 3);
@@ -111,11 +154,36 @@
     for (kind, keeps_sending) in [(ListUpdate::Failed, true), (ListUpdate::Unreadable, false)] {
         let mut rig = Rig::new(subscribed_settings(0, 1, false), 3);
         rig.list(ListUpdate::Delta, &[]);
+        rig.list(kind, &[]);
         for _ in 0..20 {
+            wait_for_call(&mut rig);
             rig.list(kind, &[]);
             wait(&mut rig, S);
+            assert_eq!(send_request(&mut rig, Some(CallOutcome::Ok)).is_some(), keeps_sending, "{kind:?}");
         }
-        assert_eq!(send_request(&mut rig, None).is_some(), keeps_sending, "{kind:?}");
+    }
+}
+
+#[test]
+fn a_front_whose_slot_comes_too_late_calls_once_before_its_lease_ends() {
+    // Guards against a lease that ends unrenewed while discovery is up, after one call was turned away.
+    for front_id in 0..10 {
+        let mut rig = Rig::new(subscribed_settings(front_id, 10, false), 3);
+        rig.list(ListUpdate::Delta, &[]);
+        let lease_began_at = rig.now;
+        wait(&mut rig, S);
+        rig.list(ListUpdate::Failed, &[]);
+        wait_for_call(&mut rig);
+        assert!(
+            rig.now <= lease_began_at + 5 * S + 50 * MS,
+            "front {front_id}: {} us",
+            rig.now - lease_began_at
+        );
+        // A call that fails as well is not repeated before the front's slot.
+        let called_at = rig.now;
+        rig.list(ListUpdate::Failed, &[]);
+        wait_for_call(&mut rig);
+        assert!(rig.now >= called_at + S, "front {front_id}");
     }
 }
 
