A request is known by its key or id and its content, never by its subject

Cause: ledger_writer.rs, record_key, recorded a call of a keyed class by call.key, the hash of key= in the query: its subject, which many requests share.

Class: the call id names a sending, the idempotency key an intent, the key in the query a subject. A keyed call is now recorded by its idempotency key and tenant, any other by its call id. The record holds a digest of method, target and body too; the same identity with another content is answered 422. The digest follows the record, so earlier builds and this one read each other's.

Excluded: the ledger's decisions and ids; fronts without a store, where only routing and releases go by the subject.

--- a/crates/yarrowspoke-front/src/event_bus.rs
+++ b/crates/yarrowspoke-front/src/event_bus.rs
@@ -1,8 +1,9 @@
 //! State that client connections share with the driver, and the channel on which they send it events.
 
+use crate::call_ids::CallIds;
 use crate::classify::Classifier;
 use crate::descriptor_budget::{BodyMemory, DescriptorBudget};
-use crate::exchange::{Call, CallIds, Exchange};
+use crate::exchange::{Call, Exchange};
 use crate::fleet_member::Member;
 use crate::input::{ClassProtocol, Clock, Input};
 use crate::ledger_writer::LedgerWriter;
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -1,9 +1,7 @@
 //! A client request and its final answer: the only state that the client side and the machine side share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashSet, VecDeque};
 use std::future::poll_fn;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use yarrowspoke::interface::{Micros, RequestId, RequestPolicy};
@@ -37,62 +35,6 @@
     pub body: Vec<u8>,
 }
 
-/// Ids of the calls in progress and of those answered last.
-#[derive(Default)]
-pub struct CallIds {
-    state: Rc<RefCell<CallIdState>>,
-}
-
-#[derive(Default)]
-struct CallIdState {
-    /// Ids in progress and ids answered recently.
-    known: HashSet<u64>,
-    /// Ids in progress.
-    open: HashSet<u64>,
-    /// Answered ids, in the order of their answers.
-    answered: VecDeque<u64>,
-}
-
-/// Number of answered ids that are remembered.
-const MAX_ANSWERED_IDS: usize = 4_096;
-
-/// Holds a call id in progress until it is dropped.
-pub struct OpenCallId {
-    state: Rc<RefCell<CallIdState>>,
-    id: u64,
-}
-
-impl CallIds {
-    /// Registers a call id. Returns `None` if it is in progress or was answered recently, since each request has an id of
-    /// its own. With `allow_answered` an answered id may be used again: the ledger knows the outcome of that call.
-    pub fn open(&self, call_id: &str, allow_answered: bool) -> Option<OpenCallId> {
-        let mut hasher = DefaultHasher::new();
-        call_id.hash(&mut hasher);
-        let id = hasher.finish();
-        let mut state = self.state.borrow_mut();
-        let is_new = state.known.insert(id);
-        let is_available = is_new || allow_answered && !state.open.contains(&id);
-        is_available.then(|| {
-            state.open.insert(id);
-            OpenCallId { state: Rc::clone(&self.state), id }
-        })
-    }
-}
-
-impl Drop for OpenCallId {
-    fn drop(&mut self) {
-        let mut state = self.state.borrow_mut();
-        state.open.remove(&self.id);
-        state.answered.push_back(self.id);
-        if state.answered.len() > MAX_ANSWERED_IDS {
-            // An id that was used again is in the queue more than once.
-            if let Some(old) = state.answered.pop_front().filter(|old| !state.open.contains(old)) {
-                state.known.remove(&old);
-            }
-        }
-    }
-}
-
 /// The final answer to a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
--- a/crates/yarrowspoke-front/src/ledger_writer.rs
+++ b/crates/yarrowspoke-front/src/ledger_writer.rs
@@ -27,14 +27,32 @@
 
 /// What the front does with a request that must not run twice.
 pub enum LedgerDecision {
-    /// It may be sent: its intent is durable under this id.
-    Admitted(u128),
+    /// It may be sent: its intent is durable under this key.
+    Admitted(RecordKey),
     /// It is answered at once, without being sent.
     Answered(Answer),
     /// It ran before and its answer is not stored. The reply is neither a refusal nor a permission to retry.
     AlreadyDone,
     /// Another attempt at the same request is in progress.
     InProgress,
+    /// A request with another content has the same identity.
+    OtherContent,
+}
+
+/// What the ledger knows a call by.
+///
+/// A call id names one sending of a request, an idempotency key what its client wants to happen once, and the key in the
+/// query a subject that the requests of many clients share. So a call of a keyed class is recorded by its idempotency key and
+/// its tenant, any other by its call id, and none by its subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordKey {
+    /// Identity of the request.
+    pub id: u128,
+    /// Digest of what it asks for. The same identity with another content is another request, which must not get the
+    /// answer to the first.
+    content: u64,
+    /// How long the record is kept, in microseconds.
+    retention: Micros,
 }
 
 /// Properties of a class that the ledger depends on.
@@ -50,6 +68,7 @@
     settings: StoreSettings,
     classes: Vec<ClassRecordPolicy>,
     class_names: Vec<String>,
+    tenant_names: Vec<String>,
 }
 
 /// Records requests in the ledger and writes snapshots; does nothing if no store is configured.
@@ -81,17 +100,17 @@
         };
         let classes = front_settings.module.classes.iter().map(class).collect();
         let class_names = front_settings.names.classes.clone();
-        Self { ledger: Some(OpenLedger { writer, settings, classes, class_names }), ..Self::default() }
+        let tenant_names = front_settings.names.tenants.clone();
+        let ledger = OpenLedger { writer, settings, classes, class_names, tenant_names };
+        Self { ledger: Some(ledger), ..Self::default() }
     }
 
-    /// Returns whether a call has to be recorded.
-    pub fn requires_record(&self, call: &Call) -> bool {
-        let idempotency =
-            |ledger: &OpenLedger| ledger.classes.get(usize::from(call.class)).map(|c| c.idempotency);
-        self.ledger
-            .as_ref()
-            .and_then(idempotency)
-            .is_some_and(|e| e != Idempotency::Idempotent || call.policy.at_most_once)
+    /// Returns what a call is recorded by; `None` if it does not have to be recorded.
+    pub fn record_key(&self, call: &Call) -> Option<RecordKey> {
+        let ledger = self.ledger.as_ref()?;
+        let policy = ledger.classes.get(usize::from(call.class))?;
+        let is_recorded = policy.idempotency != Idempotency::Idempotent || call.policy.at_most_once;
+        is_recorded.then(|| ledger.record_key(call, policy))
     }
 
     /// Returns whether the front has to report that it is not ready because its disk has failed.
@@ -101,25 +120,25 @@
             .is_some_and(|ledger| ledger.settings.down_when_failed && ledger.writer.has_failed())
     }
 
-    /// Records the intent of a call that [`LedgerWriter::requires_record`] and returns the decision once the intent is durable.
+    /// Records the intent of a call and returns the decision once the intent is durable.
     ///
     /// A disk that does not respond delays no other request, and this client no longer than the configured time. The call
     /// is then refused, which is safe since nothing of it was sent.
-    pub async fn record_intent(&self, call: &Call) -> LedgerDecision {
+    pub async fn record_intent(&self, key: RecordKey) -> LedgerDecision {
         let Some(ledger) = &self.ledger else { return LedgerDecision::InProgress };
-        let (id, keep) = ledger.record_key(call);
-        let done = match ledger.writer.submit(Op::Begin { id, retention: keep }) {
+        let RecordKey { id, content, retention } = key;
+        let done = match ledger.writer.submit(Op::Begin { id, content, retention }) {
             Ok(pending) => {
                 with_timeout(Duration::from_micros(ledger.settings.disk_timeout), pending.done()).await
             }
             Err(e) => Some(Err(e)),
         };
         match done {
-            Some(Ok(OpResult::Decided(ruling))) => self.decide(id, ruling),
+            Some(Ok(OpResult::Decided(ruling))) => self.decide(key, ruling),
             Some(_) => self.refuse(RETRY_AFTER_US),
             None => {
                 // The intent may still become durable later; the second record says that the request has not run.
-                let _ = ledger.writer.submit(Op::End { id, state: State::NotRun, retention: keep });
+                let _ = ledger.writer.submit(Op::End { id, state: State::NotRun, retention });
                 self.refuse(RETRY_AFTER_US)
             }
         }
@@ -130,16 +149,17 @@
         LedgerDecision::Answered(Answer::Refused(retry_after))
     }
 
-    fn decide(&self, id: u128, ruling: Decision) -> LedgerDecision {
+    fn decide(&self, key: RecordKey, ruling: Decision) -> LedgerDecision {
         if !matches!(ruling, Decision::Admit | Decision::NoSpace(_)) {
             self.repeated.set(self.repeated.get() + 1);
         }
         match ruling {
-            Decision::Admit => LedgerDecision::Admitted(id),
+            Decision::Admit => LedgerDecision::Admitted(key),
             Decision::Replay(body) => LedgerDecision::Answered(Answer::Served(body)),
             Decision::AlreadyDone => LedgerDecision::AlreadyDone,
             Decision::FailedBefore | Decision::InDoubt => LedgerDecision::Answered(Answer::Failed),
             Decision::InProgress => LedgerDecision::InProgress,
+            Decision::OtherContent => LedgerDecision::OtherContent,
             Decision::NoSpace(retry_after) => self.refuse(retry_after),
         }
     }
@@ -147,15 +167,15 @@
     /// Records the outcome of a call before its client is answered, which must be within `time_left`. `answer` is `None` if
     /// the client disconnected and it is unknown whether the call ran. If the disk fails here or takes longer, the call stays
     /// in doubt, which is safe, and the client is answered all the same.
-    pub async fn record_outcome(&self, id: u128, call: &Call, answer: Option<&Answer>, time_left: Micros) {
+    pub async fn record_outcome(&self, key: RecordKey, answer: Option<&Answer>, time_left: Micros) {
         let Some(ledger) = &self.ledger else { return };
-        let (_, keep) = ledger.record_key(call);
+        let RecordKey { id, retention, .. } = key;
         let state = match answer {
             Some(Answer::Served(body)) => served_state(body, ledger.settings.max_answer_bytes),
             Some(Answer::Refused(_)) => State::NotRun,
             Some(Answer::Failed) | None => State::Done(Outcome::Failed),
         };
-        let Ok(pending) = ledger.writer.submit(Op::End { id, state, retention: keep }) else { return };
+        let Ok(pending) = ledger.writer.submit(Op::End { id, state, retention }) else { return };
         if answer.is_some() {
             let limit = time_left.min(ledger.settings.disk_timeout);
             with_timeout(Duration::from_micros(limit), pending.done()).await;
@@ -242,15 +262,26 @@
 }
 
 impl OpenLedger {
-    /// Returns the record id of a call and how long its record is kept. A call with an idempotency key is recorded by that
-    /// key, any other by its call id.
-    fn record_key(&self, call: &Call) -> (u128, Micros) {
-        let class = usize::from(call.class);
-        let policy = self.classes.get(class).copied();
-        let name = self.class_names.get(class).map_or("", String::as_str);
-        let keyed = policy.is_some_and(|p| p.idempotency == Idempotency::Keyed) && call.key != 0;
-        let identity = if keyed { format!("key {}", call.key) } else { call.call_id.clone() };
-        (self.writer.id_of(name, &identity), policy.map_or(self.settings.retention, |p| p.retention))
+    fn record_key(&self, call: &Call, policy: &ClassRecordPolicy) -> RecordKey {
+        let class_name = self.class_names.get(usize::from(call.class)).map_or("", String::as_str);
+        let idempotency_key = call.idempotency_key.as_ref().filter(|key| !key.is_empty());
+        let identity = match idempotency_key.filter(|_| policy.idempotency == Idempotency::Keyed) {
+            Some(key) => {
+                let tenant = self.tenant_names.get(call.tenant as usize).map_or("", String::as_str);
+                // A call id contains no space, and the length says where the tenant ends.
+                format!("idempotency-key {} {tenant} {key}", tenant.len())
+            }
+            None => call.call_id.clone(),
+        };
+        RecordKey {
+            id: self.writer.id_of(class_name, &identity),
+            content: self.writer.content_digest(&[
+                call.method.as_bytes(),
+                call.target.as_bytes(),
+                &call.body,
+            ]),
+            retention: policy.retention,
+        }
     }
 }
 
--- a/crates/yarrowspoke-front/src/lib.rs
+++ b/crates/yarrowspoke-front/src/lib.rs
@@ -1,6 +1,7 @@
 //! The front as a library, so that its parts can be tested without starting a process.
 
 pub mod agreed_log;
+pub mod call_ids;
 pub mod check;
 pub mod classify;
 pub mod cli;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -181,6 +181,7 @@
         409 => "Conflict",
         413 => "Content Too Large",
         414 => "URI Too Long",
+        422 => "Unprocessable Content",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         // A readiness check or a request that was not read is not a call, so no retry time is promised.
@@ -299,8 +300,8 @@
             }
             ClientRequest::Call(call) => {
                 // Two answers to one id would be mistaken for each other, and a side effect might happen twice.
-                let needs_record = event_bus.ledger_writer.requires_record(&call);
-                let Some(_open) = event_bus.call_ids.open(&call.call_id, needs_record) else {
+                let record_key = event_bus.ledger_writer.record_key(&call);
+                let Some(_open) = event_bus.call_ids.open(&call.call_id, record_key.map(|key| key.id)) else {
                     event_bus.count_malformed();
                     if !connection.write(&encode_status(409, keep_alive)).await || !keep_alive {
                         return;
@@ -309,16 +310,19 @@
                     continue;
                 };
                 let received_at = event_bus.clock.now();
-                let decision = if needs_record {
-                    Some(event_bus.ledger_writer.record_intent(&call).await)
-                } else {
-                    None
+                let decision = match record_key {
+                    Some(key) => Some(event_bus.ledger_writer.record_intent(key).await),
+                    None => None,
                 };
                 let recorded_answer = match &decision {
                     Some(LedgerDecision::Answered(answer)) => Some(encode(answer, keep_alive)),
                     Some(LedgerDecision::AlreadyDone | LedgerDecision::InProgress) => {
                         Some(encode_status(409, keep_alive))
                     }
+                    Some(LedgerDecision::OtherContent) => {
+                        event_bus.count_malformed();
+                        Some(encode_status(422, keep_alive))
+                    }
                     Some(LedgerDecision::Admitted(_)) | None => None,
                 };
                 if let Some(bytes) = recorded_answer {
@@ -328,18 +332,18 @@
                     }
                     continue;
                 }
-                let record_id =
-                    if let Some(LedgerDecision::Admitted(id)) = decision { Some(id) } else { None };
+                let recorded =
+                    if let Some(LedgerDecision::Admitted(key)) = decision { Some(key) } else { None };
                 let waited_before =
                     (if served == 1 { waited } else { 0 }) + (event_bus.clock.now() - received_at);
                 let exchange = event_bus.open_exchange(*call, waited_before);
                 let _ = event_bus.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let wait_result = wait_for_answer(&mut connection, &exchange, &event_bus).await;
-                if let Some(id) = record_id {
+                if let Some(key) = recorded {
                     let answer =
                         if let WaitResult::Answer(answer) = &wait_result { Some(answer) } else { None };
                     let time_left = exchange.deadline().saturating_sub(event_bus.clock.now());
-                    event_bus.ledger_writer.record_outcome(id, &exchange.call, answer, time_left).await;
+                    event_bus.ledger_writer.record_outcome(key, answer, time_left).await;
                 }
                 let answer = match wait_result {
                     WaitResult::Answer(answer) => answer,
--- a/crates/yarrowspoke-front/tests/common/mod.rs
+++ b/crates/yarrowspoke-front/tests/common/mod.rs
@@ -77,6 +77,19 @@
         })
     }
 
+    /// Starts a front with this operator's file, in whose configuration `from` is replaced by `to`.
+    pub fn with_rules_and_config_change(
+        behaviours: &[Behaviour],
+        operator: &str,
+        from: &str,
+        to: &str,
+    ) -> Self {
+        Self::start_with(behaviours, 1024, Some(operator), |config| {
+            assert!(config.contains(from));
+            config.replace(from, to)
+        })
+    }
+
     fn with(behaviours: &[Behaviour], sockets: usize, operator: Option<&str>) -> Self {
         Self::start_with(behaviours, sockets, operator, |config| config)
     }
--- a/crates/yarrowspoke-lab/src/store/mod.rs
+++ b/crates/yarrowspoke-lab/src/store/mod.rs
@@ -159,7 +159,7 @@
                     self.next
                 };
                 if !ops.iter().any(|o| matches!(o, Op::Begin { id: other, .. } if *other == id)) {
-                    ops.push(Op::Begin { id, retention: KEEP });
+                    ops.push(Op::Begin { id, content: 0, retention: KEEP });
                 }
             }
         }
@@ -225,7 +225,8 @@
         let all: Vec<u128> = self.seen.keys().copied().collect();
         for ids in all.chunks(64) {
             self.now += S / 100;
-            let ops: Vec<Op> = ids.iter().map(|id| Op::Begin { id: *id, retention: KEEP }).collect();
+            let ops: Vec<Op> =
+                ids.iter().map(|id| Op::Begin { id: *id, content: 0, retention: KEEP }).collect();
             let Ok(done) = store.commit(&ops, self.now) else {
                 report.failures.push("a store just opened fails".to_owned());
                 report.crashes_refused += 1;
@@ -418,7 +419,7 @@
 /// Throughput of groups over one sync for each operation on a directory of the system, and the former a second.
 pub fn group_commit(dir: &std::path::Path, ops: usize) -> std::io::Result<(f64, f64)> {
     let failed = |e: yarrowspoke_store::store::StoreError| std::io::Error::other(e.to_string());
-    let begin = |n: usize| Op::Begin { id: n as u128, retention: KEEP };
+    let begin = |n: usize| Op::Begin { id: n as u128, content: 0, retention: KEEP };
     let single_ops = (ops / 20).max(1);
     let single = {
         let (mut store, _) = Store::open(&Dir::open(dir)?, ID, 1 << 40, S).map_err(failed)?;
@@ -492,7 +493,7 @@
         // Timed by when it should have come: a late generator must not look like a quick disk.
         let due = begun + Duration::from_secs_f64(n as f64 / per_s as f64);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
-        match hand.submit(Op::Begin { id: n as u128, retention: KEEP }) {
+        match hand.submit(Op::Begin { id: n as u128, content: 0, retention: KEEP }) {
             Ok(pending) => drop(given.send((due, pending))),
             Err(_) => crowded += 1,
         }
@@ -515,7 +516,8 @@
     for minute in 0..days * 24 * 60 {
         let now = S + minute * 60 * S;
         let id = |n: u64| u128::from(minute * 100 + n);
-        let mut ops: Vec<Op> = (0..30).map(|n| Op::Begin { id: id(n), retention: KEEP }).collect();
+        let mut ops: Vec<Op> =
+            (0..30).map(|n| Op::Begin { id: id(n), content: 0, retention: KEEP }).collect();
         ops.extend((0..30).map(|n| Op::End {
             id: id(n),
             state: served_state(&[1; 100], 200),
--- a/crates/yarrowspoke-store/src/ledger.rs
+++ b/crates/yarrowspoke-store/src/ledger.rs
@@ -61,6 +61,9 @@
     FailedBefore,
     /// Its outcome is unknown, so it fails and is never sent.
     InDoubt,
+    /// A request with another content has this identity. It is an error of its client: it is neither sent nor given the
+    /// answer to the other one.
+    OtherContent,
     /// It is in progress in this incarnation. Two answers to one request could be mistaken for each other.
     InProgress,
     /// The ledger has no space for it. It is refused and may be retried after this time.
@@ -119,6 +122,16 @@
     }
 }
 
+/// Returns the decision on a request whose content has the digest `content`, where `decision` holds if its record is of the
+/// same content. `recorded` is the digest in the record; `None` if an earlier build wrote it.
+pub fn check_content(decision: Decision, recorded: Option<u64>, content: u64) -> Decision {
+    let is_repeat = !matches!(decision, Decision::Admit | Decision::NoSpace(_));
+    match recorded {
+        Some(recorded) if is_repeat && recorded != content => Decision::OtherContent,
+        _ => decision,
+    }
+}
+
 /// Minimum time after which a request may be retried when there is no space.
 pub const MIN_RETRY_AFTER: Micros = 100_000;
 
--- a/crates/yarrowspoke-store/src/record.rs
+++ b/crates/yarrowspoke-store/src/record.rs
@@ -49,6 +49,25 @@
 
 /// Decodes the value of a frame stored under this key.
 pub fn unframe<T: DeserializeOwned>(key: &[u8], bytes: &[u8]) -> Result<T, FrameError> {
+    postcard::from_bytes(checked_content(key, bytes)?).map_err(|e| FrameError::Content(e.to_string()))
+}
+
+/// Decodes the value of a frame stored under this key, and what follows it. Frames of earlier builds end with the value.
+pub fn unframe_extended<T: DeserializeOwned, E: DeserializeOwned>(
+    key: &[u8],
+    bytes: &[u8],
+) -> Result<(T, Option<E>), FrameError> {
+    let unreadable = |e: postcard::Error| FrameError::Content(e.to_string());
+    let (value, rest) = postcard::take_from_bytes(checked_content(key, bytes)?).map_err(unreadable)?;
+    if rest.is_empty() {
+        return Ok((value, None));
+    }
+    let extension = postcard::from_bytes(rest).map_err(unreadable)?;
+    Ok((value, Some(extension)))
+}
+
+/// Returns the content of a frame whose checksum and version are right.
+fn checked_content<'a>(key: &[u8], bytes: &'a [u8]) -> Result<&'a [u8], FrameError> {
     let (version, found, content) = match bytes {
         [version, a, b, c, d, content @ ..] => (*version, u32::from_le_bytes([*a, *b, *c, *d]), content),
         _ => return Err(FrameError::Short(bytes.len())),
@@ -60,5 +79,5 @@
     if version != VERSION {
         return Err(FrameError::Version(version));
     }
-    postcard::from_bytes(content).map_err(|e| FrameError::Content(e.to_string()))
+    Ok(content)
 }
--- a/crates/yarrowspoke-store/src/store.rs
+++ b/crates/yarrowspoke-store/src/store.rs
@@ -2,10 +2,11 @@
 
 use crate::disk::{Disk, DiskFile};
 use crate::ledger::{
-    advance_clock, decide, may_expire, record_end, Decision, Micros, Outcome, Record, SpaceUsage, State,
+    advance_clock, check_content, decide, may_expire, record_end, Decision, Micros, Outcome, Record,
+    SpaceUsage, State,
 };
 use crate::mark::{Mark, Slot, FORMAT};
-use crate::record::{frame, unframe};
+use crate::record::{frame, unframe, unframe_extended, FrameError};
 use crate::snapshot::Snapshot;
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 use serde::Serialize;
@@ -111,6 +112,8 @@
     Begin {
         /// Id of the request.
         id: u128,
+        /// Digest of its content, see [`content_digest`].
+        content: u64,
         /// How long the record is kept, in microseconds.
         retention: Micros,
     },
@@ -395,8 +398,7 @@
     }
 
     fn decode_record(key: u128, bytes: &[u8]) -> Result<Record, StoreError> {
-        unframe(&key.to_le_bytes(), bytes)
-            .map_err(|e| StoreError::inconsistent(format!("record {key:032x} with {e}"), "a valid record"))
+        StoredRecord::decode(key, bytes).map(|stored| stored.record)
     }
 
     fn snapshot_in(table: &impl ReadableTable<u8, &'static [u8]>) -> Result<Option<Snapshot>, StoreError> {
@@ -448,41 +450,39 @@
             let mut bytes = meta.get("bytes")?.map_or(0, |v| v.value()) as u64;
             for op in ops {
                 match op {
-                    Op::Begin { id, retention } => {
-                        let record = match ledger.get(*id)? {
-                            Some(bytes) => Some(Self::decode_record(*id, bytes.value())?),
-                            None => None,
-                        };
+                    Op::Begin { id, content, retention } => {
+                        let stored = stored_record(&ledger, *id)?;
+                        let (record, recorded) = (stored.as_ref().map(|s| &s.record), stored.as_ref());
                         let first_expiry = expiry_index.first()?.map(|d| d.0.value().0);
                         let space = SpaceUsage { bytes, max_bytes: self.max_bytes, first_expiry };
-                        let intent = Record {
+                        let record_intent = Record {
                             state: State::Intended,
                             incarnation: next.incarnation,
                             expires_at: now.saturating_add(*retention),
                         };
+                        let intent = StoredRecord { record: record_intent, content: Some(*content) };
                         let required = if record.is_some() {
                             0
                         } else {
-                            frame(&[], &intent).len() as u64 + RECORD_OVERHEAD_BYTES
+                            intent.framed(0).len() as u64 + RECORD_OVERHEAD_BYTES
                         };
-                        let decision = decide(record.as_ref(), next.incarnation, now, &space, required);
+                        let decision = decide(record, next.incarnation, now, &space, required);
+                        let decision = check_content(decision, recorded.and_then(|s| s.content), *content);
                         if decision == Decision::Admit {
                             put_record(&mut ledger, &mut expiry_index, &mut bytes, *id, &intent)?;
                         }
                         out.push(OpResult::Decided(decision));
                     }
                     Op::End { id, state, retention } => {
-                        let record = match ledger.get(*id)? {
-                            Some(bytes) => Some(Self::decode_record(*id, bytes.value())?),
-                            None => None,
-                        };
+                        let stored = stored_record(&ledger, *id)?;
                         let ended = record_end(
-                            record.as_ref(),
+                            stored.as_ref().map(|s| &s.record),
                             next.incarnation,
                             state.clone(),
                             now.saturating_add(*retention),
                         );
-                        if let Some(ended) = ended {
+                        if let Some(record) = ended {
+                            let ended = StoredRecord { record, content: stored.and_then(|s| s.content) };
                             put_record(&mut ledger, &mut expiry_index, &mut bytes, *id, &ended)?;
                         }
                         out.push(OpResult::Recorded);
@@ -550,6 +550,35 @@
     }
 }
 
+/// A record as it is stored, with the digest of its request's content. An earlier build stored none, and ignores it.
+struct StoredRecord {
+    record: Record,
+    content: Option<u64>,
+}
+
+impl StoredRecord {
+    fn decode(key: u128, bytes: &[u8]) -> Result<Self, StoreError> {
+        let invalid =
+            |e: FrameError| StoreError::inconsistent(format!("record {key:032x} with {e}"), "a valid record");
+        let (record, content) = unframe_extended(&key.to_le_bytes(), bytes).map_err(invalid)?;
+        Ok(Self { record, content })
+    }
+
+    fn framed(&self, key: u128) -> Vec<u8> {
+        match self.content {
+            Some(content) => frame(&key.to_le_bytes(), &(&self.record, content)),
+            None => frame(&key.to_le_bytes(), &self.record),
+        }
+    }
+}
+
+fn stored_record(ledger: &Ledger, id: u128) -> Result<Option<StoredRecord>, StoreError> {
+    match ledger.get(id)? {
+        Some(bytes) => StoredRecord::decode(id, bytes.value()).map(Some),
+        None => Ok(None),
+    }
+}
+
 type Ledger<'t> = redb::Table<'t, u128, &'static [u8]>;
 type ExpiryIndex<'t> = redb::Table<'t, (u64, u128), ()>;
 
@@ -558,16 +587,16 @@
     expiry_index: &mut ExpiryIndex,
     bytes: &mut u64,
     id: u128,
-    record: &Record,
+    stored: &StoredRecord,
 ) -> Result<(), StoreError> {
-    let framed = frame(&id.to_le_bytes(), record);
+    let framed = stored.framed(id);
     let old = ledger.insert(id, framed.as_slice())?.map(|o| o.value().to_vec());
     *bytes += framed.len() as u64 + RECORD_OVERHEAD_BYTES;
     if let Some(old) = old {
         *bytes = bytes.saturating_sub(old.len() as u64 + RECORD_OVERHEAD_BYTES);
         expiry_index.remove((Store::decode_record(id, &old)?.expires_at, id))?;
     }
-    expiry_index.insert((record.expires_at, id), ())?;
+    expiry_index.insert((stored.record.expires_at, id), ())?;
     Ok(())
 }
 
@@ -580,6 +609,16 @@
     hasher.finish128().as_u128()
 }
 
+/// Returns a digest of a request's content, given in parts, in the store with id `store`.
+pub fn content_digest(store: u128, parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(store as u64, (store >> 64) as u64);
+    for part in parts {
+        hasher.write_u64(part.len() as u64);
+        hasher.write(part);
+    }
+    hasher.finish128().h1
+}
+
 /// Returns the state to record for a served request, with its answer if that has at most `max_bytes`.
 pub fn served_state(answer: &[u8], max_bytes: usize) -> State {
     State::Done(Outcome::Served((answer.len() <= max_bytes).then(|| answer.to_vec())))
--- a/crates/yarrowspoke-store/src/writer.rs
+++ b/crates/yarrowspoke-store/src/writer.rs
@@ -134,6 +134,11 @@
     pub fn id_of(&self, class: &str, identity: &str) -> u128 {
         crate::store::id_of(self.id, class, identity)
     }
+
+    /// Returns a digest of a request's content, given in parts.
+    pub fn content_digest(&self, parts: &[&[u8]]) -> u64 {
+        crate::store::content_digest(self.id, parts)
+    }
 }
 
 /// A submitted operation that is not yet durable.
--- a/crates/yarrowspoke-store/tests/model.rs
+++ b/crates/yarrowspoke-store/tests/model.rs
@@ -110,7 +110,7 @@
                     Decision::Admit => self.fronts[r] = Front::Sent(false),
                     Decision::Replay(_) | Decision::AlreadyDone => self.answers[r].push(Answer::Served),
                     Decision::FailedBefore | Decision::InDoubt => self.answers[r].push(Answer::Failed),
-                    Decision::InProgress | Decision::NoSpace(_) => {}
+                    Decision::InProgress | Decision::NoSpace(_) | Decision::OtherContent => {}
                 }
             }
             (Op::End(r, answer), _) => {
--- a/crates/yarrowspoke-store/tests/records.rs
+++ b/crates/yarrowspoke-store/tests/records.rs
@@ -1,11 +1,11 @@
 //! Unit tests of frames, marks, the trust in snapshots and the decisions of the ledger.
 
 use yarrowspoke_store::ledger::{
-    advance_clock, decide, may_expire, record_end, Decision, Outcome, Record, SpaceUsage, State,
-    MIN_RETRY_AFTER,
+    advance_clock, check_content, decide, may_expire, record_end, Decision, Outcome, Record, SpaceUsage,
+    State, MIN_RETRY_AFTER,
 };
 use yarrowspoke_store::mark::{Mark, Slot, SLOT_BYTES};
-use yarrowspoke_store::record::{frame, unframe, FrameError};
+use yarrowspoke_store::record::{frame, unframe, unframe_extended, FrameError};
 use yarrowspoke_store::snapshot::{trust, Snapshot, Trust, TrustBounds};
 use yarrowspoke_store::store::id_of;
 
@@ -120,3 +120,26 @@
     }
     assert_eq!(trust_at(998, "d", 0), Trust::Full);
 }
+
+#[test]
+fn a_repeat_with_another_content_is_told_from_a_true_one() {
+    let replay = || Decision::Replay(b"x".to_vec());
+    assert_eq!(check_content(replay(), Some(1), 1), replay());
+    for decision in [replay(), Decision::AlreadyDone, Decision::FailedBefore, Decision::InProgress] {
+        assert_eq!(check_content(decision, Some(1), 2), Decision::OtherContent);
+    }
+    // Nothing binds a request whose record is gone or says that it has not run, and an earlier build recorded no content.
+    for decision in [Decision::Admit, Decision::NoSpace(5)] {
+        assert_eq!(check_content(decision.clone(), Some(1), 2), decision);
+    }
+    assert_eq!(check_content(replay(), None, 2), replay());
+}
+
+#[test]
+fn records_of_this_build_and_of_earlier_ones_can_be_read_by_either() {
+    let value = record(State::Done(Outcome::Served(Some(b"body".to_vec()))), 3, 77);
+    let (earlier, present) = (frame(b"key", &value), frame(b"key", &(&value, 9u64)));
+    assert_eq!(unframe::<Record>(b"key", &present).unwrap(), value);
+    assert_eq!(unframe_extended::<Record, u64>(b"key", &earlier).unwrap(), (value.clone(), None));
+    assert_eq!(unframe_extended::<Record, u64>(b"key", &present).unwrap(), (value, Some(9)));
+}
