Connections that are being closed, and large answers, fit the memory limit

Operators saw: hundreds of clients at once (slow, stopped half way through a large request, heads of many short fields) drove a process past its memory limit.

Cause: close_lingering read each connection into a buffer of its own of 64 KiB and kept its decoder; http.rs took space for a body before it was known to fit; nothing bounded answers that are being read or written.

Mend: a closing connection holds no buffer, and closes after 0.3 s while descriptors run low; space for a body is taken after its memory is reserved; answers over 4 KiB reserve from an eighth of the memory, or their machine is not read on. What had no memory is counted and logged.

Excluded: heads (8 KiB and 64 fields each, 17 MB in all), growth over time.

Open: at 256 descriptors 300 such clients keep some usual ones from connecting, as before.

--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::check;
 use crate::input::Addresses;
+use crate::net::http::BODY_LIMIT;
 use crate::net::list::{self, ListResponse};
 use crate::net::platform::{self, RolloutState};
 use serde::Deserialize;
@@ -57,6 +58,12 @@
     pub fn body_memory(&self) -> usize {
         self.memory_mb * (1024 * 1024 / 8)
     }
+
+    /// Returns the number of bytes that large answers may occupy together: an eighth of the memory, and one answer at
+    /// least.
+    pub fn answer_memory(&self) -> usize {
+        self.body_memory().max(BODY_LIMIT)
+    }
 }
 
 /// Configuration of a front, as read at its start.
--- a/crates/yarrowspoke-front/src/descriptor_budget.rs
+++ b/crates/yarrowspoke-front/src/descriptor_budget.rs
@@ -2,9 +2,11 @@
 //!
 //! A resource is counted when it is taken and returned to its budget when its guard is dropped.
 
+use crate::net::with_timeout;
 use async_channel::{Receiver, Sender};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Adds one to a counter for as long as it lives.
 pub struct CountGuard(Rc<Cell<usize>>);
@@ -49,9 +51,11 @@
     released: (Sender<()>, Receiver<()>),
     /// Idle client connections: those that have sent nothing yet, and those between two requests.
     idle: [IdleGroup; 2],
+    /// Client connections that have got their last answer and are read until the client closes them.
+    closing: IdleGroup,
 }
 
-/// Idle connections of one group that can be closed, the longest idle first.
+/// Connections of one group that can be closed, the longest closable first.
 struct IdleGroup {
     closable: Rc<Cell<usize>>,
     close_request: (Sender<()>, Receiver<()>),
@@ -61,6 +65,12 @@
     fn new() -> Self {
         Self { closable: Rc::default(), close_request: async_channel::bounded(1) }
     }
+
+    /// Counts a connection as closable and waits until it is requested to close.
+    async fn close_requested(&self) {
+        let _closable = CountGuard::new(&self.closable);
+        let _ = self.close_request.1.recv().await;
+    }
 }
 
 impl DescriptorBudget {
@@ -76,6 +86,7 @@
             machines: Rc::default(),
             released: async_channel::bounded(1),
             idle: [IdleGroup::new(), IdleGroup::new()],
+            closing: IdleGroup::new(),
         })
     }
 
@@ -130,58 +141,85 @@
         let _ = self.released.1.recv().await;
     }
 
-    /// Requests that one idle client connection of each group closes, the longest idle first.
+    /// Requests that one client connection of each group closes, the longest closable first.
     pub fn request_idle_close(&self) {
-        for group in self.idle.iter().filter(|g| g.closable.get() > 0) {
+        for group in self.groups().filter(|g| g.closable.get() > 0) {
             let _ = group.close_request.0.try_send(());
         }
     }
 
+    fn groups(&self) -> impl Iterator<Item = &IdleGroup> {
+        self.idle.iter().chain([&self.closing])
+    }
+
     /// Marks an idle connection as closable and waits until it is requested to close. `fresh` says that it has sent nothing
     /// yet.
     pub async fn idle_close_requested(&self, fresh: bool) {
-        let group = &self.idle[usize::from(!fresh)];
-        let _closable = CountGuard::new(&group.closable);
-        let _ = group.close_request.1.recv().await;
+        self.idle[usize::from(!fresh)].close_requested().await;
+    }
+
+    /// Marks a connection as one that has got its last answer and waits until it is requested to close at once.
+    pub async fn prompt_close_requested(&self) {
+        self.closing.close_requested().await;
     }
 
     /// Withdraws close requests that no connection has received yet.
     pub fn clear_close_requests(&self) {
-        for group in &self.idle {
+        for group in self.groups() {
             let _ = group.close_request.1.try_recv();
         }
     }
 }
 
-/// Memory for large request bodies, reserved before a body is read and released when the reservation is dropped.
+/// Memory for large bodies of requests or of answers, reserved before a body is read and released when the reservation is
+/// dropped.
 ///
 /// Each body is bounded by itself, but a few hundred of them together exceed the memory of a small front.
 pub struct BodyMemory {
     available: Rc<Cell<usize>>,
+    released: (Sender<()>, Receiver<()>),
 }
 
-/// Bytes reserved from a [`BodyMemory`].
+/// Bytes reserved from a [`BodyMemory`]. Dropping them wakes a task that waits for some.
 pub struct BodyReservation {
     available: Rc<Cell<usize>>,
+    released: Sender<()>,
     size: usize,
 }
 
+/// Largest body for which no memory is reserved.
+pub const UNRESERVED_BODY_BYTES: usize = 4 * 1024;
+/// Longest pause between two attempts to reserve memory: a release wakes only one of those that wait.
+const RESERVE_INTERVAL: Duration = Duration::from_millis(5);
+
 impl BodyMemory {
     /// Creates a budget of `size` bytes.
     pub fn new(size: usize) -> Self {
-        Self { available: Rc::new(Cell::new(size)) }
+        Self { available: Rc::new(Cell::new(size)), released: async_channel::bounded(1) }
     }
 
     /// Reserves `size` bytes, if that many are available.
     pub fn reserve(&self, size: usize) -> Option<BodyReservation> {
         let rest = self.available.get().checked_sub(size)?;
         self.available.set(rest);
-        Some(BodyReservation { available: Rc::clone(&self.available), size })
+        let (available, released) = (Rc::clone(&self.available), self.released.0.clone());
+        Some(BodyReservation { available, released, size })
+    }
+
+    /// Reserves `size` bytes as soon as that many are available.
+    pub async fn reserve_when_available(&self, size: usize) -> BodyReservation {
+        loop {
+            if let Some(reservation) = self.reserve(size) {
+                return reservation;
+            }
+            with_timeout(RESERVE_INTERVAL, self.released.1.recv()).await;
+        }
     }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.available.set(self.available.get() + self.size);
+        let _ = self.released.try_send(());
     }
 }
--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -249,6 +249,13 @@
             self.open_requests.len(),
             self.attempts_in_flight.len(),
         );
+        let (bodies, answers) =
+            (self.event_bus.bodies_without_memory.take(), self.remotes.machines.take_answers_that_waited());
+        if bodies + answers > 0 {
+            log::warn!(
+                "memory for large bodies was used up: {bodies} requests rejected, {answers} answers waited"
+            );
+        }
         let calls = self.remotes.discovery.take_counts();
         log::info!(
             "list: version {}, last confirmed {:?} ago; calls to discovery: {} opened, {} renewed, failed {:?}, \
@@ -334,7 +341,9 @@
                 let load_report = parse_load_report(report, &self.settings.names.load_fields);
                 if reply.outcome == CallOutcome::Ok {
                     if let Some(open) = self.open_requests.get(&id) {
-                        open.exchange.answer(Answer::Served(reply.body));
+                        if open.exchange.answer(Answer::Served(reply.body)) {
+                            open.exchange.hold_memory(reply.memory);
+                        }
                     }
                 }
                 self.end_attempt(id, attempt, reply.outcome, load_report);
--- a/crates/yarrowspoke-front/src/event_bus.rs
+++ b/crates/yarrowspoke-front/src/event_bus.rs
@@ -47,6 +47,8 @@
     pub idle_clients: [Rc<Cell<usize>>; 2],
     next_id: Cell<RequestId>,
     malformed: Cell<u64>,
+    /// Request bodies that were rejected since the last report because there was no memory for them.
+    pub bodies_without_memory: Cell<u64>,
     /// Once the shutdown has begun, the time by which every request must be answered.
     answer_by: Cell<Option<Micros>>,
     stop: (Sender<()>, Receiver<()>),
@@ -80,6 +82,7 @@
             idle_clients: Default::default(),
             next_id: Cell::new(1),
             malformed: Cell::new(0),
+            bodies_without_memory: Cell::new(0),
             answer_by: Cell::new(None),
             stop: async_channel::bounded(1),
         };
@@ -121,6 +124,11 @@
         self.malformed.set(self.malformed.get() + 1);
     }
 
+    /// Counts a request whose body was rejected because there was no memory for it.
+    pub fn count_body_without_memory(&self) {
+        self.bodies_without_memory.set(self.bodies_without_memory.get() + 1);
+    }
+
     /// Registers a request that was just read and that arrived `waited` microseconds earlier.
     pub fn open_exchange(&self, call: Call, waited: Micros) -> Rc<Exchange> {
         let id = self.next_id.get();
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A client request and its final answer: the only state that the client side and the machine side share.
 
+use crate::descriptor_budget::BodyReservation;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -66,6 +67,8 @@
     /// When it must be answered: at the client's deadline, or before the process may be killed.
     deadline: Cell<Micros>,
     slot: RefCell<AnswerSlot>,
+    /// Memory reserved for the body of the answer, until that is written.
+    answer_memory: RefCell<Option<BodyReservation>>,
 }
 
 impl Exchange {
@@ -73,7 +76,8 @@
     pub fn new(id: RequestId, call: Call, arrived_at: Micros) -> Rc<Self> {
         let client_deadline = arrived_at.saturating_add(call.budget);
         let deadline = Cell::new(client_deadline);
-        Rc::new(Self { id, call, arrived_at, client_deadline, deadline, slot: RefCell::default() })
+        let (slot, answer_memory) = (RefCell::default(), RefCell::default());
+        Rc::new(Self { id, call, arrived_at, client_deadline, deadline, slot, answer_memory })
     }
 
     /// Returns when the request must be answered.
@@ -104,6 +108,11 @@
         true
     }
 
+    /// Keeps memory reserved for the body of the answer for as long as the exchange lasts.
+    pub fn hold_memory(&self, memory: Option<BodyReservation>) {
+        *self.answer_memory.borrow_mut() = memory;
+    }
+
     /// Records that the client has disconnected. Returns false if the final answer was set before.
     pub fn abandon(&self) -> bool {
         !std::mem::replace(&mut self.slot.borrow_mut().finished, true)
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -2,6 +2,7 @@
 //!
 //! Of the front's own modules this one uses only `exchange`, so every other module can use it.
 
+use crate::descriptor_budget::BodyReservation;
 use crate::exchange::Exchange;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -50,7 +51,6 @@
 }
 
 /// A machine's reply to an attempt.
-#[derive(Debug)]
 pub struct Reply {
     /// Outcome that the reply's status means.
     pub outcome: CallOutcome,
@@ -58,6 +58,8 @@
     pub load_report: Option<String>,
     /// Reply body.
     pub body: Vec<u8>,
+    /// Memory reserved for the body, if it is large.
+    pub memory: Option<BodyReservation>,
 }
 
 /// Addresses that a reloaded configuration can change while the front runs; everything else in it applies at start only.
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -4,7 +4,7 @@
 use super::request_head::{ClientRequest, RequestHead};
 use super::turn::Turn;
 use super::{micros_to_duration, read_some, with_deadline, with_timeout};
-use crate::descriptor_budget::{BodyReservation, CountGuard};
+use crate::descriptor_budget::{BodyReservation, CountGuard, DescriptorBudget, UNRESERVED_BODY_BYTES};
 use crate::event_bus::EventBus;
 use crate::exchange::{Answer, Exchange};
 use crate::input::Input;
@@ -12,7 +12,7 @@
 use crate::shutdown::STOP_GRACE;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{future, AsyncWriteExt, FutureExt};
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -34,13 +34,12 @@
 /// without data, and in total.
 const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes of a closing connection that are read at full speed, bytes per read from then on, and the pause between two
-/// reads.
+/// Shortest time of it, which suffices for the answer to arrive.
+const MIN_LINGER_TIME: Duration = Duration::from_millis(300);
+/// Bytes of a closing connection that are read at full speed, bytes between two pauses from then on, and the pause.
 const LINGER_UNPACED_BYTES: usize = 128 * 1024;
 const LINGER_CHUNK_BYTES: usize = 64 * 1024;
 const LINGER_PAUSE: Duration = Duration::from_millis(2);
-/// Largest body for which no body memory is reserved.
-const UNRESERVED_BODY_BYTES: usize = 4 * 1024;
 /// Pause after an accept has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Shortest time without data after which a new connection may be closed while descriptors run low.
@@ -192,9 +191,21 @@
 }
 
 fn encode_with_body(head: Encoder, body: &[u8], keep: bool) -> Vec<u8> {
-    let head = head.field("Content-Length", format_args!("{}", body.len()));
-    let head = if keep { head } else { head.field("Connection", format_args!("close")) };
-    head.body(body)
+    with_framing(head, body.len(), keep).body(body)
+}
+
+fn with_framing(head: Encoder, body_len: usize, keep: bool) -> Encoder {
+    let head = head.field("Content-Length", format_args!("{body_len}"));
+    if keep {
+        head
+    } else {
+        head.field("Connection", format_args!("close"))
+    }
+}
+
+/// Encodes the head of an answer whose body is written separately.
+fn head_for_body(status: &str, body_len: usize, keep: bool) -> Vec<u8> {
+    with_framing(Encoder::new(format_args!("HTTP/1.1 {status}")), body_len, keep).body(&[])
 }
 
 struct Connection {
@@ -217,28 +228,47 @@
         matches!(with_timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await, Some(Ok(())))
     }
 
+    /// Writes a final answer. The body of a large one is not copied behind its head.
+    async fn write_answer(&mut self, answer: &Answer, keep: bool) -> bool {
+        let Answer::Served(body) = answer else { return self.write(&encode(answer, keep)).await };
+        if body.len() <= UNRESERVED_BODY_BYTES {
+            return self.write(&encode(answer, keep)).await;
+        }
+        let head = head_for_body("200 OK", body.len(), keep);
+        let writing = async {
+            self.stream.write_all(&head).await?;
+            self.stream.write_all(body).await
+        };
+        matches!(with_timeout(WRITE_TIMEOUT, writing).await, Some(Ok(())))
+    }
+
     /// Closes the connection so that an answer sent in the middle of a request still arrives. Closing with unread
     /// data resets the connection, and an error in transit to a client that is still sending would be lost; but a
-    /// client that sends without end must not use up the processor or hold a descriptor for long.
-    async fn close_lingering(mut self) {
-        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+    /// client that sends without end must not use up the processor or hold a descriptor for long, and while descriptors
+    /// run low it gets only the time to read its answer.
+    async fn close_lingering(self, descriptors: &DescriptorBudget) {
+        // What was received is not needed any more, and many connections may close at the same time.
+        let Self { mut stream, .. } = self;
+        if stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
         let drained = async {
-            let mut bytes_read = 0;
-            while bytes_read < LINGER_UNPACED_BYTES {
-                match with_timeout(LINGER_IDLE_TIMEOUT, read_some(&mut self.stream, |_| ())).await {
-                    Some(Ok(n)) if n > 0 => bytes_read += n,
-                    _ => return,
-                }
-            }
-            let mut chunk = vec![0; LINGER_CHUNK_BYTES];
-            while matches!(with_timeout(LINGER_IDLE_TIMEOUT, self.stream.read(&mut chunk)).await, Some(Ok(n)) if n > 0)
+            let (mut bytes_read, mut unpaced_bytes) = (0, LINGER_UNPACED_BYTES);
+            while let Some(Ok(n @ 1..)) =
+                with_timeout(LINGER_IDLE_TIMEOUT, read_some(&mut stream, |_| ())).await
             {
-                Timer::after(LINGER_PAUSE).await;
+                bytes_read += n;
+                if bytes_read >= unpaced_bytes {
+                    (bytes_read, unpaced_bytes) = (0, LINGER_CHUNK_BYTES);
+                    Timer::after(LINGER_PAUSE).await;
+                }
             }
         };
-        with_timeout(LINGER_TIMEOUT, drained).await;
+        let close_requested = async {
+            Timer::after(MIN_LINGER_TIME).await;
+            descriptors.prompt_close_requested().await;
+        };
+        with_timeout(LINGER_TIMEOUT, future::or(drained, close_requested)).await;
     }
 }
 
@@ -352,7 +382,7 @@
                 };
                 connection.body_reservation = None;
                 let keep = keep_alive && !event_bus.is_stopping();
-                connection.write(&encode(&answer, keep)).await && keep
+                connection.write_answer(&answer, keep).await && keep
             }
         };
         if !written {
@@ -368,7 +398,7 @@
     event_bus.count_malformed();
     connection.body_reservation = None;
     if connection.write(&encode_status(status, false)).await {
-        connection.close_lingering().await;
+        connection.close_lingering(&event_bus.descriptors).await;
     }
 }
 
@@ -393,9 +423,11 @@
         if body_len > UNRESERVED_BODY_BYTES && connection.body_reservation.is_none() {
             connection.body_reservation = event_bus.body_memory.reserve(body_len);
             if connection.body_reservation.is_none() {
+                event_bus.count_body_without_memory();
                 return NextRequest::Malformed(503);
             }
         }
+        connection.decoder.reserve_body();
         if connection.decoder.take_continue_request(|h| h.expects_continue)
             && !connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await
         {
--- a/crates/yarrowspoke-front/src/net/http.rs
+++ b/crates/yarrowspoke-front/src/net/http.rs
@@ -141,6 +141,9 @@
     /// Whether an unreadable field value makes the head invalid; otherwise the field counts as absent, unless the
     /// framing depends on it.
     const STRICT: bool;
+    /// Whether space for a body of stated length is taken as soon as its head is decoded; otherwise the reader asks for it
+    /// with [`Decoder::reserve_body`], once it knows that the body fits.
+    const RESERVES_BODY: bool = true;
     /// Returns the framing of a body whose head states none; `None` if it must be stated.
     fn default_framing(&self) -> Option<Framing>;
     /// Returns whether the message is an interim response, to be skipped.
@@ -245,6 +248,16 @@
         }
     }
 
+    /// Returns whether the current message has a body of more than `limit` bytes: by its stated length, or by what of it has
+    /// arrived.
+    pub fn has_large_body(&self, limit: usize) -> bool {
+        match self.current.as_ref().map(|b| b.1) {
+            Some(Framing::Length(n)) => n > limit,
+            Some(_) => self.unread().len() + self.body.len() > limit,
+            None => false,
+        }
+    }
+
     /// Returns true once per message, if its head has arrived and its sender waits for `100 Continue` according to
     /// `expects_continue`.
     pub fn take_continue_request(&mut self, expects_continue: impl Fn(&T) -> bool) -> bool {
@@ -359,13 +372,15 @@
         self.current = Some((head, framing));
         self.blank_bytes = 0;
         self.consume(end + 4);
-        if let Framing::Length(n) = framing {
-            self.reserve_body(n);
+        if T::RESERVES_BODY {
+            self.reserve_body();
         }
         Ok(true)
     }
 
-    fn reserve_body(&mut self, len: usize) {
+    /// Takes space for the rest of the current body, if its length is stated.
+    pub fn reserve_body(&mut self) {
+        let Some((_, Framing::Length(len))) = self.current else { return };
         let missing = len.saturating_sub(self.unread().len());
         if missing > 0 {
             self.drop_consumed();
--- a/crates/yarrowspoke-front/src/net/machines.rs
+++ b/crates/yarrowspoke-front/src/net/machines.rs
@@ -5,7 +5,9 @@
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead, BODY_LIMIT};
 use super::turn::Turn;
 use super::{micros_to_duration, read_some, with_timeout};
-use crate::descriptor_budget::{Descriptor, DescriptorBudget};
+use crate::descriptor_budget::{
+    BodyMemory, BodyReservation, Descriptor, DescriptorBudget, UNRESERVED_BODY_BYTES,
+};
 use crate::exchange::Exchange;
 use crate::input::{Clock, Reply, Row};
 use async_io::Async;
@@ -122,6 +124,7 @@
 impl FromHead for ReplyHead {
     type Context = ();
     const STRICT: bool = false;
+    const RESERVES_BODY: bool = false;
 
     /// Without stated framing, a response cut off by a machine's crash would look complete, since only the end of the
     /// connection marks its own end.
@@ -176,25 +179,49 @@
 struct Response {
     head: ReplyHead,
     body: Vec<u8>,
+    memory: Option<BodyReservation>,
     reusable: bool,
 }
 
+/// Memory for large answers, and how many had to wait for it since the last report.
+struct AnswerMemory {
+    memory: BodyMemory,
+    waited: Cell<u64>,
+}
+
+impl AnswerMemory {
+    /// Reserves memory for an answer. Without any left its machine is not read further until another answer is written, or
+    /// until nobody waits for this one.
+    async fn reserve(&self, size: usize) -> BodyReservation {
+        if let Some(reservation) = self.memory.reserve(size) {
+            return reservation;
+        }
+        self.waited.set(self.waited.get() + 1);
+        self.memory.reserve_when_available(size).await
+    }
+}
+
 impl Connection {
     /// Reads the response to the request that was written.
-    async fn read_response(&mut self) -> Result<Response, AttemptFailure> {
+    async fn read_response(&mut self, answers: &AnswerMemory) -> Result<Response, AttemptFailure> {
         let mut decoder = Decoder::<ReplyHead>::new(BODY_LIMIT);
         let mut turn = Turn::default();
+        let mut memory = None;
         loop {
             let n = read_some(&mut self.stream, |bytes| decoder.feed(bytes)).await?;
             turn.record_bytes(n);
             let message = if n == 0 { decoder.finish()? } else { decoder.next_message()? };
             if let Some((head, body)) = message {
                 let reusable = n > 0 && head.keep_alive && decoder.is_idle();
-                return Ok(Response { head, body, reusable });
+                return Ok(Response { head, body, memory, reusable });
             }
             if n == 0 {
                 return Err(AttemptFailure::Closed);
             }
+            if memory.is_none() && decoder.has_large_body(UNRESERVED_BODY_BYTES) {
+                memory = Some(answers.reserve(decoder.expected_body_len()).await);
+            }
+            decoder.reserve_body();
             turn.yield_if_used().await;
         }
     }
@@ -244,12 +271,15 @@
     transport: Transport,
     /// Counts of attempt failures since the last report, by kind.
     failure_counts: RefCell<BTreeMap<&'static str, usize>>,
+    answers: AnswerMemory,
 }
 
 impl Machines {
-    /// Returns a pool without machines.
-    pub fn new(descriptors: Rc<DescriptorBudget>, transport: Transport) -> Rc<Self> {
+    /// Returns a pool without machines. Large answers together hold at most `answer_bytes` bytes.
+    pub fn new(descriptors: Rc<DescriptorBudget>, transport: Transport, answer_bytes: usize) -> Rc<Self> {
+        let answers = AnswerMemory { memory: BodyMemory::new(answer_bytes), waited: Cell::new(0) };
         Rc::new(Self {
+            answers,
             hosts: RefCell::default(),
             descriptors,
             transport,
@@ -387,7 +417,7 @@
                 .field("Connection", format_args!("close"))
                 .body(&[]);
             connection.stream.write_all(&request).await?;
-            Ok(connection.read_response().await?.head.load_report)
+            Ok(connection.read_response(&self.answers).await?.head.load_report)
         };
         match with_timeout(micros_to_duration(timeout), call).await {
             Some(Ok(load_report)) => (CallOutcome::Ok, load_report),
@@ -396,6 +426,11 @@
         }
     }
 
+    /// Returns how many answers had to wait for memory since the last call, and resets the count.
+    pub fn take_answers_that_waited(&self) -> u64 {
+        self.answers.waited.take()
+    }
+
     /// Returns the counts of attempt failures since the last call, by kind, and resets them.
     pub fn take_failure_counts(&self) -> BTreeMap<&'static str, usize> {
         self.failure_counts.take()
@@ -420,11 +455,11 @@
             None => write.await?,
         };
         progress.set(Progress::Written);
-        let Response { head, body, reusable } = connection.read_response().await?;
+        let Response { head, body, memory, reusable } = connection.read_response(&self.answers).await?;
         if reusable {
             self.return_idle(machine, instance, connection, clock.now());
         }
-        Ok(Reply { outcome: head.outcome(), load_report: head.load_report, body })
+        Ok(Reply { outcome: head.outcome(), load_report: head.load_report, body, memory })
     }
 
     /// Writes the request to an idle or a new connection.
--- a/crates/yarrowspoke-front/src/net/request_head.rs
+++ b/crates/yarrowspoke-front/src/net/request_head.rs
@@ -43,6 +43,7 @@
 impl FromHead for RequestHead {
     type Context = Rc<Classifier>;
     const STRICT: bool = true;
+    const RESERVES_BODY: bool = false;
 
     fn default_framing(&self) -> Option<Framing> {
         Some(Framing::Length(0))
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -211,7 +211,11 @@
     };
     let remotes = RemoteServices {
         executor: Rc::clone(&executor),
-        machines: Machines::new(Rc::clone(&descriptors), config.settings.transport),
+        machines: Machines::new(
+            Rc::clone(&descriptors),
+            config.settings.transport,
+            config.limits.answer_memory(),
+        ),
         discovery,
         platform: config.platform,
         peers: peers.clone(),
--- a/crates/yarrowspoke-front/tests/bounds.rs
+++ b/crates/yarrowspoke-front/tests/bounds.rs
@@ -77,7 +77,7 @@
     );
     let outside = RemoteServices {
         executor: Rc::new(LocalExecutor::new()),
-        machines: Machines::new(descriptors, config.settings.transport),
+        machines: Machines::new(descriptors, config.settings.transport, 0),
         discovery: Discovery::new(config.discovery, config.settings.names.clone(), 0, 0),
         platform: None,
         peers: None,
--- /dev/null
+++ b/crates/yarrowspoke-front/tests/memory.rs
@@ -0,0 +1,160 @@
+//! The memory of a front at its limit of descriptors: every state of a connection fits, reading, answering and closing alike.
+//!
+//! The front has 1,024 descriptors and 32 MB, and its peak is read from outside.
+
+mod common;
+mod scripted;
+
+use common::{any_port, get, post, unique_id, wait_until};
+use scripted::stage::{Stage, EMPTY};
+use scripted::{entry, listing, Peer, Program, Wire};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use yarrowspoke_toy::{Behaviour, Machine};
+
+/// Memory limit of the front.
+const MEMORY_MB: u64 = 32;
+/// Clients that are connected at once, nearly as many as the front accepts.
+const CLIENTS: usize = 600;
+/// Longest time of an answer to a usual client with a budget of 2 s.
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_550);
+
+/// Held by each test: together they would need more descriptors than a process usually may open.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn one_at_a_time() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn stage() -> Stage {
+    Stage::set(EMPTY).told("\"memory_mb\": 192", &format!("\"memory_mb\": {MEMORY_MB}"))
+}
+
+/// Starts the program with a watch on this machine.
+fn watched(stage: &Stage, machine: std::net::SocketAddr) -> (Program, Wire) {
+    let program = stage.start();
+    let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine, "up", 41, 0)]));
+    assert!(watch.message().unwrap().start().contains("from=7"));
+    (program, watch)
+}
+
+/// Returns the most memory that the program has held, in bytes.
+fn peak_memory(program: &Program) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+}
+
+fn assert_within_limit(program: &Program) {
+    let peak = peak_memory(program);
+    eprintln!("peak: {:.1} MB", peak as f64 / (1024.0 * 1024.0));
+    assert!(peak < MEMORY_MB * 1024 * 1024, "{peak} bytes");
+}
+
+fn a_usual_client_is_served(program: &Program) {
+    let begun = Instant::now();
+    let mut client = program.client();
+    client.write(&get(&unique_id(), "2.0"));
+    let answer = client.message().expect("an answer");
+    assert!(answer.start().contains(" 200 ") && begun.elapsed() < ANSWER_LIMIT, "{answer:?}");
+}
+
+/// A client that writes as much as is taken of what it has to send, and reads nothing.
+struct Sender {
+    stream: TcpStream,
+    rest: Vec<u8>,
+    has_ended: bool,
+}
+
+impl Sender {
+    fn start(program: &Program, bytes: Vec<u8>) -> Self {
+        let stream = TcpStream::connect(program.listen).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        Self { stream, rest: bytes, has_ended: false }
+    }
+
+    /// Writes what is taken at once; returns whether anything is left to write.
+    fn advance(&mut self) -> bool {
+        match self.stream.write(&self.rest) {
+            Ok(count) => drop(self.rest.drain(..count)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => self.has_ended = true,
+        }
+        !self.rest.is_empty() && !self.has_ended
+    }
+
+    /// Returns whether an answer or the end of the connection has arrived.
+    fn is_answered(&mut self) -> bool {
+        self.has_ended
+            || !matches!(self.stream.read(&mut [0; 64]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+fn large_post(stated_len: usize, sent: usize) -> Vec<u8> {
+    let head = post(&unique_id(), "9.0")
+        .replace("Content-Length: 5\r\n\r\nhello", &format!("Content-Length: {stated_len}\r\n\r\n"));
+    [head.as_bytes(), &vec![b'x'; sent]].concat()
+}
+
+#[test]
+fn clients_that_send_on_after_their_error_fit_the_memory_limit() {
+    // Each connection that was being closed was read into a buffer of its own of 64 KiB: 39 MB at this limit.
+    let _guard = one_at_a_time();
+    let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
+    let stage = stage();
+    let (program, _watch) = watched(&stage, machine.address);
+    let mut senders: Vec<Sender> =
+        (0..CLIENTS).map(|_| Sender::start(&program, large_post(60_000_000, 1024 * 1024))).collect();
+    wait_until("all have sent far more than is read at full speed", || {
+        senders
+            .iter_mut()
+            .filter(|sender| sender.rest.len() > 512 * 1024)
+            .filter_map(|s| s.advance().then_some(()))
+            .count()
+            == 0
+    });
+    assert_within_limit(&program);
+    a_usual_client_is_served(&program);
+}
+
+#[test]
+fn large_requests_that_stop_half_way_fit_the_memory_limit() {
+    // Space for a body was taken before it was known whether it fits, and kept while the connection was closed.
+    let _guard = one_at_a_time();
+    let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
+    let stage = stage();
+    let (program, _watch) = watched(&stage, machine.address);
+    let mut senders: Vec<Sender> =
+        (0..CLIENTS).map(|_| Sender::start(&program, large_post(64 * 1024, 60_000))).collect();
+    wait_until("all were written", || {
+        senders.iter_mut().filter_map(|s| s.advance().then_some(())).count() == 0
+    });
+    wait_until("all are answered", || senders.iter_mut().all(Sender::is_answered));
+    assert_within_limit(&program);
+    a_usual_client_is_served(&program);
+}
+
+#[test]
+fn large_answers_that_stop_half_way_fit_the_memory_limit() {
+    // No limit held for the answers that were being read.
+    let _guard = one_at_a_time();
+    const ANSWERS: usize = 380;
+    let (stage, machine) = (stage(), Peer::start());
+    let (program, _watch) = watched(&stage, machine.address);
+    let mut clients: Vec<Wire> = (0..ANSWERS).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| client.write(&get(&unique_id(), "4.0")));
+    let part = format!("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n{}", "x".repeat(60_000));
+    let mut attempts = Vec::new();
+    let begun = Instant::now();
+    while attempts.len() < ANSWERS && begun.elapsed() < Duration::from_secs(3) {
+        let Some(mut attempt) = machine.connection_within(Duration::from_millis(200)) else { break };
+        if attempt.message().is_some() && attempt.offer(&part) {
+            attempts.push(attempt);
+        }
+    }
+    let answers = clients.iter_mut().filter_map(Wire::message).count();
+    assert_eq!(answers, ANSWERS, "of {} attempts", attempts.len());
+    assert_within_limit(&program);
+}
