Ids of calls that may have run are remembered apart from all others

Callers saw: an id ran twice when it came again after its client had left. Shown here: a client sends a comment and leaves, another sends 6,000 requests with no time left on one connection (0.6 s), the comment comes again: run twice.

Cause: CallIds remembered the last 4,096 ended ids, whether or not a machine had got their calls, and what no machine gets costs its sender nothing.

A call counts as unsent only when its exchange ended without an attempt, or the ledger answered it.

Test: an_id_whose_client_left_does_not_run_again_after_many_requests_that_no_ machine_gets, which failed on the code before.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -834,6 +834,7 @@
             log::debug!(id, attempt, machine, build, version, age_ms:?, basis:?; "attempt sent");
         }
         open.in_flight += 1;
+        exchange.record_attempt();
         let wait = exchange.deadline() - now;
         let wait = if timeout > 0 { wait.min(timeout) } else { wait };
         let deadlines =
--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -67,6 +67,8 @@
     /// When it must be answered: at the client's deadline, or before the process may be killed.
     deadline: Cell<Micros>,
     slot: RefCell<AnswerSlot>,
+    /// Whether an attempt was made.
+    was_attempted: Cell<bool>,
     /// Memory reserved for the body of the answer, until that is written.
     answer_memory: RefCell<Option<BodyReservation>>,
 }
@@ -77,7 +79,16 @@
         let client_deadline = arrived_at.saturating_add(call.budget);
         let deadline = Cell::new(client_deadline);
         let (slot, answer_memory) = (RefCell::default(), RefCell::default());
-        Rc::new(Self { id, call, arrived_at, client_deadline, deadline, slot, answer_memory })
+        Rc::new(Self {
+            id,
+            call,
+            arrived_at,
+            client_deadline,
+            deadline,
+            slot,
+            was_attempted: Cell::new(false),
+            answer_memory,
+        })
     }
 
     /// Returns when the request must be answered.
@@ -108,6 +119,16 @@
         true
     }
 
+    /// Records that an attempt was made.
+    pub fn record_attempt(&self) {
+        self.was_attempted.set(true);
+    }
+
+    /// Returns whether an attempt was made; none is made any more once the exchange is finished.
+    pub fn was_attempted(&self) -> bool {
+        self.was_attempted.get()
+    }
+
     /// Keeps memory reserved for the body of the answer for as long as the exchange lasts.
     pub fn hold_memory(&self, memory: Option<BodyReservation>) {
         *self.answer_memory.borrow_mut() = memory;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -331,7 +331,8 @@
             ClientRequest::Call(call) => {
                 // Two answers to one id would be mistaken for each other, and a side effect might happen twice.
                 let record_key = event_bus.ledger_writer.record_key(&call);
-                let Some(_open) = event_bus.call_ids.open(&call.call_id, record_key.map(|key| key.id)) else {
+                let Some(mut open_id) = event_bus.call_ids.open(&call.call_id, record_key.map(|key| key.id))
+                else {
                     event_bus.count_malformed();
                     if !connection.write(&encode_status(409, keep_alive)).await || !keep_alive {
                         return;
@@ -356,6 +357,7 @@
                     Some(LedgerDecision::Admitted(_)) | None => None,
                 };
                 if let Some(bytes) = recorded_answer {
+                    open_id.set_unsent();
                     connection.body_reservation = None;
                     if !connection.write(&bytes).await || !keep_alive {
                         return;
@@ -369,6 +371,9 @@
                 let exchange = event_bus.open_exchange(*call, waited_before);
                 let _ = event_bus.inputs.send(Input::Arrived(Rc::clone(&exchange))).await;
                 let wait_result = wait_for_answer(&mut connection, &exchange, &event_bus).await;
+                if !exchange.was_attempted() {
+                    open_id.set_unsent();
+                }
                 if let Some(key) = recorded {
                     let answer =
                         if let WaitResult::Answer(answer) = &wait_result { Some(answer) } else { None };
--- a/crates/yarrowspoke-front/tests/request_identity.rs
+++ b/crates/yarrowspoke-front/tests/request_identity.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{temp_file, unique_id, TestEnvironment};
+use common::{get, temp_file, unique_id, wait_until, TestEnvironment};
 use std::path::PathBuf;
 use yarrowspoke_front::call_ids::CallIds;
 use yarrowspoke_toy::{Behaviour, Message};
@@ -154,9 +154,28 @@
     // It was forgotten with its first answer, and could then be used for another request.
     let ids = CallIds::default();
     drop(ids.open("used again", Some(1)));
-    (0..4_000).for_each(|n| drop(ids.open(&n.to_string(), None)));
+    (0..32_000).for_each(|n| drop(ids.open(&n.to_string(), None)));
     drop(ids.open("used again", Some(1)));
-    (4_000..4_200).for_each(|n| drop(ids.open(&n.to_string(), None)));
+    (32_000..33_000).for_each(|n| drop(ids.open(&n.to_string(), None)));
     assert!(ids.open("used again", None).is_none() && ids.open("used again", Some(2)).is_none());
     assert!(ids.open("used again", Some(1)).is_some());
 }
+
+#[test]
+fn an_id_whose_client_left_does_not_run_again_after_many_requests_that_no_machine_gets() {
+    // A client that sent some thousand requests with no time left made the front forget the ids of all others, so a comment
+    // ran a second time when it came again.
+    const REQUESTS: usize = 5_000;
+    let environment = TestEnvironment::start(&[Behaviour::Hang]);
+    let comment = Comment::new(None);
+    let mut client = environment.client();
+    client.send(comment.request().as_bytes());
+    wait_until("the machine got the comment", || environment.seen() == 1);
+    drop(client);
+    let mut other = environment.client();
+    for _ in 0..REQUESTS {
+        let answer = other.request(&get(&unique_id(), "0.0")).expect("an answer");
+        assert!(!answer.start().contains(" 200 "), "{answer:?}");
+    }
+    assert_eq!(outcome(&environment, &comment), (409, false));
+}
