Keys that a client may choose at will take a bounded memory

Operators saw: one client at full speed on one connection, also under ever new names, made memory grow without end, or others were answered late or never. Shown here: where releases are forward only, the module kept every key in a query for as long as the build that answered it was the newest.

Cause: rules.rs, key_builds, a map without a bound, filled by every served request with a key.

Mend: rules/forward_only.rs knows 131,072 keys one by one, of the newest build only. Beyond that every key counts as answered by that build: the rule holds, and what it costs are requests that wait for that build. A newer build makes room. A late answer of an earlier build no longer takes a key back.

Excluded: ids of calls, buckets of limits, open requests and timers, which had bounds; planners, which drop what no member sent.

Tests: guards.rs, two, on a type that did not exist before (not run on the code before).

--- a/crates/yarrowspoke/src/accounting.rs
+++ b/crates/yarrowspoke/src/accounting.rs
@@ -5,6 +5,7 @@
     Build, DedupScope, LoadField, MachineEntry, MachineId, MachineState, Micros, RequestId, RequestPolicy,
     RolloutStatus, Vote,
 };
+use crate::rules::forward_only::KeyBuilds;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use yarrowspoke_verdict::evidence_log::Outcome;
 
@@ -360,8 +361,8 @@
     pub exposure: BTreeMap<(Build, usize), SlidingSum>,
     /// Outcomes kept as evidence, by build.
     pub samples: BTreeMap<Build, VecDeque<Sample>>,
-    /// The build that last answered each key.
-    pub key_builds: BTreeMap<u64, Build>,
+    /// The newest build that has answered each key.
+    pub key_builds: KeyBuilds,
     /// Work that a warm machine serves, by size and microsecond.
     pub warm_work_rate: f64,
     /// Served requests.
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -13,6 +13,7 @@
 //! 5. The exposure of a build on trial stays within its cap.
 
 mod admission;
+pub mod forward_only;
 mod judge;
 mod shutdown;
 mod vote;
@@ -275,16 +276,6 @@
         })
     }
 
-    /// Rule 5 where releases are forward only: a key that the new build has answered is sent to no earlier build.
-    fn key_allows(&self, request: &Request, machine: &Machine) -> bool {
-        let key_build = self
-            .state
-            .key_builds
-            .get(&request.key)
-            .filter(|_| request.key != 0 && self.settings.release.forward_only);
-        key_build.is_none_or(|build| machine.entry.build >= *build)
-    }
-
     /// Rule 2: a refusal tells the client that a retry is harmless.
     fn may_refuse(&self, now: Micros, request: &Request) -> bool {
         let class = &self.settings.classes[request.class];
@@ -816,8 +807,8 @@
         if end.request_done {
             if let Some(mut request) = self.state.requests.remove(&id) {
                 request.attempts.iter_mut().skip(attempt.into()).take(1).for_each(|a| a.in_flight = false);
-                if outcome == CallOutcome::Ok && request.key != 0 && self.settings.release.forward_only {
-                    self.state.key_builds.insert(request.key, ended.build);
+                if outcome == CallOutcome::Ok {
+                    self.record_key_answer(&request, ended.build);
                 }
                 self.cancel_remaining(id, &request, out);
             }
--- a/crates/yarrowspoke/src/rules/vote.rs
+++ b/crates/yarrowspoke/src/rules/vote.rs
@@ -43,6 +43,7 @@
                 self.state.samples_below(status.build).flatten().filter(|s| s.at + EVIDENCE_WINDOW > now);
             self.state.baseline_paces = medians(recent, |s| s.measured_pace, MIN_OUTCOMES / 2);
             self.open_evidence(status.build);
+            self.state.key_builds.forget_before(status.build);
         }
         let changed = self
             .state
--- a/crates/yarrowspoke/tests/guards.rs
+++ b/crates/yarrowspoke/tests/guards.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use yarrowspoke::interface::*;
+use yarrowspoke::rules::forward_only::KeyBuilds;
 
 // Rule 1: every request gets exactly one final answer in time.
 
@@ -267,6 +268,27 @@
     assert_eq!(finals, 1, "not answered before its deadline");
 }
 
+#[test]
+fn ever_new_keys_take_a_bounded_memory_and_keep_the_rule() {
+    // Guards against a client that sends every request under a new key: each key was kept for as long as the process ran.
+    let mut keys = KeyBuilds::default();
+    (0..1_000_000).for_each(|key| keys.record(key, 2));
+    assert!(keys.len() <= 131_072, "{} keys", keys.len());
+    assert!((0..2_000_000).all(|key| keys.newest(key) == Some(2)));
+    // What an earlier build answered is of no use once a newer one is known, and makes room for its keys.
+    keys.record(7, 3);
+    keys.forget_before(3);
+    assert_eq!((keys.newest(7), keys.newest(8), keys.len()), (Some(3), None, 1));
+}
+
+#[test]
+fn a_late_answer_of_an_earlier_build_does_not_take_a_key_back() {
+    let mut keys = KeyBuilds::default();
+    keys.record(7, 3);
+    keys.record(7, 2);
+    assert_eq!(keys.newest(7), Some(3));
+}
+
 // Rule 1 at the end of the process: nothing is answered once it may have been killed.
 
 #[test]
