Memory of a large answer is released as soon as it is written

An answer's reservation lived as long as its exchange, which the driver holds until the last attempt has ended: where a second copy was out, up to its own time-out, and other large answers waited for that memory. A doc comment of net/arrival.rs is put in order.

--- a/crates/yarrowspoke-front/src/exchange.rs
+++ b/crates/yarrowspoke-front/src/exchange.rs
@@ -129,11 +129,16 @@
         self.was_attempted.get()
     }
 
-    /// Keeps memory reserved for the body of the answer for as long as the exchange lasts.
+    /// Keeps memory reserved for the body of the answer, until [`Exchange::release_memory`] or the end of the exchange.
     pub fn hold_memory(&self, memory: Option<BodyReservation>) {
         *self.answer_memory.borrow_mut() = memory;
     }
 
+    /// Releases the memory of an answer that is written; other attempts may still hold the exchange.
+    pub fn release_memory(&self) {
+        self.answer_memory.take();
+    }
+
     /// Records that the client has disconnected. Returns false if the final answer was set before.
     pub fn abandon(&self) -> bool {
         !std::mem::replace(&mut self.slot.borrow_mut().finished, true)
--- a/crates/yarrowspoke-front/src/net/arrival.rs
+++ b/crates/yarrowspoke-front/src/net/arrival.rs
@@ -1,7 +1,7 @@
 //! Bounds on when bytes arrived that were read later.
 //!
 //! A process that is suspended, or short of processor time, reads bytes long after they came. Where their age matters, the
-//! last moment at which nothing had arrived is its upper bound.
+//! last moment at which nothing had arrived bounds it.
 
 use super::read_some;
 use async_io::Timer;
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -387,7 +387,9 @@
                 };
                 connection.body_reservation = None;
                 let keep = keep_alive && !event_bus.is_stopping();
-                connection.write_answer(&answer, keep).await && keep
+                let is_written = connection.write_answer(&answer, keep).await;
+                exchange.release_memory();
+                is_written && keep
             }
         };
         if !written {
