One call before the lease ends also where the first call has failed

Cause: its watches end with the outage, the lease now counts from discovery's last look instead of that end, and only the end of a subscription led to a call before the lease's end. A front whose first call fell into the outage waited for its next slot.

schedule.rs: any failed call leads to it, still once until discovery answers, so a fleet makes no more calls than before: one more for each front.

No late sends in list_outage.rs with 2, 30 and 300 fronts. Test: a_front_whose_first_call_fails_calls_once_ more_before_its_lease_ends.

--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -8,8 +8,8 @@
 //! not down, that was still too fast, and each front doubles its wait, up to four times the interval: a queue drains
 //! only if calls arrive more slowly than they are served.
 //!
-//! Where a subscription ends while a lease is still valid, and other fronts cannot confirm the list, a front whose slot
-//! comes after the end of its lease makes one call before it, at a random time, in addition to that in its slot.
+//! Where calls fail while a lease is still valid, and other fronts cannot confirm the list, a front whose next slot comes
+//! after the end of its lease makes one call before it, at a random time, in addition to those in its slots.
 //!
 //! That interval is meant for the worst case, an outage of a slow discovery. Where other fronts report how many of
 //! them wait and what a call costs (the time that the quickest recently took), the calls are spread over just the
@@ -72,6 +72,8 @@
     subscription_lost: bool,
     /// This front's slot, while a call ahead of it is planned or in flight.
     slot_after_early_call: Option<Micros>,
+    /// A call ahead of the slot was planned since discovery last answered; there is no second one.
+    has_called_early: bool,
     /// Number of fronts.
     fronts: f64,
     /// This front's random fraction of the time over which waiting fronts spread their calls, drawn anew for each
@@ -103,6 +105,7 @@
             unexplained_call_at: None,
             subscription_lost: false,
             slot_after_early_call: None,
+            has_called_early: false,
             fronts,
             random_fraction: 0.0,
             last_opening: None,
@@ -162,6 +165,7 @@
         self.unexplained_call_at = None;
         self.subscription_lost = false;
         self.slot_after_early_call = None;
+        self.has_called_early = false;
     }
 
     /// Returns how long the last answered call took, if that was recent.
@@ -247,8 +251,7 @@
             self.call_at(slot.max(now + MIN_BACKOFF));
             return;
         }
-        let was_subscribed = self.is_subscribed();
-        self.subscription_lost |= was_subscribed;
+        self.subscription_lost |= self.is_subscribed();
         let call_began_at = self.call_began_at.take();
         let was_rejected = call_began_at.is_some_and(|at| now < at + REJECTED_WITHIN);
         let is_unclear = !self.queries_peers && self.failures >= OVERLOAD_AFTER_FAILURES;
@@ -270,7 +273,7 @@
         self.backoff_until = now + backoff;
         self.next_call = Some(next + backoff);
         self.redraw_fraction(random);
-        if was_subscribed && !self.queries_peers {
+        if !self.queries_peers && !self.has_called_early {
             self.call_before(lease_end, now);
         }
     }
@@ -283,6 +286,7 @@
         let wait = self.random_fraction * (latest - earliest) as f64;
         self.call_at(earliest + wait as Micros);
         self.slot_after_early_call = Some(slot);
+        self.has_called_early = true;
     }
 
     /// Returns this front's next slot after a call that began at `call_began_at`.
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -78,6 +78,19 @@
     assert_eq!(send_request(&mut rig, None), None);
 }
 
+#[test]
+fn a_front_whose_first_call_fails_calls_once_more_before_its_lease_ends() {
+    // Guards against a short outage after which discovery is up, and not called, while the lease ends.
+    let mut rig = Rig::new(subscribed_settings(0, 3, false), 3);
+    rig.list(ListUpdate::Delta, &[]);
+    let lease_began_at = rig.now;
+    for _ in 0..2 {
+        rig.list(ListUpdate::Failed, &[]);
+        wait_for_call(&mut rig);
+    }
+    assert!(rig.now <= lease_began_at + 5 * S + 50 * MS, "{} us", rig.now - lease_began_at);
+}
+
 #[test]
 fn a_single_front_assumes_an_outage_only_from_the_calls_that_it_made() {
     // Guards against a failed call that counts for longer than its own time: while the next call hangs, discovery may be
