Memory tests: each client writes as soon as it is connected

Cause: the test, not the front. It connected 380 clients before the first of them wrote. From 307 client connections on (three tenths of 1,024 descriptors) the front closes those that have been silent for 0.3 s, as it should: 76 of the 380 got no answer since they had not yet asked for anything.

Excluded: answers lost by the memory for answers.

Change: tests/memory.rs writes each request right after its connection. All assertions stay, and one is new: more large answers are begun than the memory for answers has room for. The shared set-up of its tests is one type now.

--- a/crates/yarrowspoke-front/tests/memory.rs
+++ b/crates/yarrowspoke-front/tests/memory.rs
@@ -9,13 +9,17 @@
 use scripted::stage::{Stage, EMPTY};
 use scripted::{entry, listing, Peer, Program, Wire};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use yarrowspoke_toy::{Behaviour, Machine};
 
 /// Memory limit of the front.
 const MEMORY_MB: u64 = 32;
+/// Memory that large answers may take together: an eighth of the limit.
+const MEMORY_FOR_ANSWERS: usize = MEMORY_MB as usize * 1024 * 1024 / 8;
+/// Stated length of a large answer.
+const ANSWER_BYTES: usize = 64 * 1024;
 /// Clients that are connected at once, nearly as many as the front accepts.
 const CLIENTS: usize = 600;
 /// Longest time of an answer to a usual client with a budget of 2 s.
@@ -28,16 +32,34 @@
     ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn stage() -> Stage {
-    Stage::set(EMPTY).told("\"memory_mb\": 192", &format!("\"memory_mb\": {MEMORY_MB}"))
+/// The program with a watch on one machine.
+struct Front {
+    program: Program,
+    _stage: Stage,
+    _watch: Wire,
 }
 
-/// Starts the program with a watch on this machine.
-fn watched(stage: &Stage, machine: std::net::SocketAddr) -> (Program, Wire) {
-    let program = stage.start();
-    let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine, "up", 41, 0)]));
-    assert!(watch.message().unwrap().start().contains("from=7"));
-    (program, watch)
+impl Front {
+    fn start(machine: SocketAddr) -> Self {
+        let stage = Stage::set(EMPTY).told("\"memory_mb\": 192", &format!("\"memory_mb\": {MEMORY_MB}"));
+        let program = stage.start();
+        let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine, "up", 41, 0)]));
+        assert!(watch.message().unwrap().start().contains("from=7"));
+        Self { program, _stage: stage, _watch: watch }
+    }
+
+    /// Connects clients, each of which writes as soon as it is connected: the front may close those that stay silent while
+    /// descriptors run low, and connecting so many takes seconds where its backlog overflows.
+    fn connect_senders(&self, bytes: impl Fn() -> Vec<u8>) -> Vec<Sender> {
+        (0..CLIENTS).map(|_| Sender::start(&self.program, bytes())).collect()
+    }
+
+    /// Connects a client that writes its request at once, for the same reason.
+    fn client_with(&self, request: &str) -> Wire {
+        let mut client = self.program.client();
+        client.write(request);
+        client
+    }
 }
 
 /// Returns the most memory that the program has held, in bytes.
@@ -72,7 +94,9 @@
     fn start(program: &Program, bytes: Vec<u8>) -> Self {
         let stream = TcpStream::connect(program.listen).unwrap();
         stream.set_nonblocking(true).unwrap();
-        Self { stream, rest: bytes, has_ended: false }
+        let mut sender = Self { stream, rest: bytes, has_ended: false };
+        sender.advance();
+        sender
     }
 
     /// Writes what is taken at once; returns whether anything is left to write.
@@ -103,10 +127,8 @@
     // Each connection that was being closed was read into a buffer of its own of 64 KiB: 39 MB at this limit.
     let _guard = one_at_a_time();
     let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
-    let stage = stage();
-    let (program, _watch) = watched(&stage, machine.address);
-    let mut senders: Vec<Sender> =
-        (0..CLIENTS).map(|_| Sender::start(&program, large_post(60_000_000, 1024 * 1024))).collect();
+    let front = Front::start(machine.address);
+    let mut senders = front.connect_senders(|| large_post(60_000_000, 1024 * 1024));
     wait_until("all have sent far more than is read at full speed", || {
         senders
             .iter_mut()
@@ -115,8 +137,8 @@
             .count()
             == 0
     });
-    assert_within_limit(&program);
-    a_usual_client_is_served(&program);
+    assert_within_limit(&front.program);
+    a_usual_client_is_served(&front.program);
 }
 
 #[test]
@@ -124,16 +146,14 @@
     // Space for a body was taken before it was known whether it fits, and kept while the connection was closed.
     let _guard = one_at_a_time();
     let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
-    let stage = stage();
-    let (program, _watch) = watched(&stage, machine.address);
-    let mut senders: Vec<Sender> =
-        (0..CLIENTS).map(|_| Sender::start(&program, large_post(64 * 1024, 60_000))).collect();
+    let front = Front::start(machine.address);
+    let mut senders = front.connect_senders(|| large_post(64 * 1024, 60_000));
     wait_until("all were written", || {
         senders.iter_mut().filter_map(|s| s.advance().then_some(())).count() == 0
     });
     wait_until("all are answered", || senders.iter_mut().all(Sender::is_answered));
-    assert_within_limit(&program);
-    a_usual_client_is_served(&program);
+    assert_within_limit(&front.program);
+    a_usual_client_is_served(&front.program);
 }
 
 #[test]
@@ -141,11 +161,10 @@
     // No limit held for the answers that were being read.
     let _guard = one_at_a_time();
     const ANSWERS: usize = 380;
-    let (stage, machine) = (stage(), Peer::start());
-    let (program, _watch) = watched(&stage, machine.address);
-    let mut clients: Vec<Wire> = (0..ANSWERS).map(|_| program.client()).collect();
-    clients.iter_mut().for_each(|client| client.write(&get(&unique_id(), "4.0")));
-    let part = format!("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n{}", "x".repeat(60_000));
+    let machine = Peer::start();
+    let front = Front::start(machine.address);
+    let mut clients: Vec<Wire> = (0..ANSWERS).map(|_| front.client_with(&get(&unique_id(), "4.0"))).collect();
+    let part = format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n{}", "x".repeat(60_000));
     let mut attempts = Vec::new();
     let begun = Instant::now();
     while attempts.len() < ANSWERS && begun.elapsed() < Duration::from_secs(3) {
@@ -154,7 +173,8 @@
             attempts.push(attempt);
         }
     }
+    assert!(attempts.len() > MEMORY_FOR_ANSWERS / ANSWER_BYTES, "{} attempts", attempts.len());
     let answers = clients.iter_mut().filter_map(Wire::message).count();
     assert_eq!(answers, ANSWERS, "of {} attempts", attempts.len());
-    assert_within_limit(&program);
+    assert_within_limit(&front.program);
 }
