Half messages take a bounded memory at a planner

Operators saw: hundreds of clients that stop half way through a large request drive a process past its memory limit. Shown here at a planner: 900 such links made it hold 222.7 MB (228.0 with chunks).

Cause: net/fleet.rs, serve_connection: each of up to 2,048 links may hold a message of 256 KiB, and the limit of 5 s for a message began anew with each read.

Excluded: heads and unread answers (14.0 and 14.9 MB), growth over time.

Change: messages over 4 KiB reserve from 16 MB (BodyMemory, as at fronts) or wait until their time is over; the 5 s hold for the whole message. A release of memory wakes those that wait in turn, where each looked every 5 ms. Decoder::has_begun, which nothing called, is gone; IdleGroup is ClosableGroup. The sender of memory.rs moved to scripted/sender.rs.

--- a/crates/yarrowspoke-front/src/descriptor_budget.rs
+++ b/crates/yarrowspoke-front/src/descriptor_budget.rs
@@ -50,18 +50,18 @@
     machines: Rc<Cell<usize>>,
     released: (Sender<()>, Receiver<()>),
     /// Idle client connections: those that have sent nothing yet, and those between two requests.
-    idle: [IdleGroup; 2],
+    idle: [ClosableGroup; 2],
     /// Client connections that have got their last answer and are read until the client closes them.
-    closing: IdleGroup,
+    closing: ClosableGroup,
 }
 
 /// Connections of one group that can be closed, the longest closable first.
-struct IdleGroup {
+struct ClosableGroup {
     closable: Rc<Cell<usize>>,
     close_request: (Sender<()>, Receiver<()>),
 }
 
-impl IdleGroup {
+impl ClosableGroup {
     fn new() -> Self {
         Self { closable: Rc::default(), close_request: async_channel::bounded(1) }
     }
@@ -85,8 +85,8 @@
             clients: Rc::default(),
             machines: Rc::default(),
             released: async_channel::bounded(1),
-            idle: [IdleGroup::new(), IdleGroup::new()],
-            closing: IdleGroup::new(),
+            idle: [ClosableGroup::new(), ClosableGroup::new()],
+            closing: ClosableGroup::new(),
         })
     }
 
@@ -148,7 +148,7 @@
         }
     }
 
-    fn groups(&self) -> impl Iterator<Item = &IdleGroup> {
+    fn groups(&self) -> impl Iterator<Item = &ClosableGroup> {
         self.idle.iter().chain([&self.closing])
     }
 
@@ -189,8 +189,9 @@
 
 /// Largest body for which no memory is reserved.
 pub const UNRESERVED_BODY_BYTES: usize = 4 * 1024;
-/// Longest pause between two attempts to reserve memory: a release wakes only one of those that wait.
-const RESERVE_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest pause between two attempts to reserve memory: a release may wake one that needs more than there is, while
+/// another would need less.
+const RESERVE_INTERVAL: Duration = Duration::from_millis(100);
 
 impl BodyMemory {
     /// Creates a budget of `size` bytes.
@@ -210,6 +211,10 @@
     pub async fn reserve_when_available(&self, size: usize) -> BodyReservation {
         loop {
             if let Some(reservation) = self.reserve(size) {
+                if self.available.get() > 0 {
+                    // What is left may suffice for the next one that waits.
+                    let _ = self.released.0.try_send(());
+                }
                 return reservation;
             }
             with_timeout(RESERVE_INTERVAL, self.released.1.recv()).await;
--- a/crates/yarrowspoke-front/src/net/fleet.rs
+++ b/crates/yarrowspoke-front/src/net/fleet.rs
@@ -3,7 +3,8 @@
 use super::http::{Decoder, Encoder, Framing, FromHead, HttpError, RawHead};
 use super::list::ResponseHead;
 use super::turn::Turn;
-use super::{read_some, with_timeout};
+use super::{read_some, with_deadline, with_timeout};
+use crate::descriptor_budget::{BodyMemory, BodyReservation, UNRESERVED_BODY_BYTES};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt, FutureExt, StreamExt};
@@ -11,12 +12,14 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use yarrowspoke_fleet::wire::BODY_LIMIT;
 
 /// Most connections that a planner accepts; a fleet has a few hundred members.
 const MAX_CONNECTIONS: usize = 2_048;
+/// Memory for large messages that are being received: 64 of the largest ones, and members send most messages far smaller.
+const MESSAGE_MEMORY_BYTES: usize = 64 * BODY_LIMIT;
 /// Longest idle time of a connection, and longest time for receiving or sending a message.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -101,6 +104,7 @@
 impl FromHead for LinkHead {
     type Context = ();
     const STRICT: bool = true;
+    const RESERVES_BODY: bool = false;
 
     fn default_framing(&self) -> Option<Framing> {
         Some(Framing::Length(0))
@@ -157,6 +161,7 @@
 /// Serves the links of a planner; returns only if the listener ends. A message that is unreadable or rejected affects no other message.
 pub async fn serve(listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>, handler: LinkHandler) {
     let connection_count = Rc::new(Cell::new(0usize));
+    let memory = Rc::new(BodyMemory::new(MESSAGE_MEMORY_BYTES));
     let mut incoming = Box::pin(listener.incoming());
     loop {
         if connection_count.get() >= MAX_CONNECTIONS {
@@ -167,8 +172,9 @@
             Some(Ok(stream)) => {
                 connection_count.set(connection_count.get() + 1);
                 let (connection_count, handler) = (Rc::clone(&connection_count), Rc::clone(&handler));
+                let memory = Rc::clone(&memory);
                 let served = AssertUnwindSafe(async move {
-                    let _ = serve_connection(stream, &*handler).await;
+                    let _ = serve_connection(stream, &memory, &*handler).await;
                 });
                 let task = async move {
                     if served.catch_unwind().await.is_err() {
@@ -187,36 +193,94 @@
     }
 }
 
+/// A link on which messages are received.
+struct Link<'a> {
+    stream: Async<TcpStream>,
+    decoder: Decoder<LinkHead>,
+    turn: Turn,
+    memory: &'a BodyMemory,
+    /// Memory reserved for the message that is being received.
+    reservation: Option<BodyReservation>,
+    /// When the message that is being received must be complete.
+    deadline: Option<Instant>,
+}
+
+impl<'a> Link<'a> {
+    fn new(stream: Async<TcpStream>, memory: &'a BodyMemory) -> Self {
+        let decoder = Decoder::new(BODY_LIMIT);
+        Self { stream, decoder, turn: Turn::default(), memory, reservation: None, deadline: None }
+    }
+
+    /// Receives the next message. Returns `None` at the end of the link, and when a message does not arrive in time.
+    async fn next_message(&mut self) -> Result<Option<(LinkHead, Vec<u8>)>, HttpError> {
+        loop {
+            self.turn.yield_if_used().await;
+            if let Some(message) = self.decoder.next_message()? {
+                self.deadline = None;
+                return Ok(Some(message));
+            }
+            if !self.reserve_memory().await || !self.read().await {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Reserves memory for the message that is being received, if it is large; returns whether there was some in time.
+    async fn reserve_memory(&mut self) -> bool {
+        if self.reservation.is_none() && self.decoder.has_large_body(UNRESERVED_BODY_BYTES) {
+            let reserving = self.memory.reserve_when_available(self.decoder.expected_body_len());
+            self.reservation = with_deadline(self.deadline(), reserving).await;
+            if self.reservation.is_none() {
+                log::warn!("links: no memory for a message of a member; closing its connection");
+                return false;
+            }
+        }
+        self.decoder.reserve_body();
+        true
+    }
+
+    /// Reads what arrives in time; returns false if nothing does.
+    async fn read(&mut self) -> bool {
+        let deadline = self.deadline();
+        let decoder = &mut self.decoder;
+        let reading = read_some(&mut self.stream, |bytes| decoder.feed(bytes));
+        let Some(Ok(count @ 1..)) = with_deadline(deadline, reading).await else { return false };
+        self.turn.record_bytes(count);
+        self.deadline = self.deadline.or_else(|| Some(Instant::now() + MESSAGE_TIMEOUT));
+        true
+    }
+
+    fn deadline(&self) -> Instant {
+        self.deadline.unwrap_or_else(|| Instant::now() + IDLE_TIMEOUT)
+    }
+
+    /// Writes a response; returns whether it was taken in time.
+    async fn write(&mut self, bytes: &[u8]) -> bool {
+        matches!(with_timeout(MESSAGE_TIMEOUT, self.stream.write_all(bytes)).await, Some(Ok(())))
+    }
+}
+
 async fn serve_connection(
-    mut stream: Async<TcpStream>,
+    stream: Async<TcpStream>,
+    memory: &BodyMemory,
     handler: &dyn Fn(&LinkHead, &[u8]) -> LinkResponse,
 ) -> Result<(), LinkError> {
     stream.get_ref().set_nodelay(true)?;
-    let mut decoder = Decoder::<LinkHead>::new(BODY_LIMIT);
-    let mut turn = Turn::default();
+    let mut link = Link::new(stream, memory);
     loop {
-        turn.yield_if_used().await;
-        let (head, body) = match decoder.next_message() {
+        let (head, body) = match link.next_message().await {
             Ok(Some(message)) => message,
-            Ok(None) => {
-                let limit = if decoder.is_idle() { IDLE_TIMEOUT } else { MESSAGE_TIMEOUT };
-                let read = with_timeout(limit, read_some(&mut stream, |bytes| decoder.feed(bytes))).await;
-                match read {
-                    Some(Ok(n)) if n > 0 => turn.record_bytes(n),
-                    _ => return Ok(()),
-                }
-                continue;
-            }
+            Ok(None) => return Ok(()),
             Err(e) => {
-                let bytes = LinkResponse::error(e.status(), e).encode(false);
-                with_timeout(MESSAGE_TIMEOUT, stream.write_all(&bytes)).await.unwrap_or(Ok(()))?;
+                link.write(&LinkResponse::error(e.status(), e).encode(false)).await;
                 return Ok(());
             }
         };
-        let bytes = handler(&head, &body).encode(head.keep_alive);
-        match with_timeout(MESSAGE_TIMEOUT, stream.write_all(&bytes)).await {
-            Some(Ok(())) if head.keep_alive => {}
-            _ => return Ok(()),
+        let response = handler(&head, &body);
+        drop(body);
+        link.reservation = None;
+        if !link.write(&response.encode(head.keep_alive)).await || !head.keep_alive {
+            return Ok(());
         }
         // Messages that wait behind one another are answered in turn with those of other members.
         future::yield_now().await;
--- a/crates/yarrowspoke-front/src/net/http.rs
+++ b/crates/yarrowspoke-front/src/net/http.rs
@@ -229,11 +229,6 @@
         self.unread().is_empty() && self.current.is_none()
     }
 
-    /// Returns whether anything was received since the last message, be it only empty lines.
-    pub fn has_begun(&self) -> bool {
-        self.blank_bytes > 0 || !self.is_idle()
-    }
-
     /// Returns whether bytes of a further message have been received.
     pub fn has_unread_message(&self) -> bool {
         !self.unread().iter().all(|b| matches!(b, b'\r' | b'\n'))
--- a/crates/yarrowspoke-front/tests/memory.rs
+++ b/crates/yarrowspoke-front/tests/memory.rs
@@ -6,10 +6,10 @@
 mod scripted;
 
 use common::{any_port, get, post, unique_id, wait_until};
+use scripted::sender::Sender;
 use scripted::stage::{Stage, EMPTY};
 use scripted::{entry, listing, Peer, Program, Wire};
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use yarrowspoke_toy::{Behaviour, Machine};
@@ -51,7 +51,7 @@
     /// Connects clients, each of which writes as soon as it is connected: the front may close those that stay silent while
     /// descriptors run low, and connecting so many takes seconds where its backlog overflows.
     fn connect_senders(&self, bytes: impl Fn() -> Vec<u8>) -> Vec<Sender> {
-        (0..CLIENTS).map(|_| Sender::start(&self.program, bytes())).collect()
+        (0..CLIENTS).map(|_| Sender::start(self.program.listen, bytes())).collect()
     }
 
     /// Connects a client that writes its request at once, for the same reason.
@@ -62,15 +62,8 @@
     }
 }
 
-/// Returns the most memory that the program has held, in bytes.
-fn peak_memory(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
-}
-
 fn assert_within_limit(program: &Program) {
-    let peak = peak_memory(program);
+    let peak = program.peak_memory();
     eprintln!("peak: {:.1} MB", peak as f64 / (1024.0 * 1024.0));
     assert!(peak < MEMORY_MB * 1024 * 1024, "{peak} bytes");
 }
@@ -83,39 +76,6 @@
     assert!(answer.start().contains(" 200 ") && begun.elapsed() < ANSWER_LIMIT, "{answer:?}");
 }
 
-/// A client that writes as much as is taken of what it has to send, and reads nothing.
-struct Sender {
-    stream: TcpStream,
-    rest: Vec<u8>,
-    has_ended: bool,
-}
-
-impl Sender {
-    fn start(program: &Program, bytes: Vec<u8>) -> Self {
-        let stream = TcpStream::connect(program.listen).unwrap();
-        stream.set_nonblocking(true).unwrap();
-        let mut sender = Self { stream, rest: bytes, has_ended: false };
-        sender.advance();
-        sender
-    }
-
-    /// Writes what is taken at once; returns whether anything is left to write.
-    fn advance(&mut self) -> bool {
-        match self.stream.write(&self.rest) {
-            Ok(count) => drop(self.rest.drain(..count)),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => self.has_ended = true,
-        }
-        !self.rest.is_empty() && !self.has_ended
-    }
-
-    /// Returns whether an answer or the end of the connection has arrived.
-    fn is_answered(&mut self) -> bool {
-        self.has_ended
-            || !matches!(self.stream.read(&mut [0; 64]), Err(e) if e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
 fn large_post(stated_len: usize, sent: usize) -> Vec<u8> {
     let head = post(&unique_id(), "9.0")
         .replace("Content-Length: 5\r\n\r\nhello", &format!("Content-Length: {stated_len}\r\n\r\n"));
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -1,6 +1,7 @@
 //! Remote parties that act only on a test's instructions, so that the test decides which of two events comes first.
 #![allow(dead_code)]
 
+pub mod sender;
 pub mod stage;
 
 use std::ffi::OsStr;
@@ -206,6 +207,13 @@
         Self::start_with(&arguments, operator, listen)
     }
 
+    /// Starts a planner that joins the replicated log with an empty directory.
+    pub fn found_planner(operator: &Path, name: &str, listen: SocketAddr, dir: &Path) -> Self {
+        let arguments = ["planner", "--found", "--name", name, "--operator"].map(OsStr::new);
+        let arguments = [&arguments[..], &[operator.as_ref(), "--dir".as_ref(), dir.as_ref()]].concat();
+        Self::start_with(&arguments, operator, listen)
+    }
+
     fn start_with(arguments: &[&OsStr], path: &Path, listen: SocketAddr) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_yarrowspoke"));
         let command = command.args(arguments).env("PROXY_CONFIG", path).env("RUST_LOG", "debug");
@@ -270,6 +278,13 @@
         client.message().is_some_and(|m| m.start().contains(" 200 "))
     }
 
+    /// Returns the most memory that the process has held, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
