A planner takes operators' orders at a bounded rate

Operators saw: one client that sends small requests at full speed on one connection, also under ever new names, makes memory grow without end. Shown here at a planner: orders behind one another for 5 s took it to 152.4 MB, in the memory and on the disk of each planner, for good.

Cause: planner.rs, order: each order enters the replicated log, which is never compacted; nothing bounded the number of orders or the length of their texts.

Excluded: the same floods of status, audits, unknown paths and messages that cannot be decoded (5.3 MB, level, status within 8 ms).

Beyond that 503, and the link is not read for 1 s, so that one client leaves room for others. The commands send such an order again.

Test: orders_without_end_take_a_ bounded_memory_at_a_planner, which failed before (4,000 of 4,000 taken). Open: the log is still not compacted.

--- a/crates/yarrowspoke-fleet/src/lib.rs
+++ b/crates/yarrowspoke-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! the caller's own monotonic clock, and messages as values. [`version`] defines what a front acts on and how two
 //! versions compare, [`span`] what a front records, [`report_log`] how reports from everywhere are merged, [`front`]
 //! and [`planner`] the two sides of the protocol, [`permits`] the state that planners agree on,
+//! [`order_intake`] how many orders a planner takes,
 //! [`heartbeat_schedule`] when heartbeats are due, and [`wire`] the messages.
 //!
 //! Three rules hold throughout. *Unknown is a value*: what was not received is shown, with its bounds. *Others may
@@ -17,6 +18,7 @@
 pub mod front;
 pub mod heartbeat_schedule;
 pub mod mutant;
+pub mod order_intake;
 pub mod permits;
 pub mod planner;
 pub mod report_log;
--- a/crates/yarrowspoke-front/src/fleet_commands.rs
+++ b/crates/yarrowspoke-front/src/fleet_commands.rs
@@ -1,7 +1,7 @@
 //! `yarrowspoke fleet`: queries a planner or its directory about a fleet, and sends orders to a planner.
 
 use crate::cli::{CommandOutput, OrderArgs, RecordFilter, RecordSource};
-use crate::net::fleet::{send_message, COMMAND_RESPONSE_LIMIT};
+use crate::net::fleet::{send_message, LinkError, COMMAND_RESPONSE_LIMIT};
 use crate::net::with_timeout;
 use crate::planner;
 use std::collections::BTreeSet;
@@ -197,7 +197,8 @@
         send_message(&mut connection, address, ("POST", "/fleet/order"), body, COMMAND_RESPONSE_LIMIT),
     );
     match async_io::block_on(call) {
-        Some(Ok(_)) => Ok(()),
+        // Too many orders for now: like one that is lost, this one is sent again.
+        Some(Ok(_) | Err(LinkError::Status(503, _))) => Ok(()),
         Some(Err(e)) => Err(format!("{address}: {e}")),
         None => Err(format!("{address}: no answer in time")),
     }
--- a/crates/yarrowspoke-front/src/net/fleet.rs
+++ b/crates/yarrowspoke-front/src/net/fleet.rs
@@ -23,6 +23,9 @@
 /// Longest idle time of a connection, and longest time for receiving or sending a message.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause before the next message on a link whose message was not taken for want of room: whoever sends the next one at once
+/// would take all the room that others wait for.
+const REJECTION_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause after an accept has failed, or while the connection limit is reached.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Largest response to an operator's command in bytes; an audit may cover weeks.
@@ -146,6 +149,7 @@
         let reason = match self.status {
             200 => "OK",
             404 => "Not Found",
+            503 => "Service Unavailable",
             _ => "Bad Request",
         };
         let head = Encoder::new(format_args!("HTTP/1.1 {} {reason}", self.status))
@@ -282,6 +286,9 @@
         if !link.write(&response.encode(head.keep_alive)).await || !head.keep_alive {
             return Ok(());
         }
+        if response.status == 503 {
+            Timer::after(REJECTION_PAUSE).await;
+        }
         // Messages that wait behind one another are answered in turn with those of other members.
         future::yield_now().await;
     }
--- a/crates/yarrowspoke-front/src/planner.rs
+++ b/crates/yarrowspoke-front/src/planner.rs
@@ -16,6 +16,7 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yarrowspoke_fleet::audit::{audit, AuditQuery};
+use yarrowspoke_fleet::order_intake::{OrderIntake, OrderRejection};
 use yarrowspoke_fleet::permits::{Entry, Limits, Order, PermitMessage, Phase};
 use yarrowspoke_fleet::planner::Planner;
 use yarrowspoke_fleet::report_log::ReportLog;
@@ -64,6 +65,7 @@
     planner: RefCell<Planner>,
     /// Replica of the log; `None` if this planner has not joined it, for instance because it may have lost its promises.
     agreed_log: RefCell<Option<AgreedLog>>,
+    order_intake: RefCell<OrderIntake>,
     /// Entries proposed recently and when, so that an entry is not proposed again at every tick.
     proposed_at: RefCell<BTreeMap<String, Instant>>,
     started: Instant,
@@ -123,12 +125,18 @@
         }
     }
 
-    /// Proposes an operator's order. It is decided once its ticket is among the outcomes; the caller polls until then.
+    /// Proposes an operator's order, if it is taken. It is decided once its ticket is among the outcomes; the caller polls until then.
     fn order(&self, body: &[u8]) -> LinkResponse {
         let request: OrderRequest = match serde_json::from_slice(body) {
             Ok(request) => request,
             Err(e) => return LinkResponse::error(400, e),
         };
+        let texts = [&request.front, &request.why, &request.by].map(String::as_str);
+        match self.order_intake.borrow_mut().take(self.now(), &texts) {
+            Ok(()) => {}
+            Err(why @ OrderRejection::TooMany) => return LinkResponse::error(503, why),
+            Err(why @ OrderRejection::LongText(_)) => return LinkResponse::error(400, why),
+        }
         let order = match request.what.as_str() {
             "out" => match self.planner.borrow().live_incarnation(&request.front, self.now()) {
                 Some((incarnation, _)) => {
@@ -349,6 +357,7 @@
     let running = Rc::new(RunningPlanner {
         planner: RefCell::new(Planner::new(fleet, name, incarnation, 0, report_log)),
         agreed_log: RefCell::new(agreed_log),
+        order_intake: RefCell::default(),
         proposed_at: RefCell::default(),
         started: Instant::now(),
         unwritten: RefCell::default(),
--- a/crates/yarrowspoke-front/tests/planner_limits.rs
+++ b/crates/yarrowspoke-front/tests/planner_limits.rs
@@ -6,6 +6,7 @@
 use common::{free_port, temp_file, wait_until};
 use scripted::sender::Sender;
 use scripted::{Program, Wire};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -16,6 +17,12 @@
 const MESSAGE_BYTES: usize = 256 * 1024;
 /// Memory that such senders may make a planner hold.
 const MEMORY_LIMIT: u64 = 32 * 1024 * 1024;
+/// Orders of one client, sent one behind another at full speed.
+const ORDERS: u64 = 4_000;
+/// Orders that a planner takes at once, and every second from then on.
+const ORDER_BURST: f64 = 1_000.0;
+const ORDERS_PER_SECOND: f64 = 50.0;
+
 /// Returns the path of an operator's file of a fleet with this planner and two others that do not run.
 fn fleet_of(planner: SocketAddr) -> PathBuf {
     let member = |name: &str, address: SocketAddr| {
@@ -97,3 +104,32 @@
         !link.offer("x") || link.has_ended()
     });
 }
+
+#[test]
+fn orders_without_end_take_a_bounded_memory_at_a_planner() {
+    // Every order entered the replicated log, which is never compacted: 152 MB after 5 s.
+    let address = free_port();
+    let dir = std::env::temp_dir().join(format!("yarrowspoke-orders-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let planner = Program::found_planner(&fleet_of(address), "p0", address, &dir);
+    planner.logs("listens on");
+    let order = |ticket: u64, why: &str| {
+        let body = format!(r#"{{"what":"halt","by":"test","why":"{why}","knows":null,"ticket":{ticket}}}"#);
+        message("/fleet/order", body.len(), body.as_bytes())
+    };
+    let mut flood = Wire::to(address);
+    let mut writing = flood.stream().try_clone().unwrap();
+    let orders: Vec<u8> = (0..ORDERS).flat_map(|ticket| order(ticket, "")).collect();
+    // The end of the test ends this thread, as it closes the link.
+    std::thread::spawn(move || drop(writing.write_all(&orders)));
+    let begun = Instant::now();
+    let mut answers = std::iter::from_fn(|| flood.message()).take(ORDERS as usize);
+    let taken = answers.by_ref().take_while(|answer| answer.start().contains(" 200 ")).count();
+    let bound = ORDER_BURST + ORDERS_PER_SECOND * begun.elapsed().as_secs_f64() + 1.0;
+    assert!(taken as f64 <= bound && taken as f64 >= ORDER_BURST, "{taken} orders taken, {bound} at most");
+    // Most of the flood is still unread, and others' orders are taken all the same.
+    let mut link = Wire::to(address);
+    wait_until("another client's order is taken", || status_of(&mut link, &order(ORDERS, "")) == "200");
+    assert_eq!(status_of(&mut link, &order(ORDERS, &"x".repeat(100_000))), "400");
+    std::fs::remove_dir_all(dir).unwrap();
+}
