A move of discovery renews the call before the lease ends

Found in reading the change again: a front that had spent its one call ahead of its slot at the old address had none at the new one. Shown in the module: a front of ten whose call at the new address failed did not call again within the 3 s that are left before its lease ends (after a move it ends within 4 s).

Cause: schedule.rs, discovery_moved forgot all that was known of calls but has_called_early. Excluded: the slot, which is drawn anew there.

Change: it is reset there too. A fleet makes one call more for each front and move, only where calls fail. Test: a_front_calls_once_more_before_its_lease_ ends_also_after_discovery_has_moved, which failed before.

--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -72,7 +72,7 @@
     subscription_lost: bool,
     /// This front's slot, while a call ahead of it is planned or in flight.
     slot_after_early_call: Option<Micros>,
-    /// A call ahead of the slot was planned since discovery last answered; there is no second one.
+    /// A call ahead of the slot was planned since discovery last answered or moved; there is no second one.
     has_called_early: bool,
     /// Number of fronts.
     fronts: f64,
@@ -225,6 +225,7 @@
         self.overload_failures = 0;
         self.unexplained_call_at = None;
         self.last_opening = None;
+        self.has_called_early = false;
         self.backoff_until = now;
         self.call_in_slot(now, random);
     }
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -113,8 +113,13 @@
 impl Rig {
     /// Returns a front with `machines` machines of build 1, after the rollout status that build 1 is released.
     pub fn new(settings: Settings, machines: u32) -> Self {
+        Self::with_seed(7, settings, machines)
+    }
+
+    /// A rig whose front draws other random numbers.
+    pub fn with_seed(seed: u64, settings: Settings, machines: u32) -> Self {
         let mut did = Vec::new();
-        let front = Front::new(7, settings, 100 * S, &mut did);
+        let front = Front::new(seed, settings, 100 * S, &mut did);
         let mut rig = Self { front, now: 100 * S, next: 1, ruled: RequestPolicy::default(), did };
         let entries: Vec<MachineEntry> = (0..machines).map(|m| entry(m, 1, 0)).collect();
         rig.list(ListUpdate::Cached, &entries);
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -91,6 +91,24 @@
     assert!(rig.now <= lease_began_at + 5 * S + 50 * MS, "{} us", rig.now - lease_began_at);
 }
 
+#[test]
+fn a_front_calls_once_more_before_its_lease_ends_also_after_discovery_has_moved() {
+    // Guards against a call spent at an address that discovery has left, for want of which the lease ends at the new one.
+    let mut rig = Rig::with_seed(1, subscribed_settings(9, 10, false), 3);
+    rig.list(ListUpdate::Delta, &[]);
+    let lease_began_at = rig.now;
+    rig.list(ListUpdate::Failed, &[]);
+    wait_for_call(&mut rig);
+    let moved_at = rig.now;
+    assert!(moved_at < lease_began_at + 2_500 * MS, "{} us", moved_at - lease_began_at);
+    rig.move_discovery(2);
+    for _ in 0..2 {
+        wait_for_call(&mut rig);
+        rig.list(ListUpdate::Failed, &[]);
+    }
+    assert!(rig.now <= moved_at + 3 * S + 50 * MS, "{} us", rig.now - moved_at);
+}
+
 #[test]
 fn a_single_front_assumes_an_outage_only_from_the_calls_that_it_made() {
     // Guards against a failed call that counts for longer than its own time: while the next call hangs, discovery may be
