Ids of calls that must not run twice are remembered apart from the others

Callers saw: an id ran twice when it came again after its client had left.

Cause: call_ids.rs kept one queue of 32,768 ids for all calls that may have run, so requests that may be repeated displaced those that must not be.

Change: four kinds, each with a queue: 131,072 ids of calls that must not run twice, 32,768 each of those that may and of those that the store knows, 4,096 of unsent ones. Ids that are never used again take a set in place of a map.

Test: an_id_whose_client_left_does_not_run_again_after_many_requests_that_may_be_ repeated, which failed before.

--- a/crates/yarrowspoke-front/src/call_ids.rs
+++ b/crates/yarrowspoke-front/src/call_ids.rs
@@ -1,15 +1,34 @@
 //! Ids of the calls in progress and of those answered last: each call has an id of its own.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
-/// Number of ids that are remembered of calls that may have run: a repeat within a minute is recognised at 500 calls a second.
-const MAX_SENT_IDS: usize = 32_768;
-/// Number of ids that are remembered of calls that no machine got. Whoever sends many of those makes none of the others
+/// What is known of the calls whose ids are remembered together. Many calls of one kind make no id of another kind
 /// forgotten.
-const MAX_UNSENT_IDS: usize = 4_096;
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum History {
+    /// They may have run, and must not run twice.
+    Effects,
+    /// They may have run, and the ledger knows them too.
+    Recorded,
+    /// They may have run, and may be repeated.
+    Repeatable,
+    /// No machine has got them.
+    Unsent,
+}
+
+impl History {
+    /// Returns the number of ids that are remembered.
+    fn capacity(self) -> usize {
+        match self {
+            Self::Effects => 131_072,
+            Self::Recorded | Self::Repeatable => 32_768,
+            Self::Unsent => 4_096,
+        }
+    }
+}
 
 /// The ids that are known.
 #[derive(Default)]
@@ -19,26 +38,30 @@
 
 #[derive(Default)]
 struct CallIdState {
-    known: HashMap<u64, KnownId>,
-    /// Ids of calls that may have run and of those that have not, in the order of their ends. An id that was used again is
-    /// there more than once.
-    sent: VecDeque<u64>,
-    unsent: VecDeque<u64>,
+    open: HashSet<u64>,
+    /// Ids of ended calls that the ledger does not know. None of them is used again.
+    ended: HashSet<u64>,
+    /// Ids of calls that the ledger knows. They may be used again.
+    recorded: HashMap<u64, RecordedId>,
+    effects_history: VecDeque<u64>,
+    recorded_history: VecDeque<u64>,
+    repeatable_history: VecDeque<u64>,
+    unsent_history: VecDeque<u64>,
 }
 
-struct KnownId {
-    is_open: bool,
-    /// How often it is among the ids of ended calls.
+struct RecordedId {
+    /// The ledger's identity of the request; half of it, since many ids are kept.
+    identity: u64,
+    /// How often the id is in the histories.
     ends: u32,
-    /// The ledger's identity of its request, if that is recorded; half of it, since many ids are kept.
-    recorded_as: Option<u64>,
 }
 
 /// Holds a call id in progress until it is dropped.
 pub struct OpenCallId {
     state: Rc<RefCell<CallIdState>>,
     id: u64,
-    may_have_run: bool,
+    is_recorded: bool,
+    history: History,
 }
 
 impl CallIds {
@@ -49,56 +72,75 @@
         let mut hasher = DefaultHasher::new();
         call_id.hash(&mut hasher);
         let id = hasher.finish();
-        let recorded_as = recorded_as.map(|identity| identity as u64);
+        let identity = recorded_as.map(|identity| identity as u64);
         let mut state = self.state.borrow_mut();
-        match state.known.get_mut(&id) {
-            None => {
-                state.known.insert(id, KnownId { is_open: true, ends: 0, recorded_as });
-            }
-            Some(known) if !known.is_open && recorded_as.is_some() && known.recorded_as == recorded_as => {
-                known.is_open = true;
-            }
-            Some(_) => return None,
+        if !state.is_available(id, identity) {
+            return None;
+        }
+        state.open.insert(id);
+        if let Some(identity) = identity {
+            state.recorded.entry(id).or_insert(RecordedId { identity, ends: 0 });
         }
-        Some(OpenCallId { state: Rc::clone(&self.state), id, may_have_run: true })
+        let is_recorded = identity.is_some();
+        let history = if is_recorded { History::Recorded } else { History::Effects };
+        Some(OpenCallId { state: Rc::clone(&self.state), id, is_recorded, history })
     }
 }
 
 impl CallIdState {
-    fn close(&mut self, id: u64, may_have_run: bool) {
-        if let Some(known) = self.known.get_mut(&id) {
-            known.is_open = false;
-            known.ends += 1;
+    fn is_available(&self, id: u64, identity: Option<u64>) -> bool {
+        let is_known = self.open.contains(&id) || self.ended.contains(&id);
+        !is_known && self.recorded.get(&id).is_none_or(|recorded| identity == Some(recorded.identity))
+    }
+
+    fn close(&mut self, id: u64, is_recorded: bool, history: History) {
+        self.open.remove(&id);
+        if !is_recorded {
+            self.ended.insert(id);
+        } else if let Some(recorded) = self.recorded.get_mut(&id) {
+            recorded.ends += 1;
         }
-        let (ended, limit) = match may_have_run {
-            true => (&mut self.sent, MAX_SENT_IDS),
-            false => (&mut self.unsent, MAX_UNSENT_IDS),
+        let ids = match history {
+            History::Effects => &mut self.effects_history,
+            History::Recorded => &mut self.recorded_history,
+            History::Repeatable => &mut self.repeatable_history,
+            History::Unsent => &mut self.unsent_history,
         };
-        ended.push_back(id);
-        let excess = if ended.len() > limit { ended.pop_front() } else { None };
-        if let Some(oldest) = excess {
-            self.forget_end(oldest);
+        let oldest = if ids.len() >= history.capacity() { ids.pop_front() } else { None };
+        ids.push_back(id);
+        if let Some(oldest) = oldest {
+            self.forget(oldest);
         }
     }
 
-    fn forget_end(&mut self, id: u64) {
-        let Some(known) = self.known.get_mut(&id) else { return };
-        known.ends -= 1;
-        if known.ends == 0 && !known.is_open {
-            self.known.remove(&id);
+    fn forget(&mut self, id: u64) {
+        let Some(recorded) = self.recorded.get_mut(&id) else {
+            self.ended.remove(&id);
+            return;
+        };
+        recorded.ends -= 1;
+        if recorded.ends == 0 && !self.open.contains(&id) {
+            self.recorded.remove(&id);
         }
     }
 }
 
 impl OpenCallId {
+    /// Records that the call may run twice without harm.
+    pub fn set_repeatable(&mut self) {
+        if self.history == History::Effects {
+            self.history = History::Repeatable;
+        }
+    }
+
     /// Records that no machine has got the call and that none will.
     pub fn set_unsent(&mut self) {
-        self.may_have_run = false;
+        self.history = History::Unsent;
     }
 }
 
 impl Drop for OpenCallId {
     fn drop(&mut self) {
-        self.state.borrow_mut().close(self.id, self.may_have_run);
+        self.state.borrow_mut().close(self.id, self.is_recorded, self.history);
     }
 }
--- a/crates/yarrowspoke-front/src/event_bus.rs
+++ b/crates/yarrowspoke-front/src/event_bus.rs
@@ -124,6 +124,12 @@
         self.malformed.set(self.malformed.get() + 1);
     }
 
+    /// Returns whether a call may run twice without harm.
+    pub fn is_repeatable(&self, call: &Call) -> bool {
+        let class = self.classes.get(usize::from(call.class));
+        class.is_some_and(|class| class.is_repeatable) && !call.policy.at_most_once
+    }
+
     /// Counts a request whose body was rejected because there was no memory for it.
     pub fn count_body_without_memory(&self) {
         self.bodies_without_memory.set(self.bodies_without_memory.get() + 1);
--- a/crates/yarrowspoke-front/src/explain.rs
+++ b/crates/yarrowspoke-front/src/explain.rs
@@ -45,7 +45,7 @@
     };
     let class_protocols: Vec<ClassProtocol> = match &config {
         Some(config) => config.settings.module.classes.iter().map(ClassProtocol::of).collect(),
-        None => names.classes.iter().map(|_| ClassProtocol { deadline: 0, method: None }).collect(),
+        None => names.classes.iter().map(|_| ClassProtocol::default()).collect(),
     };
     let classifier = Classifier::new(0);
     classifier.load(Some(rules));
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -76,11 +76,14 @@
 }
 
 /// Properties of a class that the request parser needs.
+#[derive(Default)]
 pub struct ClassProtocol {
     /// Deadline of requests that state no budget.
     pub deadline: Micros,
     /// HTTP method that requests of the class must use, if one is prescribed.
     pub method: Option<&'static str>,
+    /// Whether its requests may run twice without harm.
+    pub is_repeatable: bool,
 }
 
 impl ClassProtocol {
@@ -91,7 +94,8 @@
             Idempotency::AtMostOnce => Some("POST"),
             Idempotency::Keyed => None,
         };
-        Self { deadline: class.deadline, method }
+        let is_repeatable = class.idempotency == Idempotency::Idempotent;
+        Self { deadline: class.deadline, method, is_repeatable }
     }
 }
 
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -340,6 +340,9 @@
                     Timer::after(DUPLICATE_ID_DELAY).await;
                     continue;
                 };
+                if event_bus.is_repeatable(&call) {
+                    open_id.set_repeatable();
+                }
                 let received_at = event_bus.clock.now();
                 let decision = match record_key {
                     Some(key) => Some(event_bus.ledger_writer.record_intent(key).await),
--- a/crates/yarrowspoke-front/tests/request_identity.rs
+++ b/crates/yarrowspoke-front/tests/request_identity.rs
@@ -179,3 +179,29 @@
     }
     assert_eq!(outcome(&environment, &comment), (409, false));
 }
+
+#[test]
+fn an_id_whose_client_left_does_not_run_again_after_many_requests_that_may_be_repeated() {
+    // Readers at full speed made the front forget the ids of comments within seconds, so a comment ran a second time when it
+    // came again.
+    const READERS: usize = 4;
+    const REQUESTS: usize = 8_500;
+    let (from, to) = (r#""QuotaRps": 100.0"#, r#""QuotaRps": 1000000.0"#);
+    let environment = TestEnvironment::with_config_change(&[Behaviour::Serve], from, to);
+    let comment = Comment::new(None);
+    let mut client = environment.client();
+    client.send(comment.request().as_bytes());
+    wait_until("the machine got the comment", || environment.seen() == 1);
+    drop(client);
+    std::thread::scope(|scope| {
+        for _ in 0..READERS {
+            let mut reader = environment.client();
+            scope.spawn(move || {
+                let mut answers = (0..2 * REQUESTS).map(|_| reader.request(&get(&unique_id(), "2.0")));
+                let is_served = |answer: &Option<Message>| answer.as_ref().unwrap().start().contains(" 200 ");
+                assert_eq!(answers.by_ref().filter(is_served).take(REQUESTS).count(), REQUESTS);
+            });
+        }
+    });
+    assert_eq!(outcome(&environment, &comment), (409, false));
+}
