--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -1,5 +1,7 @@
 //! Event loop around the decision module: feeds it events in order, runs its timers and carries out its actions.
 
+mod usage_report;
+
 use crate::event_bus::EventBus;
 use crate::exchange::{Answer, Exchange};
 use crate::input::{Addresses, Input, ListContent, ListMessage, Row};
@@ -237,72 +239,6 @@
         self.handle_event(Event::List { kind: ListUpdate::Stalled, version: 0, as_of, entries: &[] });
     }
 
-    /// Logs the connections and requests in use, and the attempt failures since the last report.
-    fn log_usage(&self) {
-        let ((clients, machine_connections), [fresh, kept]) =
-            (self.event_bus.descriptors.in_use(), self.event_bus.idle_clients.each_ref().map(|c| c.get()));
-        let (idle, failures) =
-            (self.remotes.machines.idle_count(), self.remotes.machines.take_failure_counts());
-        log::info!(
-            "clients {clients} ({fresh} new, {kept} kept idle), requests {}, attempts in flight {}, \
-             connections to machines {machine_connections} ({idle} idle), attempts failed {failures:?}",
-            self.open_requests.len(),
-            self.attempts_in_flight.len(),
-        );
-        let (bodies, answers) =
-            (self.event_bus.bodies_without_memory.take(), self.remotes.machines.take_answers_that_waited());
-        if bodies + answers > 0 {
-            log::warn!(
-                "memory for large bodies was used up: {bodies} requests rejected, {answers} answers waited"
-            );
-        }
-        let calls = self.remotes.discovery.take_counts();
-        log::info!(
-            "list: version {}, last confirmed {:?} ago; calls to discovery: {} opened, {} renewed, failed {:?}, \
-             slowest opening {:?}; since the start {:?}",
-            self.remotes.discovery.index(),
-            self.remotes.discovery.last_answered_at().map(|at| at.elapsed()),
-            calls.opened,
-            calls.renewed,
-            calls.failed,
-            calls.slowest_open,
-            self.front.membership_counts(),
-        );
-        if let Some((events, counts)) = self.shadow.as_ref().map(ShadowSettings::counts) {
-            log::info!("watch: {events} events, decisions that differ under the shadow settings: {counts:?}");
-        }
-        for line in
-            [self.event_bus.classifier.report(), self.event_bus.ledger_writer.report()].into_iter().flatten()
-        {
-            log::info!("{line}");
-        }
-    }
-
-    /// Logs what uses the descriptors, if one of their limits is reached.
-    fn log_limit_reached(&self) {
-        let (((clients, machine_connections), (client_limit, machine_limit)), idle) = (
-            (self.event_bus.descriptors.in_use(), self.event_bus.descriptors.limits()),
-            self.remotes.machines.idle_count(),
-        );
-        if clients < client_limit
-            && machine_connections - idle < machine_limit
-            && !self.event_bus.descriptors.is_full()
-        {
-            return;
-        }
-        let unsent =
-            self.attempts_in_flight.values().filter(|f| f.progress.get() < Progress::Written).count();
-        let [fresh, kept] = self.event_bus.idle_clients.each_ref().map(|c| c.get());
-        let first_byte_wait = self.event_bus.max_first_byte_wait.take();
-        let waiting = self.open_requests.values().filter(|o| !o.exchange.is_finished()).count();
-        let in_flight = self.attempts_in_flight.len();
-        log::warn!(
-            "at a limit: clients {clients} of {client_limit} ({fresh} new, {kept} kept idle, \
-             first bytes up to {first_byte_wait} us), requests waiting {waiting}, attempts in flight {in_flight} \
-             ({unsent} unsent), connections to machines {machine_connections} of {machine_limit} ({idle} idle)"
-        );
-    }
-
     fn set_timer(&mut self, at: Micros, kind: TimerKind) -> TimerKey {
         self.timer_sequence += 1;
         self.timers.insert((at, self.timer_sequence), kind);
--- a/crates/yarrowspoke-store/src/store.rs
+++ b/crates/yarrowspoke-store/src/store.rs
@@ -452,7 +452,7 @@
                 match op {
                     Op::Begin { id, content, retention } => {
                         let stored = stored_record(&ledger, *id)?;
-                        let (record, recorded) = (stored.as_ref().map(|s| &s.record), stored.as_ref());
+                        let record = stored.as_ref().map(|s| &s.record);
                         let first_expiry = expiry_index.first()?.map(|d| d.0.value().0);
                         let space = SpaceUsage { bytes, max_bytes: self.max_bytes, first_expiry };
                         let record_intent = Record {
@@ -467,7 +467,8 @@
                             intent.framed(0).len() as u64 + RECORD_OVERHEAD_BYTES
                         };
                         let decision = decide(record, next.incarnation, now, &space, required);
-                        let decision = check_content(decision, recorded.and_then(|s| s.content), *content);
+                        let decision =
+                            check_content(decision, stored.as_ref().and_then(|s| s.content), *content);
                         if decision == Decision::Admit {
                             put_record(&mut ledger, &mut expiry_index, &mut bytes, *id, &intent)?;
                         }
@@ -493,21 +494,7 @@
                     }
                 }
             }
-            // Deletes expired records, a bounded number at a time.
-            let expired: Vec<(u64, u128)> = expiry_index
-                .range(..=(now, u128::MAX))?
-                .take(MAX_DELETIONS_PER_GROUP)
-                .map(|entry| entry.map(|e| e.0.value()))
-                .collect::<Result<_, _>>()?;
-            for (expires_at, id) in expired {
-                let framed = ledger.get(id)?.map(|v| v.value().to_vec());
-                let Some(framed) = framed else { continue };
-                if may_expire(&Self::decode_record(id, &framed)?, next.incarnation, now) {
-                    ledger.remove(id)?;
-                    expiry_index.remove((expires_at, id))?;
-                    bytes = bytes.saturating_sub(framed.len() as u64 + RECORD_OVERHEAD_BYTES);
-                }
-            }
+            delete_expired(&mut ledger, &mut expiry_index, &mut bytes, next.incarnation, now)?;
             let records = u128::from(ledger.len()?);
             for (name, value) in [
                 ("bytes", u128::from(bytes)),
@@ -600,6 +587,31 @@
     Ok(())
 }
 
+/// Deletes expired records, a bounded number at a time.
+fn delete_expired(
+    ledger: &mut Ledger,
+    expiry_index: &mut ExpiryIndex,
+    bytes: &mut u64,
+    incarnation: u64,
+    now: Micros,
+) -> Result<(), StoreError> {
+    let expired: Vec<(u64, u128)> = expiry_index
+        .range(..=(now, u128::MAX))?
+        .take(MAX_DELETIONS_PER_GROUP)
+        .map(|entry| entry.map(|e| e.0.value()))
+        .collect::<Result<_, _>>()?;
+    for (expires_at, id) in expired {
+        let framed = ledger.get(id)?.map(|v| v.value().to_vec());
+        let Some(framed) = framed else { continue };
+        if may_expire(&Store::decode_record(id, &framed)?, incarnation, now) {
+            ledger.remove(id)?;
+            expiry_index.remove((expires_at, id))?;
+            *bytes = bytes.saturating_sub(framed.len() as u64 + RECORD_OVERHEAD_BYTES);
+        }
+    }
+    Ok(())
+}
+
 /// Returns the id of a request in the store with id `store`, by its class and its identity within the class.
 pub fn id_of(store: u128, class: &str, identity: &str) -> u128 {
     let mut hasher = SipHasher13::new_with_keys(store as u64, (store >> 64) as u64);
