A line that cannot be decoded renews no lease of its machine

What callers may see: a machine that drains goes on getting requests for as long as its line in discovery's list cannot be decoded.

Cause: driver.rs, on_list_message, passed such lists on as changes that say nothing of the machine, and Leases::confirm renewed the list as a whole.

Excluded: removals by absence and superseded watches, which confirm nothing.

Change: the module is told which machines such lines name (UndecodedMachines); later lists cover them only up to the end of the lease that they had, for this front's sends and for what it confirms to others, until a line of theirs can be decoded. The 6 s and all other leases stay.

--- a/crates/yarrowspoke-front/src/driver.rs
+++ b/crates/yarrowspoke-front/src/driver.rs
@@ -430,6 +430,11 @@
             // What the undecoded lines name is as it was, so this is applied as changes.
             ListContent::PartialSnapshot { mut rows, undecoded } => {
                 rows.extend(self.listed_machines.removed_by_absence(&rows, &undecoded));
+                self.handle_event(Event::UndecodedMachines(&undecoded));
+                (ListUpdate::Delta, rows)
+            }
+            ListContent::PartialDelta { rows, undecoded } => {
+                self.handle_event(Event::UndecodedMachines(&undecoded));
                 (ListUpdate::Delta, rows)
             }
             ListContent::Delta(rows) => (ListUpdate::Delta, rows),
--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -133,6 +133,14 @@
     },
     /// Changes only: a machine without a row is as it was.
     Delta(Vec<Row>),
+    /// Changes only, some lines of which could not be decoded: a machine that neither a row nor such a line names is as it
+    /// was.
+    PartialDelta {
+        /// The lines that could be decoded.
+        rows: Vec<Row>,
+        /// Machines named in the other lines, as far as their names could be decoded.
+        undecoded: Vec<MachineId>,
+    },
     /// Nothing: the call failed.
     Failed,
     /// Nothing: the response could not be used.
--- a/crates/yarrowspoke-front/src/listed_machines.rs
+++ b/crates/yarrowspoke-front/src/listed_machines.rs
@@ -52,7 +52,7 @@
         let (rows, undecoded) = match content {
             ListContent::Snapshot(rows) => (rows, Some([].as_slice())),
             ListContent::PartialSnapshot { rows, undecoded } => (rows, Some(undecoded.as_slice())),
-            ListContent::Delta(rows) => (rows, None),
+            ListContent::PartialDelta { rows, .. } | ListContent::Delta(rows) => (rows, None),
             ListContent::Failed | ListContent::Unreadable => return Vec::new(),
         };
         let mut restricted: Vec<Row> = rows.iter().filter_map(|row| self.restricted_by_row(row)).collect();
--- a/crates/yarrowspoke-front/src/net/list.rs
+++ b/crates/yarrowspoke-front/src/net/list.rs
@@ -349,7 +349,7 @@
                 self.request_snapshot();
             }
             let content = list.into_content(wants_snapshot);
-            let is_delta = matches!(content, ListContent::Delta(_));
+            let is_delta = matches!(content, ListContent::Delta(_) | ListContent::PartialDelta { .. });
             let version_went_back = is_delta && index < from;
             if version_went_back {
                 log::warn!("discovery: version {index} after {from}; requesting a snapshot");
--- a/crates/yarrowspoke-front/src/net/list_codec.rs
+++ b/crates/yarrowspoke-front/src/net/list_codec.rs
@@ -26,10 +26,11 @@
     /// Returns what the response states. `asked_whole` says that the whole list was asked for, and not changes.
     pub fn into_content(self, asked_whole: bool) -> ListContent {
         let Self { rows, undecoded, .. } = self;
-        match self.is_snapshot || asked_whole {
-            true if self.unreadable > 0 => ListContent::PartialSnapshot { rows, undecoded },
-            true => ListContent::Snapshot(rows),
-            false => ListContent::Delta(rows),
+        match (self.is_snapshot || asked_whole, self.unreadable > 0) {
+            (true, true) => ListContent::PartialSnapshot { rows, undecoded },
+            (true, false) => ListContent::Snapshot(rows),
+            (false, true) => ListContent::PartialDelta { rows, undecoded },
+            (false, false) => ListContent::Delta(rows),
         }
     }
 }
--- a/crates/yarrowspoke-front/tests/lease_evidence.rs
+++ b/crates/yarrowspoke-front/tests/lease_evidence.rs
@@ -8,7 +8,7 @@
 use common::{get, unique_id};
 use futures_lite::future::{block_on, poll_once};
 use scripted::stage::{Stage, EMPTY};
-use scripted::{entry, listing, Peer, Program};
+use scripted::{entry, listing, Peer, Program, Wire};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::mpsc::channel;
@@ -20,6 +20,9 @@
 /// Version that a watch of the stage holds once it is open.
 const HELD: u64 = 7;
 
+/// Responses that cannot be decoded in full after which what could be decoded is used.
+const UNREADABLE_RESPONSES: usize = 5;
+
 /// Returns a stage with one front of several, so that a failed call is no sign of an outage.
 fn one_of_several() -> Stage {
     Stage::set(EMPTY).told("\"PeersTotal\": 1", "\"PeersTotal\": 2")
@@ -96,6 +99,39 @@
     assert_eq!(lease_end(&program, &machines[1]), before);
 }
 
+/// Answers the held call and each of its repetitions, which come on new connections, and returns the next held call.
+fn answer_until_accepted(stage: &Stage, mut watch: Wire, list: &str) -> Wire {
+    watch.answer(list);
+    for _ in 1..UNREADABLE_RESPONSES {
+        watch = stage.discovery.connection();
+        assert!(watch.message().is_some());
+        watch.answer(list);
+    }
+    watch = stage.discovery.connection();
+    assert!(watch.message().unwrap().start().contains("hold_ms=3000"));
+    watch
+}
+
+#[test]
+fn a_line_that_cannot_be_decoded_renews_no_lease_of_its_machine() {
+    // Discovery had something to tell of the machine, such as that it drains, and the machine counted as confirmed.
+    for whole in [false, true] {
+        let machine = Peer::start();
+        let stage = one_of_several();
+        let (program, watch) = stage.watched(&[&machine]);
+        let before = lease_end(&program, &machine);
+        let undecodable = entry("s-0", machine.address, "somewhere", 41, 0);
+        let mut watch = answer_until_accepted(&stage, watch, &listing(HELD + 1, whole, &[undecodable]));
+        assert_eq!(lease_end(&program, &machine), before, "whole: {whole}");
+        watch.answer(&listing(HELD + 1, false, &[]));
+        assert!(watch.message().is_some());
+        assert_eq!(lease_end(&program, &machine), before, "whole: {whole}");
+        watch.answer(&listing(HELD + 2, false, &[scripted::stage::up(0, &machine)]));
+        assert!(watch.message().is_some());
+        assert!(lease_end(&program, &machine) > before, "whole: {whole}");
+    }
+}
+
 #[test]
 fn an_ordinary_end_of_a_held_call_renews_the_lease() {
     let (stage, machine) = (one_of_several(), Peer::start());
--- a/crates/yarrowspoke-lab/src/scale/hollow.rs
+++ b/crates/yarrowspoke-lab/src/scale/hollow.rs
@@ -184,9 +184,9 @@
             Input::ListUpdated(ListMessage { index, needs_snapshot, content, .. }) => {
                 let (kind, rows) = match content {
                     ListContent::Snapshot(rows) => (ListUpdate::Snapshot, rows),
-                    ListContent::PartialSnapshot { rows, .. } | ListContent::Delta(rows) => {
-                        (ListUpdate::Delta, rows)
-                    }
+                    ListContent::PartialSnapshot { rows, .. }
+                    | ListContent::PartialDelta { rows, .. }
+                    | ListContent::Delta(rows) => (ListUpdate::Delta, rows),
                     ListContent::Failed | ListContent::Unreadable => continue,
                 };
                 front.discovery.set_version(index, needs_snapshot);
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -420,6 +420,8 @@
         /// The entries.
         entries: &'a [MachineEntry],
     },
+    /// The next list names these machines in lines that could not be decoded, so it says nothing of them.
+    UndecodedMachines(&'a [MachineId]),
     /// The address of discovery. If it has moved, the subscription at the old address has ended, and the front must
     /// soon act on the list at the new one.
     DiscoveryAddress {
--- a/crates/yarrowspoke/src/membership/lease.rs
+++ b/crates/yarrowspoke/src/membership/lease.rs
@@ -86,6 +86,9 @@
     terms: LeaseTerms,
     list: LeaseBasis,
     machines: BTreeMap<MachineId, LeaseBasis>,
+    /// Machines of which discovery's list says nothing that could be decoded, and when the last lease on a list ends that
+    /// covers them. No later one does, until a list does say something of them.
+    excepted: BTreeMap<MachineId, Micros>,
     /// What others know from a list newer than this front's own. While no front can reach discovery, only these
     /// machines stay in use.
     newer: Option<NewerList>,
@@ -103,7 +106,15 @@
             true => LeaseBasis { source: LeaseSource::Discovery, until: Micros::MAX },
             false => LeaseBasis { source: LeaseSource::None, until: 0 },
         };
-        Self { terms, list, machines: BTreeMap::new(), newer: None, moved_deadline: None, unread_at: None }
+        Self {
+            terms,
+            list,
+            machines: BTreeMap::new(),
+            excepted: BTreeMap::new(),
+            newer: None,
+            moved_deadline: None,
+            unread_at: None,
+        }
     }
 
     /// Starts a short lease on the list cached before the start.
@@ -122,7 +133,33 @@
         self.moved_deadline = None;
         self.unread_at = None;
         // Confirmations by other fronts are no newer than this one.
-        self.machines.clear();
+        self.machines.retain(|machine, _| self.excepted.contains_key(machine));
+    }
+
+    /// Has later lists cover none of these machines, as the next one says nothing of them that could be decoded.
+    pub fn except_from_list(&mut self, machines: &[MachineId]) {
+        let until = self.list_until();
+        for machine in machines {
+            self.excepted.entry(*machine).or_insert(until);
+        }
+    }
+
+    /// Has the list cover these machines again, of which it says something that could be decoded.
+    pub fn end_exceptions(&mut self, machines: impl Iterator<Item = MachineId>) {
+        if self.excepted.is_empty() {
+            return;
+        }
+        for machine in machines {
+            self.excepted.remove(&machine);
+        }
+    }
+
+    /// Returns the lease on the list as it covers this machine.
+    fn list_basis(&self, machine: MachineId) -> LeaseBasis {
+        match self.excepted.get(&machine) {
+            Some(until) => LeaseBasis { until: self.list.until.min(*until), ..self.list },
+            None => self.list,
+        }
     }
 
     /// Records that a call failed, or that the subscription ended if `was_subscribed` is set.
@@ -274,7 +311,7 @@
     /// alone.
     pub fn lease_basis(&self, now: Micros, machine: MachineId) -> Option<LeaseBasis> {
         let single = || self.machines.get(&machine).and_then(|lease| self.valid(now, *lease));
-        self.valid(now, self.list).or_else(single)
+        self.valid(now, self.list_basis(machine)).or_else(single)
     }
 
     /// Returns how long ago discovery confirmed a machine, if this front may confirm it to others, by its own
@@ -283,7 +320,7 @@
         if self.awaits_moved_discovery() {
             return None;
         }
-        let list = self.is_from_discovery().then_some(self.list);
+        let list = self.is_from_discovery().then_some(self.list_basis(machine));
         let peer_lease = self.machines.get(&machine).filter(|m| m.source == LeaseSource::Peer).copied();
         let until = list.into_iter().chain(peer_lease).map(|b| b.until).max()?;
         self.age(now, until)
@@ -337,5 +374,6 @@
     /// Drops machines for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(MachineId) -> bool) {
         self.machines.retain(|m, _| keep(*m));
+        self.excepted.retain(|m, _| keep(*m));
     }
 }
--- a/crates/yarrowspoke/src/membership/mod.rs
+++ b/crates/yarrowspoke/src/membership/mod.rs
@@ -186,6 +186,7 @@
             ListUpdate::Cached => self.leases.start_from_cache(now),
             ListUpdate::Snapshot | ListUpdate::Delta => {
                 self.leases.confirm(as_of);
+                self.leases.end_exceptions(entries.iter().map(|entry| entry.machine));
                 self.schedule.on_answer(now);
                 self.outage.confirm(as_of);
             }
@@ -209,6 +210,12 @@
         }
     }
 
+    /// Records that the next list names these machines in lines that could not be decoded. Discovery has something to tell
+    /// of them that this front does not know.
+    pub fn on_undecoded(&mut self, machines: &[MachineId]) {
+        self.leases.except_from_list(machines);
+    }
+
     /// Records the address of discovery.
     pub fn on_discovery(&mut self, now: Micros, discovery_id: DiscoveryId, moved: bool) {
         if !moved {
--- a/crates/yarrowspoke/src/rules.rs
+++ b/crates/yarrowspoke/src/rules.rs
@@ -166,6 +166,7 @@
                 self.membership.on_list(now, as_of, kind, version, entries);
                 self.on_list(now, kind, entries);
             }
+            Event::UndecodedMachines(machines) => self.membership.on_undecoded(machines),
             Event::DiscoveryAddress { discovery_id, moved } => {
                 self.membership.on_discovery(now, discovery_id, moved)
             }
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -128,6 +128,32 @@
     assert_eq!(send_request(&mut rig, None), None);
 }
 
+#[test]
+fn a_machine_of_which_lists_say_nothing_that_could_be_decoded_gets_nothing_once_its_lease_ends() {
+    // Guards against a drain that cannot be decoded and, with the rest of the list, counts as a confirmation.
+    let mut rig = Rig::new(subscribed_settings(0, 2, true), 2);
+    rig.list(ListUpdate::Delta, &[]);
+    let lease_ends_at = rig.now + 6 * S;
+    for second in 1..6 {
+        wait(&mut rig, S);
+        rig.say(Event::UndecodedMachines(&[0]));
+        rig.list(ListUpdate::Delta, &[]);
+        // Other fronts are told of it with the age of what was decoded last.
+        let mut ages: Vec<_> = query_list(&mut rig).confirmations.iter().map(|c| c.age).collect();
+        ages.sort_unstable();
+        assert_eq!(ages, [0, second * S]);
+    }
+    let gets_any = |rig: &mut Rig| (0..20).any(|_| send_request(rig, Some(CallOutcome::Ok)) == Some(0));
+    let remaining = lease_ends_at - rig.now;
+    wait(&mut rig, remaining - 50 * MS);
+    assert!(gets_any(&mut rig));
+    wait(&mut rig, 50 * MS);
+    assert!(!gets_any(&mut rig));
+    assert_eq!(send_request(&mut rig, Some(CallOutcome::Ok)), Some(1));
+    rig.list(ListUpdate::Delta, &[entry(0, 1, 0)]);
+    assert!(gets_any(&mut rig));
+}
+
 #[test]
 fn cached_list_expires_before_the_drain_grace() {
     let mut rig = Rig::new(subscribed_settings(0, 2, false), 3);
