A request's time counts from its place in the accept queue, not from the first pause

Callers saw: with 300 clients at 256 descriptors that connect, stay silent and come again when they are closed, usual requests were refused with 503 although a connection was free for them within 0.3 s and the machines were idle.

Cause: net/clients.rs, spawn_connection. While accepting pauses at the limit of client connections, the first request of a connection was counted from the beginning of the pause. That was forgotten only once nobody waited any more, so in a crowd that always has somebody waiting it lay ever further back, until every request came with its whole time used up.

Excluded: load (the one machine served what came), and the lease on the list.

Change: net/accept_queue.rs. Connections are accepted in their order and the kernel keeps backlog + 1 of them, so one that is accepted was not in the queue yet when the one 129 places before it was accepted. The backlog, 128 as before, is now stated by the program, since the bound needs it. Accepting has its own file, net/client_listener.rs.

Tests: tests/crowds.rs. Both failed without the bound: the usual request was answered 503 after 0.27 s. With it all are served.

--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -1,4 +1,4 @@
-//! Client connections: accepting them, reading requests and writing final answers.
+//! Client connections: reading requests and writing final answers.
 
 use super::http::{Decoder, Encoder, BODY_LIMIT};
 use super::request_head::{ClientRequest, RequestHead};
@@ -10,13 +10,9 @@
 use crate::input::Input;
 use crate::ledger_writer::LedgerDecision;
 use crate::shutdown::STOP_GRACE;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncWriteExt, FutureExt};
-use std::cell::Cell;
-use std::io::ErrorKind;
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::panic::AssertUnwindSafe;
+use futures_lite::{future, AsyncWriteExt};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use yarrowspoke::interface::Micros;
@@ -40,121 +36,14 @@
 const LINGER_UNPACED_BYTES: usize = 128 * 1024;
 const LINGER_CHUNK_BYTES: usize = 64 * 1024;
 const LINGER_PAUSE: Duration = Duration::from_millis(2);
-/// Pause after an accept has failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Shortest time without data after which a new connection may be closed while descriptors run low.
 const MIN_SILENT_TIME: Duration = Duration::from_millis(300);
 /// Shortest idle time after which a connection may be closed to free its descriptor.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
-/// Interval between two requests to close an idle connection, and between two checks whether descriptors run low.
-const IDLE_CLOSE_INTERVAL: Duration = Duration::from_millis(1);
-const IDLE_CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest pause in accepting without a check.
-const ACCEPT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Pause before the next request of a client that has repeated an id. Some clients resend as soon as they are
 /// rejected, and would saturate the processor.
 const DUPLICATE_ID_DELAY: Duration = Duration::from_millis(10);
 
-/// Accepts client connections.
-pub struct ClientListener {
-    listener: Async<TcpListener>,
-    event_bus: Rc<EventBus>,
-    executor: Rc<LocalExecutor<'static>>,
-    /// Time since when connections may have been waiting to be accepted; `None` once all waiting ones were.
-    paused_since: Cell<Option<Micros>>,
-}
-
-impl ClientListener {
-    /// Returns an acceptor for the clients of `listener`.
-    pub fn new(
-        listener: Async<TcpListener>,
-        event_bus: Rc<EventBus>,
-        executor: Rc<LocalExecutor<'static>>,
-    ) -> Self {
-        Self { listener, event_bus, executor, paused_since: Cell::default() }
-    }
-
-    /// Accepts clients until the process ends.
-    pub async fn serve(self: Rc<Self>) {
-        loop {
-            // At the limit, accepting pauses until a descriptor is released, without spinning.
-            if !self.event_bus.descriptors.can_accept_client() {
-                self.pause();
-                with_timeout(ACCEPT_CHECK_INTERVAL, self.event_bus.descriptors.wait_for_release()).await;
-                continue;
-            }
-            let accepted = match future::poll_once(self.listener.accept()).await {
-                Some(accepted) => accepted,
-                None => {
-                    self.paused_since.set(None);
-                    self.listener.accept().await
-                }
-            };
-            match accepted {
-                Ok((stream, _)) => self.spawn_connection(stream),
-                Err(e) => {
-                    log::warn!("accept: {e}");
-                    Timer::after(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Accepts all waiting connections as far as the limit allows; returns whether any was accepted or may still be
-    /// waiting.
-    pub fn accept_waiting(&self) -> bool {
-        let mut accepted_any = false;
-        while self.event_bus.descriptors.can_accept_client() {
-            match self.listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
-                Ok(stream) => {
-                    self.spawn_connection(stream);
-                    accepted_any = true;
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return accepted_any,
-                // This connection ended while it waited; others may be queued behind it.
-                Err(_) => return true,
-            }
-        }
-        self.pause();
-        true
-    }
-
-    fn pause(&self) {
-        self.paused_since.set(self.paused_since.get().or_else(|| Some(self.event_bus.clock.now())));
-    }
-
-    fn spawn_connection(&self, stream: Async<TcpStream>) {
-        let descriptor = self.event_bus.descriptors.take_for_client();
-        let waited = self.paused_since.get().map_or(0, |since| self.event_bus.clock.now() - since);
-        let served = AssertUnwindSafe(serve_connection(stream, Rc::clone(&self.event_bus), waited));
-        let served = async move {
-            // A bug triggered by one connection ends only that connection.
-            if served.catch_unwind().await.is_err() {
-                log::error!("client connection ended by a panic");
-            }
-            drop(descriptor);
-        };
-        self.executor.spawn(served).detach();
-    }
-}
-
-/// Closes idle connections while clients hold too many. Clients keep the connections of a busy period and may hold
-/// only a limited number: once idle connections use up the limit, nobody can connect any more, so freeing one only
-/// when the next client connects would wait forever. A client whose connection was closed reconnects, which causes
-/// the next close: with a pause between closes, this affects only a small part of the connections and cannot sustain
-/// itself.
-pub async fn close_idle_when_low(event_bus: Rc<EventBus>) {
-    loop {
-        if event_bus.descriptors.is_running_low() {
-            event_bus.descriptors.request_idle_close();
-            Timer::after(IDLE_CLOSE_INTERVAL).await;
-        } else {
-            event_bus.descriptors.clear_close_requests();
-            Timer::after(IDLE_CLOSE_CHECK_INTERVAL).await;
-        }
-    }
-}
-
 /// Encodes a final answer.
 pub fn encode(answer: &Answer, keep: bool) -> Vec<u8> {
     let (status, body): (_, &[u8]) = match answer {
@@ -281,7 +170,7 @@
 /// Serves one connection. `waited` is how long the connection may have waited to be accepted, and thus how long its
 /// first request may have waited unread. If the deadline were counted from reading alone, the request would be
 /// answered after its client has left.
-async fn serve_connection(stream: Async<TcpStream>, event_bus: Rc<EventBus>, waited: Micros) {
+pub async fn serve_connection(stream: Async<TcpStream>, event_bus: Rc<EventBus>, waited: Micros) {
     let _ = stream.get_ref().set_nodelay(true);
     let decoder = Decoder::with_context(BODY_LIMIT, Rc::clone(&event_bus.classifier));
     let mut connection = Connection { stream, decoder, turn: Turn::default(), body_reservation: None };
--- a/crates/yarrowspoke-front/src/net/mod.rs
+++ b/crates/yarrowspoke-front/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! Network protocols of a front, one module per kind of remote party.
 
+pub mod accept_queue;
 pub mod arrival;
+pub mod client_listener;
 pub mod clients;
 pub mod fleet;
 pub mod http;
--- a/crates/yarrowspoke-front/src/run.rs
+++ b/crates/yarrowspoke-front/src/run.rs
@@ -8,18 +8,17 @@
 use crate::fleet_member::{self, Member};
 use crate::input::{Input, Row};
 use crate::ledger_writer::{self, LedgerWriter};
-use crate::net::clients::{self, ClientListener};
+use crate::net::client_listener::{self, ClientListener};
 use crate::net::list::Discovery;
 use crate::net::machines::Machines;
 use crate::net::micros_to_duration;
 use crate::net::peers::Peers;
 use crate::shutdown::STOP_GRACE;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 use std::io;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -176,7 +175,7 @@
 ) -> io::Result<()> {
     let Setup { config, rules, store, fleet } = setup;
     let SignalHandlers { stop: mut stop_signals, reload: reload_signals } = signals;
-    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let listener = client_listener::bind(config.listen)?;
     let descriptors = DescriptorBudget::new(config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS));
     let classifier = Classifier::new(config.seed);
     classifier.load(rules);
@@ -240,7 +239,7 @@
         fleet_member::start(member, &executor, &event_bus.inputs);
     }
     executor.spawn(reload(reload_signals, files, running, Rc::clone(&event_bus))).detach();
-    executor.spawn(clients::close_idle_when_low(Rc::clone(&event_bus))).detach();
+    executor.spawn(client_listener::close_idle_when_low(Rc::clone(&event_bus))).detach();
     let client_listener = Rc::new(ClientListener::new(listener, Rc::clone(&event_bus), Rc::clone(&executor)));
     executor.spawn(Rc::clone(&client_listener).serve()).detach();
     log::info!("{settings_summary}");
--- /dev/null
+++ b/crates/yarrowspoke-front/tests/crowds.rs
@@ -0,0 +1,87 @@
+//! Crowds of clients that hold all connections that clients may have and come again as soon as they are closed: the requests
+//! of usual clients among them are served in time.
+
+mod common;
+mod scripted;
+
+use common::{any_port, get, unique_id};
+use scripted::crowd::Crowd;
+use scripted::stage::{Stage, EMPTY};
+use scripted::{entry, listing, Program, Wire};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use yarrowspoke_front::net::accept_queue::{AcceptQueue, BACKLOG};
+use yarrowspoke_toy::{Behaviour, Machine};
+
+/// Clients of a crowd, far more than a front with 256 descriptors accepts at once.
+const CROWD: usize = 300;
+/// Time after which requests of usual clients follow: longer than their own time.
+const BEFORE_REQUESTS: Duration = Duration::from_millis(2_500);
+/// Budget of a usual client's request, in seconds, and the time within which it must be answered.
+const BUDGET: &str = "2.0";
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_550);
+
+/// The program with 256 descriptors and a watch on one machine.
+struct Front {
+    program: Program,
+    _machine: Machine,
+    _stage: Stage,
+    _watch: Wire,
+}
+
+impl Front {
+    fn start() -> Self {
+        let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
+        let stage = Stage::set(EMPTY).told("\"sockets\": 1024", "\"sockets\": 256");
+        let program = stage.start();
+        let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine.address, "up", 41, 0)]));
+        assert!(watch.message().unwrap().start().contains("from=7"));
+        Self { program, _machine: machine, _stage: stage, _watch: watch }
+    }
+
+    /// Sends a request on a connection of its own, which must be served in time, connecting included.
+    fn serves_in_time(&self) {
+        let begun = Instant::now();
+        let stream = TcpStream::connect_timeout(&self.program.listen, ANSWER_LIMIT).expect("a connection");
+        let mut client = Wire::over(stream);
+        client.write(&get(&unique_id(), BUDGET));
+        let answer = client.message().expect("an answer");
+        assert!(answer.start().contains(" 200 "), "{answer:?} after {:?}", begun.elapsed());
+        assert!(begun.elapsed() < ANSWER_LIMIT, "answered after {:?}", begun.elapsed());
+    }
+
+    /// Sends usual requests behind one another while a crowd comes again and again.
+    fn serves_beside_a_crowd(&self, first: &'static [u8], again: &'static [u8]) {
+        let _crowd = Crowd::start(self.program.listen, CROWD, first, again);
+        std::thread::sleep(BEFORE_REQUESTS);
+        for _ in 0..5 {
+            self.serves_in_time();
+        }
+    }
+}
+
+#[test]
+fn silent_clients_that_come_again_cost_no_usual_request_its_time() {
+    // A request's time was counted from when accepting first paused: while others always wait, that lies ever further back.
+    Front::start().serves_beside_a_crowd(b"", b"");
+}
+
+#[test]
+fn a_connection_has_waited_no_longer_than_its_place_in_the_queue_allows() {
+    // The kernel keeps one connection more than its backlog, and connections are accepted in their order.
+    let queue_len = BACKLOG as u64 + 1;
+    let mut queue = AcceptQueue::default();
+    assert_eq!(queue.accept(1_000), 0, "nobody waits before a pause");
+    queue.pause(2_000);
+    queue.pause(2_500);
+    for n in 0..queue_len {
+        assert_eq!(queue.accept(3_000 + n), 1_000 + n, "queued at the pause at the earliest");
+    }
+    for n in 0..queue_len {
+        assert_eq!(queue.accept(9_000 + n), 6_000, "queued after the one that left a place free");
+    }
+    queue.drained();
+    assert_eq!(queue.accept(20_000), 0);
+    queue.pause(30_000);
+    assert_eq!(queue.accept(30_100), 100, "earlier ones don't count after all were accepted");
+}
--- a/crates/yarrowspoke-front/tests/scripted/mod.rs
+++ b/crates/yarrowspoke-front/tests/scripted/mod.rs
@@ -1,6 +1,7 @@
 //! Remote parties that act only on a test's instructions, so that the test decides which of two events comes first.
 #![allow(dead_code)]
 
+pub mod crowd;
 pub mod sender;
 pub mod stage;
 
