Half requests give way where others can't connect

Callers saw: with 300 clients at 256 descriptors that stop half way through a request, or write it slowly, and come again when they are closed, no usual client was served: 16 requests in 8 s, 16 refused, 4 of them after 3.5 s.

Cause: net/clients.rs, next_request. A connection could be closed for others while it was silent, rested, or was being closed, but not in the middle of a request, which holds its descriptor for 2 s.

Change: where the limit is reached, a connection waits and none of the other kinds can be closed, the one longest without progress is told 408 and closed at once, 0.3 s after its last byte or 0.5 s after its request has begun. One for each that waits, none below the limit. They are counted in the log. The backlog is 256: with 128 the slow-heads test timed out while connecting, as 300 clients less 159 accepted ones fill the queue.

Tests: tests/crowds.rs, three: half heads and slow heads failed before, slow clients below the limit passed before and stay as a guard.

--- a/crates/yarrowspoke-front/src/descriptor_budget.rs
+++ b/crates/yarrowspoke-front/src/descriptor_budget.rs
@@ -53,6 +53,8 @@
     idle: [ClosableGroup; 2],
     /// Client connections that have got their last answer and are read until the client closes them.
     closing: ClosableGroup,
+    /// Client connections of which half a request was read, some time ago.
+    half_read: ClosableGroup,
 }
 
 /// Connections of one group that can be closed, the longest closable first.
@@ -87,6 +89,7 @@
             released: async_channel::bounded(1),
             idle: [ClosableGroup::new(), ClosableGroup::new()],
             closing: ClosableGroup::new(),
+            half_read: ClosableGroup::new(),
         })
     }
 
@@ -148,6 +151,25 @@
         }
     }
 
+    /// Requests that one client connection with half a request closes, the longest closable first, unless one of another
+    /// group can be closed instead.
+    pub fn request_half_read_close(&self) {
+        if self.groups().all(|g| g.closable.get() == 0) && self.half_read.closable.get() > 0 {
+            let _ = self.half_read.close_request.0.try_send(());
+        }
+    }
+
+    /// Withdraws a request to close a connection with half a request, if none has received it yet.
+    pub fn clear_half_read_close(&self) {
+        let _ = self.half_read.close_request.1.try_recv();
+    }
+
+    /// Marks a connection as one whose request stops half way and waits until it is requested to close.
+    pub async fn half_read_close_requested(&self) {
+        self.half_read.close_requested().await;
+    }
+
+    /// The groups whose connections may be closed while descriptors run low, before new connections have to wait.
     fn groups(&self) -> impl Iterator<Item = &ClosableGroup> {
         self.idle.iter().chain([&self.closing])
     }
--- a/crates/yarrowspoke-front/src/driver/usage_report.rs
+++ b/crates/yarrowspoke-front/src/driver/usage_report.rs
@@ -23,6 +23,10 @@
                 "memory for large bodies was used up: {bodies} requests rejected, {answers} answers waited"
             );
         }
+        let half_read = self.event_bus.half_read_closes.take();
+        if half_read > 0 {
+            log::warn!("clients could not connect: {half_read} connections with half a request were closed");
+        }
         let calls = self.remotes.discovery.take_counts();
         log::info!(
             "list: version {}, last confirmed {:?} ago; calls to discovery: {} opened, {} renewed, failed {:?}, \
--- a/crates/yarrowspoke-front/src/event_bus.rs
+++ b/crates/yarrowspoke-front/src/event_bus.rs
@@ -49,6 +49,8 @@
     malformed: Cell<u64>,
     /// Request bodies that were rejected since the last report because there was no memory for them.
     pub bodies_without_memory: Cell<u64>,
+    /// Connections with half a request that were closed since the last report because other clients could not connect.
+    pub half_read_closes: Cell<u64>,
     /// Once the shutdown has begun, the time by which every request must be answered.
     answer_by: Cell<Option<Micros>>,
     stop: (Sender<()>, Receiver<()>),
@@ -83,6 +85,7 @@
             next_id: Cell::new(1),
             malformed: Cell::new(0),
             bodies_without_memory: Cell::new(0),
+            half_read_closes: Cell::new(0),
             answer_by: Cell::new(None),
             stop: async_channel::bounded(1),
         };
@@ -135,6 +138,12 @@
         self.bodies_without_memory.set(self.bodies_without_memory.get() + 1);
     }
 
+    /// Counts a connection with half a request that is closed because another client can't connect.
+    pub fn count_half_read_close(&self) {
+        self.count_malformed();
+        self.half_read_closes.set(self.half_read_closes.get() + 1);
+    }
+
     /// Registers a request that was just read and that arrived `waited` microseconds earlier.
     pub fn open_exchange(&self, call: Call, waited: Micros) -> Rc<Exchange> {
         let id = self.next_id.get();
--- a/crates/yarrowspoke-front/src/net/accept_queue.rs
+++ b/crates/yarrowspoke-front/src/net/accept_queue.rs
@@ -6,7 +6,7 @@
 /// Connections that the kernel keeps for a listener until they are accepted. It keeps one more than its backlog.
 const QUEUE_LEN: usize = BACKLOG as usize + 1;
 /// The backlog of the client listener.
-pub const BACKLOG: i32 = 128;
+pub const BACKLOG: i32 = 256;
 
 /// Bounds how long each accepted connection may have waited since accepting paused.
 ///
--- a/crates/yarrowspoke-front/src/net/client_listener.rs
+++ b/crates/yarrowspoke-front/src/net/client_listener.rs
@@ -7,6 +7,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -53,9 +54,13 @@
             // At the limit, accepting pauses until a descriptor is released, without spinning.
             if !self.event_bus.descriptors.can_accept_client() {
                 self.pause();
+                if self.is_connection_waiting() {
+                    self.event_bus.descriptors.request_half_read_close();
+                }
                 with_timeout(ACCEPT_CHECK_INTERVAL, self.event_bus.descriptors.wait_for_release()).await;
                 continue;
             }
+            self.event_bus.descriptors.clear_half_read_close();
             let accepted = match future::poll_once(self.listener.accept()).await {
                 Some(accepted) => accepted,
                 None => {
@@ -92,6 +97,12 @@
         true
     }
 
+    /// Returns whether a connection is waiting to be accepted.
+    fn is_connection_waiting(&self) -> bool {
+        let mut listeners = [PollFd::new(&self.listener, PollFlags::IN)];
+        poll(&mut listeners, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+    }
+
     fn pause(&self) {
         self.queue.borrow_mut().pause(self.event_bus.clock.now());
     }
--- a/crates/yarrowspoke-front/src/net/clients.rs
+++ b/crates/yarrowspoke-front/src/net/clients.rs
@@ -38,6 +38,10 @@
 const LINGER_PAUSE: Duration = Duration::from_millis(2);
 /// Shortest time without data after which a new connection may be closed while descriptors run low.
 const MIN_SILENT_TIME: Duration = Duration::from_millis(300);
+/// Shortest time without data, and shortest time since a request has begun, after which a connection with half a request may
+/// be closed while others can't connect.
+const MIN_STALL_TIME: Duration = Duration::from_millis(300);
+const MIN_HALF_READ_TIME: Duration = Duration::from_millis(500);
 /// Shortest idle time after which a connection may be closed to free its descriptor.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
 /// Pause before the next request of a client that has repeated an id. Some clients resend as soon as they are
@@ -164,9 +168,17 @@
 enum NextRequest {
     Message(Box<RequestHead>, Vec<u8>),
     Malformed(u16),
+    /// A request that stops half way gives its connection's place to a client that can't connect.
+    GivesWay,
     Closed,
 }
 
+/// How the wait for more of a request ended.
+enum HalfRead {
+    More(std::io::Result<usize>),
+    CloseRequested,
+}
+
 /// Serves one connection. `waited` is how long the connection may have waited to be accepted, and thus how long its
 /// first request may have waited unread. If the deadline were counted from reading alone, the request would be
 /// answered after its client has left.
@@ -179,6 +191,7 @@
         let (head, body) = match next_request(&mut connection, &event_bus, served == 0).await {
             NextRequest::Message(head, body) => (head, body),
             NextRequest::Malformed(status) => return reject_and_close(connection, &event_bus, status).await,
+            NextRequest::GivesWay => return give_way(connection, &event_bus).await,
             NextRequest::Closed => return,
         };
         served += 1;
@@ -301,6 +314,23 @@
     }
 }
 
+/// Tells a client whose request stops half way, and closes its connection without waiting for anything: its place is needed.
+async fn give_way(mut connection: Connection, event_bus: &EventBus) {
+    event_bus.count_half_read_close();
+    let _ = future::poll_once(connection.write(&encode_status(408, false))).await;
+}
+
+/// Reads more of a request that has begun at `begun_at`, unless the connection is to be closed for others before.
+async fn read_more(connection: &mut Connection, event_bus: &EventBus, begun_at: Instant) -> HalfRead {
+    let closable_at = (Instant::now() + MIN_STALL_TIME).min(begun_at + MIN_HALF_READ_TIME);
+    let close_requested = async {
+        Timer::at(closable_at).await;
+        event_bus.descriptors.half_read_close_requested().await;
+        HalfRead::CloseRequested
+    };
+    future::or(async { HalfRead::More(connection.read().await) }, close_requested).await
+}
+
 /// Reads the next whole request. A stop closes the connection between requests; a request that has begun is read to
 /// its end.
 async fn next_request(connection: &mut Connection, event_bus: &EventBus, is_new: bool) -> NextRequest {
@@ -371,8 +401,9 @@
             if Instant::now() >= until + LATE_READ_TIME {
                 return NextRequest::Malformed(408);
             }
-            match with_deadline(until, connection.read()).await {
-                Some(read) => Some(read),
+            match with_deadline(until, read_more(connection, event_bus, until - REQUEST_TIMEOUT)).await {
+                Some(HalfRead::More(read)) => Some(read),
+                Some(HalfRead::CloseRequested) => return NextRequest::GivesWay,
                 None => return NextRequest::Malformed(408),
             }
         };
--- a/crates/yarrowspoke-front/tests/crowds.rs
+++ b/crates/yarrowspoke-front/tests/crowds.rs
@@ -17,6 +17,11 @@
 const CROWD: usize = 300;
 /// Time after which requests of usual clients follow: longer than their own time.
 const BEFORE_REQUESTS: Duration = Duration::from_millis(2_500);
+/// Slow clients that a front with 256 descriptors accepts at once, and the time that they take for a request.
+const MANY: usize = 140;
+const SLOW_REQUEST: Duration = Duration::from_millis(1_400);
+/// A request that stops half way.
+const HALF_HEAD: &[u8] = b"POST /comment HTTP/1.1\r\nHost: front\r\n";
 /// Budget of a usual client's request, in seconds, and the time within which it must be answered.
 const BUDGET: &str = "2.0";
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_550);
@@ -66,6 +71,34 @@
     Front::start().serves_beside_a_crowd(b"", b"");
 }
 
+#[test]
+fn clients_with_half_a_request_keep_no_usual_client_from_connecting() {
+    // They held all connections that clients may have for the 2 s that a request may take, and came again.
+    Front::start().serves_beside_a_crowd(HALF_HEAD, b"");
+}
+
+#[test]
+fn clients_that_write_their_requests_slowly_keep_no_usual_client_from_connecting() {
+    // The same with a header line every tenth of a second.
+    Front::start().serves_beside_a_crowd(HALF_HEAD, b"A: b\r\n");
+}
+
+#[test]
+fn slow_clients_below_the_limit_keep_the_time_that_a_request_may_take() {
+    // Half a request is closed only where others can't connect.
+    let front = Front::start();
+    let mut slow: Vec<Wire> = (0..MANY).map(|_| front.program.client()).collect();
+    let request = get(&unique_id(), BUDGET);
+    let (first, rest) = request.split_at(request.len() / 2);
+    slow[0].write(first);
+    slow[1..].iter_mut().for_each(|client| client.write(std::str::from_utf8(HALF_HEAD).unwrap()));
+    front.serves_in_time();
+    std::thread::sleep(SLOW_REQUEST);
+    assert!(slow.iter_mut().all(|client| !client.has_news() && !client.has_ended()));
+    slow[0].write(rest);
+    assert!(slow[0].message().expect("an answer").start().contains(" 200 "));
+}
+
 #[test]
 fn a_connection_has_waited_no_longer_than_its_place_in_the_queue_allows() {
     // The kernel keeps one connection more than its backlog, and connections are accepted in their order.
