--- a/crates/yarrowspoke-front/src/config.rs
+++ b/crates/yarrowspoke-front/src/config.rs
@@ -197,6 +197,7 @@
     settings.module.pulls_list = true;
     // A subscription is answered at the end of each long poll, even if nothing has changed.
     settings.module.list_heartbeats = true;
+    settings.module.list_counts_unsubscribed = settings.transport.pushed;
     let module = &settings.module;
     if module.classes.is_empty() {
         return Err(ConfigError::field(&field("Classes"), "at least one class is required"));
--- a/crates/yarrowspoke-front/tests/lease_evidence.rs
+++ b/crates/yarrowspoke-front/tests/lease_evidence.rs
@@ -12,7 +12,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::mpsc::channel;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use yarrowspoke_front::config;
 use yarrowspoke_front::input::Input;
 use yarrowspoke_front::net::list::Discovery;
@@ -182,3 +182,18 @@
     }
     drop(server.join());
 }
+
+#[test]
+fn a_pushed_list_is_called_for_within_the_drain_grace_while_discovery_turns_calls_away() {
+    // Guards against sends to machines that drained during an outage: what discovery has at its return counts at once.
+    const DRAIN_GRACE: Duration = Duration::from_millis(500);
+    let machine = Peer::start();
+    let stage = Stage::set(EMPTY).told("\"MembershipMode\": \"ask\"", "\"MembershipMode\": \"push\"");
+    let (_program, watch) = stage.watched(&[&machine]);
+    watch.ends_now();
+    for _ in 0..10 {
+        let mut call = stage.discovery.connection_within(DRAIN_GRACE).expect("a call in time");
+        assert!(call.message().is_some());
+        call.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+}
--- a/crates/yarrowspoke-lab/src/scenario.rs
+++ b/crates/yarrowspoke-lab/src/scenario.rs
@@ -146,6 +146,7 @@
             zone: (me % u32::from(self.zones)) as u16,
             pulls_list: false,
             list_heartbeats: false,
+            list_counts_unsubscribed: false,
             over_share_worth: 0.1,
             report_fields: vec![LoadField::MeanServiceMs],
             report_source: ReportSource::Responses,
--- a/crates/yarrowspoke-settings/src/lib.rs
+++ b/crates/yarrowspoke-settings/src/lib.rs
@@ -192,6 +192,7 @@
         zone: env.zone,
         pulls_list: env.membership_mode == "ask",
         list_heartbeats: false,
+        list_counts_unsubscribed: false,
         over_share_worth: env.over_share_worth,
         report_fields: env.report.fields.iter().map(|f| load_field(f)).collect(),
         report_source: match env.report.source.as_str() {
--- a/crates/yarrowspoke/src/interface.rs
+++ b/crates/yarrowspoke/src/interface.rs
@@ -127,6 +127,8 @@
     /// The host confirms an open subscription every few seconds by a delta, even if nothing changed. Without this, a
     /// subscription is valid until the host reports its end.
     pub list_heartbeats: bool,
+    /// Changes of the list count as received as soon as discovery can send them, whether or not a subscription is open.
+    pub list_counts_unsubscribed: bool,
     /// Worth of requests beyond a tenant's share, as a share of their class's worth.
     pub over_share_worth: f64,
     /// Fields of a load report, in order.
--- a/crates/yarrowspoke/src/membership/schedule.rs
+++ b/crates/yarrowspoke/src/membership/schedule.rs
@@ -14,6 +14,10 @@
 //! That interval is meant for the worst case, an outage of a slow discovery. Where other fronts report how many of
 //! them wait and what a call costs (the time that the quickest recently took), the calls are spread over just the
 //! time that so many calls need, with some to spare, so that a lease is renewed while it is still valid.
+//!
+//! Where changes count as received whether or not a subscription is open, none may be missed for long once discovery is
+//! back. There a front whose calls fail at once, and so cost discovery little, repeats them at short intervals, longer the
+//! more fronts there are.
 
 use super::peers::PeerSubscriptions;
 use crate::interface::{Micros, Settings};
@@ -44,6 +48,12 @@
 const MAX_CALL_SPACING: Micros = 4_000_000;
 /// Time that a call needs to renew a lease: a busy discovery answers it late.
 const RENEWAL_TIME: Micros = 1_000_000;
+/// Least time between two prompt repetitions of a failed call.
+const MIN_PROMPT_INTERVAL: Micros = 150_000;
+/// Most time between them; where fronts are so many that it takes longer, failed calls are repeated in slots alone.
+const MAX_PROMPT_INTERVAL: Micros = 2_000_000;
+/// Time between two prompt repetitions over all fronts.
+const PROMPT_CALL_SPACING: Micros = 50_000;
 /// Random part of each call's time, so that fronts with the same slot in two fleets drift apart.
 const JITTER: Micros = 100_000;
 
@@ -64,6 +74,9 @@
     overload_failures: u32,
     /// When the minimum backoff after the last failure ends.
     backoff_until: Micros,
+    /// Interval of prompt repetitions of a failed call, where changes count as received without a subscription and there are
+    /// not too many fronts.
+    prompt_interval: Option<Micros>,
     /// Other fronts are queried, and can tell an overload from an outage.
     queries_peers: bool,
     /// When the last failed call began, as long as it is not known whether an overload explains the failure.
@@ -93,7 +106,10 @@
             interval => (interval as f64 * SPREAD_SHARE) as Micros,
         };
         let fronts = f64::from(settings.fronts.max(1));
+        let prompt_interval = MIN_PROMPT_INTERVAL.max(PROMPT_CALL_SPACING * Micros::from(settings.fronts));
         let mut schedule = Self {
+            prompt_interval: (settings.list_counts_unsubscribed && prompt_interval <= MAX_PROMPT_INTERVAL)
+                .then_some(prompt_interval),
             spread,
             slot: (f64::from(settings.front_id) / fronts).fract(),
             next_call: None,
@@ -255,6 +271,10 @@
         self.subscription_lost |= self.is_subscribed();
         let call_began_at = self.call_began_at.take();
         let was_rejected = call_began_at.is_some_and(|at| now < at + REJECTED_WITHIN);
+        if let Some(interval) = self.prompt_interval.filter(|_| was_rejected || call_began_at.is_none()) {
+            self.repeat_promptly(now, interval, call_began_at, random);
+            return;
+        }
         let is_unclear = !self.queries_peers && self.failures >= OVERLOAD_AFTER_FAILURES;
         let is_overload = call_began_at.is_some() && (was_rejected || discovery_is_up || is_unclear);
         self.overload_failures += u32::from(is_overload);
@@ -279,6 +299,26 @@
         }
     }
 
+    /// Schedules a call within `interval` of the subscription's end, or `interval` after a call that failed at once: then
+    /// discovery is down, or turns calls away without having worked on them.
+    fn repeat_promptly(
+        &mut self,
+        now: Micros,
+        interval: Micros,
+        call_began_at: Option<Micros>,
+        random: &mut impl RngCore,
+    ) {
+        self.failures += 1;
+        self.unexplained_call_at = call_began_at;
+        self.redraw_fraction(random);
+        let wait = match call_began_at {
+            Some(_) => interval,
+            None => (self.random_fraction * interval as f64) as Micros,
+        };
+        self.call_at(now + wait);
+        self.backoff_until = now + wait;
+    }
+
     /// Plans a call ahead of that in this front's slot, if the slot comes too late to renew a lease that ends at
     /// `lease_end`.
     fn call_before(&mut self, lease_end: Micros, now: Micros) {
--- a/crates/yarrowspoke/tests/common/mod.rs
+++ b/crates/yarrowspoke/tests/common/mod.rs
@@ -35,6 +35,7 @@
         zone: 0,
         pulls_list: false,
         list_heartbeats: false,
+        list_counts_unsubscribed: false,
         over_share_worth: 0.1,
         report_fields: vec![],
         report_source: ReportSource::None,
--- a/crates/yarrowspoke/tests/membership.rs
+++ b/crates/yarrowspoke/tests/membership.rs
@@ -244,6 +244,65 @@
     }
 }
 
+/// Settings of a front on whose list changes count whether or not a subscription is open.
+fn pushed_settings(front_id: u32, fronts: u32) -> Settings {
+    Settings { list_counts_unsubscribed: true, ..subscribed_settings(front_id, fronts, false) }
+}
+
+/// Lets the subscription end and calls fail at once for `span`; returns the number of calls and the longest time without one.
+fn calls_that_fail_at_once(rig: &mut Rig, span: Micros) -> (u64, Micros) {
+    rig.list(ListUpdate::Delta, &[]);
+    let (begun, mut last, mut longest, mut calls) = (rig.now, rig.now, 0, 0);
+    rig.list(ListUpdate::Failed, &[]);
+    while rig.now < begun + span {
+        rig.now += 10 * MS;
+        rig.tick();
+        if rig.did.contains(&Action::Subscribe(true)) {
+            (calls, longest, last) = (calls + 1, longest.max(rig.now - last), rig.now);
+            rig.list(ListUpdate::Failed, &[]);
+        }
+    }
+    (calls, longest.max(rig.now - last))
+}
+
+#[test]
+fn where_changes_count_unsubscribed_failed_calls_are_repeated_within_the_drain_grace() {
+    // Guards against sends to machines that drained during an outage of discovery, seconds after its return.
+    for front_id in 0..3 {
+        let mut rig = Rig::new(pushed_settings(front_id, 3), 3);
+        let (_, longest) = calls_that_fail_at_once(&mut rig, 5 * S);
+        assert!(longest <= 200 * MS, "front {front_id}: {longest} us without a call");
+    }
+}
+
+#[test]
+fn prompt_calls_of_all_fronts_together_are_bounded() {
+    // Guards against a herd at a discovery that is down or turns calls away.
+    for fronts in [1, 3, 20, 40, 41, 100, 300] {
+        let calls: u64 = (0..10)
+            .map(|n| {
+                calls_that_fail_at_once(&mut Rig::new(pushed_settings(n * fronts / 10, fronts), 3), 30 * S).0
+            })
+            .sum();
+        let of_all = calls as f64 / 10.0 * f64::from(fronts) / 30.0;
+        assert!(of_all < 40.0, "{fronts} fronts: {of_all} calls a second");
+    }
+}
+
+#[test]
+fn a_call_on_which_discovery_has_worked_is_not_repeated_promptly() {
+    // Guards against calls that arrive faster than a busy discovery serves them.
+    let mut rig = Rig::new(pushed_settings(1, 3), 3);
+    rig.list(ListUpdate::Delta, &[]);
+    rig.list(ListUpdate::Failed, &[]);
+    wait_for_call(&mut rig);
+    wait(&mut rig, S);
+    let failed_at = rig.now;
+    rig.list(ListUpdate::Failed, &[]);
+    wait_for_call(&mut rig);
+    assert!(rig.now >= failed_at + S, "{} us", rig.now - failed_at);
+}
+
 /// Returns the queries that the front sent on the last event.
 fn sent_queries(rig: &Rig) -> Vec<(u16, u32)> {
     let query = |a: &Action| match a {
