--- a/crates/yarrowspoke-front/src/input.rs
+++ b/crates/yarrowspoke-front/src/input.rs
@@ -186,3 +186,16 @@
     /// This front is stale compared with the others and has to query its own sources again.
     RefreshSources,
 }
+
+impl Input {
+    /// Returns whether this tells which machines may be used, or which builds.
+    pub fn tells_of_machines_or_builds(&self) -> bool {
+        matches!(
+            self,
+            Self::ListUpdated(_)
+                | Self::ListConfirmed { .. }
+                | Self::RolloutStatus(_)
+                | Self::RestrictionsChanged
+        )
+    }
+}
--- a/crates/yarrowspoke-front/tests/crossings.rs
+++ b/crates/yarrowspoke-front/tests/crossings.rs
@@ -274,6 +274,34 @@
     }
 }
 
+#[test]
+fn after_a_stall_no_request_is_sent_to_a_machine_whose_drain_was_written_during_it() {
+    // Requests that came during the stall were decided before the drain was read, as it had come behind them.
+    const REQUESTS: usize = 200;
+    let (leaving, staying) = (Peer::start(), Peer::start());
+    let stage = Stage::set(EMPTY);
+    let (program, mut watch) = stage.watched(&[&leaving, &staying]);
+    let mut clients: Vec<Wire> = (0..REQUESTS).map(|_| program.client()).collect();
+    // A first request shows that the front has accepted all.
+    let last = clients.last_mut().unwrap();
+    last.write("GET /up HTTP/1.1\r\n\r\n");
+    assert!(status(last).contains(" 200 "));
+    program.halt();
+    for client in &mut clients {
+        client.write(&get(&unique_id(), "9.0"));
+    }
+    watch.answer(&listing(8, false, &[entry("s-0", leaving.address, "draining", 41, 0)]));
+    // Longer than the drain grace of the settings and shorter than a pause after which the list is not used.
+    std::thread::sleep(Duration::from_millis(700));
+    program.wake();
+    let mut served = staying.connection();
+    assert!(served.message().is_some());
+    assert!(watch.message().unwrap().start().contains("from=8"));
+    let is_asked =
+        leaving.connection_within(Duration::from_millis(500)).is_some_and(|mut c| c.message().is_some());
+    assert!(!is_asked, "a request was sent to the draining machine");
+}
+
 // ---- The platform --------------------------------------------------------------------------------------------
 
 #[test]
--- a/crates/yarrowspoke-front/tests/sockets.rs
+++ b/crates/yarrowspoke-front/tests/sockets.rs
@@ -5,7 +5,6 @@
 use common::{any_port, free_port, get, post, spawn, unique_id, wait_until, TestEnvironment};
 use std::io::Read;
 use std::net::Shutdown;
-use std::time::Duration;
 use yarrowspoke_toy::{Behaviour, Discovery, Platform};
 
 #[test]
