Call ids: one type for the four histories; one way to open a held watch in tests

Four queues stood beside a match of their sizes in call_ids.rs; now each is an IdHistory that knows its own. The watch that is opened and held, and the operator's file of a small fleet, stood in four test files; now in tests/scripted/stage.rs. Names of machines in flooding.rs changed with that, no assertion did.

--- a/crates/yarrowspoke-front/src/call_ids.rs
+++ b/crates/yarrowspoke-front/src/call_ids.rs
@@ -5,6 +5,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
+/// Number of ids that are remembered of each kind of ended calls.
+const EFFECTS_CAPACITY: usize = 131_072;
+const RECORDED_CAPACITY: usize = 32_768;
+const REPEATABLE_CAPACITY: usize = 32_768;
+const UNSENT_CAPACITY: usize = 4_096;
+
 /// What is known of the calls whose ids are remembered together. Many calls of one kind make no id of another kind
 /// forgotten.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,14 +25,22 @@
     Unsent,
 }
 
-impl History {
-    /// Returns the number of ids that are remembered.
-    fn capacity(self) -> usize {
-        match self {
-            Self::Effects => 131_072,
-            Self::Recorded | Self::Repeatable => 32_768,
-            Self::Unsent => 4_096,
-        }
+/// The ids of ended calls of one kind, the oldest first.
+struct IdHistory {
+    ids: VecDeque<u64>,
+    capacity: usize,
+}
+
+impl IdHistory {
+    fn new(capacity: usize) -> Self {
+        Self { ids: VecDeque::new(), capacity }
+    }
+
+    /// Adds an id; returns the oldest if there is no room for it any more.
+    fn push(&mut self, id: u64) -> Option<u64> {
+        let oldest = if self.ids.len() >= self.capacity { self.ids.pop_front() } else { None };
+        self.ids.push_back(id);
+        oldest
     }
 }
 
@@ -36,17 +50,30 @@
     state: Rc<RefCell<CallIdState>>,
 }
 
-#[derive(Default)]
 struct CallIdState {
     open: HashSet<u64>,
     /// Ids of ended calls that the ledger does not know. None of them is used again.
     ended: HashSet<u64>,
     /// Ids of calls that the ledger knows. They may be used again.
     recorded: HashMap<u64, RecordedId>,
-    effects_history: VecDeque<u64>,
-    recorded_history: VecDeque<u64>,
-    repeatable_history: VecDeque<u64>,
-    unsent_history: VecDeque<u64>,
+    effects: IdHistory,
+    known_to_ledger: IdHistory,
+    repeatable: IdHistory,
+    unsent: IdHistory,
+}
+
+impl Default for CallIdState {
+    fn default() -> Self {
+        Self {
+            open: HashSet::new(),
+            ended: HashSet::new(),
+            recorded: HashMap::new(),
+            effects: IdHistory::new(EFFECTS_CAPACITY),
+            known_to_ledger: IdHistory::new(RECORDED_CAPACITY),
+            repeatable: IdHistory::new(REPEATABLE_CAPACITY),
+            unsent: IdHistory::new(UNSENT_CAPACITY),
+        }
+    }
 }
 
 struct RecordedId {
@@ -100,15 +127,13 @@
         } else if let Some(recorded) = self.recorded.get_mut(&id) {
             recorded.ends += 1;
         }
-        let ids = match history {
-            History::Effects => &mut self.effects_history,
-            History::Recorded => &mut self.recorded_history,
-            History::Repeatable => &mut self.repeatable_history,
-            History::Unsent => &mut self.unsent_history,
+        let history = match history {
+            History::Effects => &mut self.effects,
+            History::Recorded => &mut self.known_to_ledger,
+            History::Repeatable => &mut self.repeatable,
+            History::Unsent => &mut self.unsent,
         };
-        let oldest = if ids.len() >= history.capacity() { ids.pop_front() } else { None };
-        ids.push_back(id);
-        if let Some(oldest) = oldest {
+        if let Some(oldest) = history.push(id) {
             self.forget(oldest);
         }
     }
--- a/crates/yarrowspoke-front/tests/crowds.rs
+++ b/crates/yarrowspoke-front/tests/crowds.rs
@@ -7,7 +7,7 @@
 use common::{any_port, get, unique_id};
 use scripted::crowd::Crowd;
 use scripted::stage::{Stage, EMPTY};
-use scripted::{entry, listing, Program, Wire};
+use scripted::{Program, Wire};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use yarrowspoke_front::net::accept_queue::{AcceptQueue, BACKLOG};
@@ -38,9 +38,7 @@
     fn start() -> Self {
         let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
         let stage = Stage::set(EMPTY).told("\"sockets\": 1024", "\"sockets\": 256");
-        let program = stage.start();
-        let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine.address, "up", 41, 0)]));
-        assert!(watch.message().unwrap().start().contains("from=7"));
+        let (program, watch) = stage.watched_at(&[machine.address]);
         Self { program, _machine: machine, _stage: stage, _watch: watch }
     }
 
--- a/crates/yarrowspoke-front/tests/flooding.rs
+++ b/crates/yarrowspoke-front/tests/flooding.rs
@@ -7,8 +7,8 @@
 mod common;
 mod scripted;
 
-use common::{any_port, free_port, get, post, temp_file, unique_id, wait_until};
-use scripted::stage::{Stage, EMPTY};
+use common::{any_port, free_port, get, post, unique_id, wait_until};
+use scripted::stage::{fleet_file, Stage, EMPTY};
 use scripted::{entry, listing, Peer, Program, Wire, PATIENCE};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -88,14 +88,6 @@
     entry(name, machine.address, state, 41, 0)
 }
 
-/// Starts the program with a watch on this machine.
-fn watched(stage: &Stage, machine: &Machine) -> (Program, Wire) {
-    let program = stage.start();
-    let mut watch = stage.open_watch(&listing(7, true, &[line_of("good", machine, "up")]));
-    assert!(watch.message().unwrap().start().contains("from=7"));
-    (program, watch)
-}
-
 /// Sends requests of other clients, each on a connection of its own, and returns the status of their answers, all of which
 /// must come in time.
 fn other_clients_are_answered(listen: SocketAddr) -> Vec<String> {
@@ -120,7 +112,7 @@
 fn a_client_that_sends_empty_lines_without_end_delays_nobody_and_gets_an_error() {
     // A head that never ends, without a byte that would count towards its length.
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let begun = Instant::now();
     let mut bad = program.client();
     let _flood = Flood::over(bad.stream(), b"\r\n");
@@ -151,7 +143,7 @@
 fn a_client_that_sends_requests_behind_one_another_without_end_delays_nobody() {
     // Each is answered at once, so neither the reads nor the writes of its connection ever wait.
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let bad: Vec<_> = (0..4).map(|_| TcpStream::connect(program.listen).unwrap()).collect();
     for stream in &bad {
         let mut answers = stream.try_clone().unwrap();
@@ -184,7 +176,7 @@
 #[test]
 fn discovery_whose_answer_never_begins_delays_no_final_answer() {
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, watch) = watched(&stage, &machine);
+    let (program, watch) = stage.watched_at(&[machine.address]);
     let _flood = Flood::over(watch.stream(), b"\r\n");
     // Without a list that it can read the front refuses, in time.
     other_clients_are_answered(program.listen);
@@ -194,7 +186,7 @@
 fn discovery_that_holds_no_call_is_called_at_a_bounded_rate_and_delays_nobody() {
     // Each answer was followed by the next call at once.
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, mut watch) = watched(&stage, &machine);
+    let (program, mut watch) = stage.watched_at(&[machine.address]);
     let calls = Arc::new(AtomicUsize::new(0));
     let (counted, begun) = (Arc::clone(&calls), Instant::now());
     std::thread::spawn(move || loop {
@@ -215,7 +207,7 @@
 #[test]
 fn a_platform_that_reports_without_end_delays_nobody() {
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let mut platform = stage.platform.connection();
     assert_eq!(platform.line().as_deref(), Some("NOTIFY"));
     platform.write("OK\r\n");
@@ -237,7 +229,7 @@
         .told("\"PeersTotal\": 1", "\"PeersTotal\": 2")
         .told("\"MayCancel\": true", "\"MayCancel\": true, \"Peers\": true");
     let machine = serving_machine();
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let _floods = [0, 1].map(|_| {
         let socket = other.try_clone().unwrap();
         Flood::start(b"12345678", move |bytes| socket.send_to(&bytes[..bytes.len().min(64)], peer_listen))
@@ -245,24 +237,12 @@
     other_clients_are_served(program.listen);
 }
 
-/// Returns the path of an operator's file of a fleet with the front `toy` and this planner.
-fn fleet_of(planner: SocketAddr) -> std::path::PathBuf {
-    let members = format!(
-        "(member (name toy) (role front) (zone a))\n(member (name p0) (role planner) (address \"{planner}\"))"
-    );
-    temp_file(
-        "operator.sexp",
-        &format!("(fleet (lease 2) (renew 0.2) (most-out 1) (alone serve)\n{members})"),
-    )
-}
-
 #[test]
 fn a_planner_whose_answer_never_begins_delays_no_request_at_a_front() {
     let (planner, machine) = (Peer::start(), serving_machine());
     let stage = Stage::set(EMPTY);
-    let program = stage.start_in_fleet(&fleet_of(planner.address));
-    let mut watch = stage.open_watch(&listing(7, true, &[line_of("good", &machine, "up")]));
-    assert!(watch.message().unwrap().start().contains("from=7"));
+    let program = stage.start_in_fleet(&fleet_file(&[planner.address]));
+    let _watch = stage.open_held_watch(&[machine.address]);
     let mut link = planner.connection();
     assert!(link.message().unwrap().start().contains("/fleet/report"));
     let _flood = Flood::over(link.stream(), b"\r\n");
@@ -272,7 +252,7 @@
 #[test]
 fn a_link_on_which_no_message_begins_or_ever_ends_delays_no_other_at_a_planner() {
     let address = free_port();
-    let planner = Program::start_planner(&fleet_of(address), "p0", address);
+    let planner = Program::start_planner(&fleet_file(&[address]), "p0", address);
     planner.logs("listens on");
     for pattern in [b"\r\n".as_slice(), b"GET /up HTTP/1.1\r\n\r\n"] {
         let bad = TcpStream::connect(address).unwrap();
@@ -292,7 +272,7 @@
 fn a_large_body_that_arrived_during_a_pause_of_the_process_is_still_read() {
     // The limits must not cost a request whose bytes are all there when the process goes on.
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let body = "x".repeat(64 * 1024);
     let head =
         post(&unique_id(), "9.0").replace("Content-Length: 5\r\n\r\nhello", "Content-Length: 65536\r\n\r\n");
@@ -312,7 +292,7 @@
 #[test]
 fn empty_lines_before_a_request_are_still_skipped() {
     let (stage, machine) = (Stage::set(EMPTY), serving_machine());
-    let (program, _watch) = watched(&stage, &machine);
+    let (program, _watch) = stage.watched_at(&[machine.address]);
     let mut client = program.client();
     for _ in 0..3 {
         client.write(&"\r\n".repeat(1_000));
--- a/crates/yarrowspoke-front/tests/memory.rs
+++ b/crates/yarrowspoke-front/tests/memory.rs
@@ -8,7 +8,7 @@
 use common::{any_port, get, post, unique_id, wait_until};
 use scripted::sender::Sender;
 use scripted::stage::{Stage, EMPTY};
-use scripted::{entry, listing, Peer, Program, Wire};
+use scripted::{Peer, Program, Wire};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -42,9 +42,7 @@
 impl Front {
     fn start(machine: SocketAddr) -> Self {
         let stage = Stage::set(EMPTY).told("\"memory_mb\": 192", &format!("\"memory_mb\": {MEMORY_MB}"));
-        let program = stage.start();
-        let mut watch = stage.open_watch(&listing(7, true, &[entry("s-0", machine, "up", 41, 0)]));
-        assert!(watch.message().unwrap().start().contains("from=7"));
+        let (program, watch) = stage.watched_at(&[machine]);
         Self { program, _stage: stage, _watch: watch }
     }
 
--- a/crates/yarrowspoke-front/tests/planner_limits.rs
+++ b/crates/yarrowspoke-front/tests/planner_limits.rs
@@ -3,12 +3,11 @@
 mod common;
 mod scripted;
 
-use common::{free_port, temp_file, wait_until};
+use common::{free_port, wait_until};
 use scripted::sender::Sender;
+use scripted::stage::fleet_file;
 use scripted::{Program, Wire};
 use std::io::Write;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 /// Members that stop in the middle of a message: far more than the memory for messages has room for.
@@ -23,22 +22,10 @@
 const ORDER_BURST: f64 = 1_000.0;
 const ORDERS_PER_SECOND: f64 = 50.0;
 
-/// Returns the path of an operator's file of a fleet with this planner and two others that do not run.
-fn fleet_of(planner: SocketAddr) -> PathBuf {
-    let member = |name: &str, address: SocketAddr| {
-        format!("(member (name {name}) (role planner) (address \"{address}\"))")
-    };
-    let planners = [member("p0", planner), member("p1", free_port()), member("p2", free_port())].join("\n");
-    let front = "(member (name toy) (role front) (zone a))";
-    temp_file(
-        "operator.sexp",
-        &format!("(fleet (lease 2) (renew 0.2) (most-out 1) (alone serve)\n{front}\n{planners})"),
-    )
-}
-
+/// Starts a planner of a fleet with two others that do not run.
 fn start_planner() -> Program {
     let address = free_port();
-    let planner = Program::start_planner(&fleet_of(address), "p0", address);
+    let planner = Program::start_planner(&fleet_file(&[address, free_port(), free_port()]), "p0", address);
     planner.logs("listens on");
     planner
 }
@@ -111,7 +98,8 @@
     let address = free_port();
     let dir = std::env::temp_dir().join(format!("yarrowspoke-orders-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
-    let planner = Program::found_planner(&fleet_of(address), "p0", address, &dir);
+    let planner =
+        Program::found_planner(&fleet_file(&[address, free_port(), free_port()]), "p0", address, &dir);
     planner.logs("listens on");
     let order = |ticket: u64, why: &str| {
         let body = format!(r#"{{"what":"halt","by":"test","why":"{why}","knows":null,"ticket":{ticket}}}"#);
--- a/crates/yarrowspoke-front/tests/scripted/stage.rs
+++ b/crates/yarrowspoke-front/tests/scripted/stage.rs
@@ -2,13 +2,15 @@
 
 use super::{entry, listing, Peer, Program, Wire};
 use crate::common::{free_port, temp_file};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Scripted discovery and platform, and the program's configuration among them.
 pub struct Stage {
     pub discovery: Peer,
     pub platform: Peer,
     pub config: String,
-    pub listen: std::net::SocketAddr,
+    pub listen: SocketAddr,
 }
 
 /// A list without machines.
@@ -52,11 +54,23 @@
 
     /// Starts the program with a watch on these machines, all on build 41, that is held until an update.
     pub fn watched(&self, machines: &[&Peer]) -> (Program, Wire) {
+        let addresses: Vec<_> = machines.iter().map(|m| m.address).collect();
+        self.watched_at(&addresses)
+    }
+
+    /// Does the same with machines at these addresses.
+    pub fn watched_at(&self, machines: &[SocketAddr]) -> (Program, Wire) {
         let program = self.start();
-        let lines: Vec<_> = machines.iter().enumerate().map(|(n, m)| up(n, m)).collect();
+        (program, self.open_held_watch(machines))
+    }
+
+    /// Lists these machines as ready on build 41, on a watch that is held until an update.
+    pub fn open_held_watch(&self, machines: &[SocketAddr]) -> Wire {
+        let lines: Vec<_> =
+            machines.iter().enumerate().map(|(n, m)| entry(&format!("s-{n}"), *m, "up", 41, 0)).collect();
         let mut watch = self.open_watch(&listing(7, true, &lines));
         assert!(watch.message().unwrap().start().contains("from=7"));
-        (program, watch)
+        watch
     }
 }
 
@@ -64,3 +78,15 @@
 pub fn up(n: usize, machine: &Peer) -> String {
     entry(&format!("s-{n}"), machine.address, "up", 41, 0)
 }
+
+/// Writes an operator's file of a fleet with the front `toy` and planners at these addresses, named `p0` and on.
+pub fn fleet_file(planners: &[SocketAddr]) -> PathBuf {
+    let members: Vec<_> = planners
+        .iter()
+        .enumerate()
+        .map(|(n, address)| format!("(member (name p{n}) (role planner) (address \"{address}\"))"))
+        .collect();
+    let front = "(member (name toy) (role front) (zone a))";
+    let terms = "(lease 2) (renew 0.2) (most-out 1) (alone serve)";
+    temp_file("operator.sexp", &format!("(fleet {terms}\n{front}\n{})", members.join("\n")))
+}
