--- a/crates/yarrowspoke-front/tests/crowds.rs
+++ b/crates/yarrowspoke-front/tests/crowds.rs
@@ -9,6 +9,7 @@
 use scripted::stage::{Stage, EMPTY};
 use scripted::{Program, Wire};
 use std::net::TcpStream;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use yarrowspoke_front::net::accept_queue::{AcceptQueue, BACKLOG};
 use yarrowspoke_toy::{Behaviour, Machine};
@@ -26,20 +27,25 @@
 const BUDGET: &str = "2.0";
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_550);
 
+/// Held by each test with a crowd: together they would need more descriptors than a process usually may open.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// The program with 256 descriptors and a watch on one machine.
 struct Front {
     program: Program,
     _machine: Machine,
     _stage: Stage,
     _watch: Wire,
+    _guard: MutexGuard<'static, ()>,
 }
 
 impl Front {
     fn start() -> Self {
+        let guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let machine = Machine::start(any_port(), Behaviour::Serve).unwrap();
         let stage = Stage::set(EMPTY).told("\"sockets\": 1024", "\"sockets\": 256");
         let (program, watch) = stage.watched_at(&[machine.address]);
-        Self { program, _machine: machine, _stage: stage, _watch: watch }
+        Self { program, _machine: machine, _stage: stage, _watch: watch, _guard: guard }
     }
 
     /// Sends a request on a connection of its own, which must be served in time, connecting included.
